Lay the foundation: typed protocol, rows, configuration shape

Cause: the parts of the whole path are built side by side and need agreed types first. Change: interfaces to the platform and to minions, peer messages, table rows, the shape of a configuration, registry, clock, errors, lint and type settings. Ruled out: interfaces beside their adapters in transport, since coordination may not import transport. Conclusion: the parts can begin.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Each target sets up what it needs; see README.md.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup lint test demo measure
+
+setup: .venv/ready
+
+.venv/ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: setup
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/src/vanillaswitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/vanillaswitch/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions over typed state, and the tasks around them."""
--- /dev/null
+++ b/src/vanillaswitch/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The two daemons of an entry instance."""
--- /dev/null
+++ b/src/vanillaswitch/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that are no part of the public interface."""
--- /dev/null
+++ b/src/vanillaswitch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, outcomes and the interfaces to outside systems."""
--- /dev/null
+++ b/src/vanillaswitch/protocol/peers.py
@@ -0,0 +1,122 @@
+"""Messages between the processes of the system.
+
+They travel as msgpack on TCP streams. All of it is soft state: any message may
+be lost, doubled or late, and the table stays the only truth.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from vanillaswitch.protocol import requests
+
+
+class Role(enum.StrEnum):
+    """Which daemon a process is."""
+
+    ENTRY = "entry"
+    CONTROLLER = "controller"
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """A process tells its peers that it lives.
+
+    Attributes:
+        process: name from its settings.
+        boot: random id of this start; a new boot is a new process.
+        address: "ip:port" of its peer port.
+        sequence: grows with each heartbeat of this boot.
+        config_version: the configuration in force there; 0 for none.
+        view_version: highest commit number of the drains it acts on.
+        leaving: it is shutting down.
+        loads: requests in flight by minion instance; absent means zero.
+        peers: peer addresses it knows, so that new processes are found.
+    """
+
+    process: str
+    boot: str
+    role: Role
+    address: str
+    data_centre: str
+    sequence: int
+    config_version: int
+    view_version: int
+    leaving: bool
+    loads: Mapping[str, int]
+    peers: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigOffer:
+    """The sender has this configuration in force."""
+
+    version: int
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigRequest:
+    """Please send the body of this version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigBody:
+    """A configuration, checked by its digest."""
+
+    version: int
+    digest: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class DrainNotice:
+    """A budget row as committed: these instances get no new work.
+
+    Attributes:
+        version: commit number of the row; a lower one is ignored.
+    """
+
+    service: str
+    version: int
+    instances: tuple[str, ...]
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claimed request has come."""
+
+    CLAIMED = "claimed"
+    RELEASED = "released"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimQuery:
+    """Asks the holder of a claim how far it has come."""
+
+    query: str
+    claim: str
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimReply:
+    """The holder's word on a claim; ``answer`` only when DONE."""
+
+    query: str
+    state: ClaimState
+    answer: requests.Answer | None = None
+
+
+Message = (
+    Heartbeat
+    | ConfigOffer
+    | ConfigRequest
+    | ConfigBody
+    | DrainNotice
+    | ClaimQuery
+    | ClaimReply
+)
--- /dev/null
+++ b/src/vanillaswitch/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, peer streams and the clients of outside systems."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests and trials only."""
