--- a/src/vanillaswitch/protocol/requests.py
+++ b/src/vanillaswitch/protocol/requests.py
@@ -14,6 +14,23 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Incoming:
+    """A request as it came over the wire, not yet checked against anything.
+
+    The transport has already checked its framing and its size.
+
+    Attributes:
+        received: monotonic seconds at which its head was read.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Request:
     """A checked request of a caller.
