--- /dev/null
+++ b/src/vanillaswitch/internal/lifecycle.py
@@ -0,0 +1,14 @@
+"""Waiting for the signal that ends a daemon."""
+
+import signal
+
+import gevent
+import gevent.event
+
+
+def wait_for_stop() -> None:
+    """Blocks the calling task until SIGTERM or SIGINT arrives."""
+    stopped = gevent.event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    stopped.wait()
