--- /dev/null
+++ b/src/vanillaswitch/coordination/duty_names.py
@@ -0,0 +1,28 @@
+"""The duties that a configuration implies."""
+
+from vanillaswitch.state import config as config_lib
+
+WAVE = "wave"
+POOL_GROUP = "pool-group"
+PLACEMENT = "placement"
+CLAIM_EXPIRY = "claim-expiry"
+REPAIR = "repair"
+
+
+def of_config(config: config_lib.Config) -> tuple[str, ...]:
+    """Returns the name of each duty, in order."""
+    names = [f"{WAVE}/{name}" for name in config.waves]
+    names += [f"{POOL_GROUP}/{name}" for name in config.services]
+    names += [f"{PLACEMENT}/{name}" for name in config.data_centres]
+    names += [CLAIM_EXPIRY, REPAIR]
+    return tuple(sorted(names))
+
+
+def kind(name: str) -> str:
+    """Returns the kind of a duty, the name it is registered under."""
+    return name.partition("/")[0]
+
+
+def subject(name: str) -> str:
+    """Returns what a duty is about; empty where there is only one."""
+    return name.partition("/")[2]
--- a/src/vanillaswitch/state/keys.py
+++ b/src/vanillaswitch/state/keys.py
@@ -66,3 +66,8 @@
     that happens to be the same.
     """
     return CLAIMS + "/".join(_quote(part) for part in (caller, service, key))
+
+
+def name_of(prefix: str, key: str) -> str:
+    """Returns the name that a key of one part below ``prefix`` was made of."""
+    return urllib.parse.unquote(key.removeprefix(prefix))
