--- a/src/vanillaswitch/errors.py
+++ b/src/vanillaswitch/errors.py
@@ -30,12 +30,14 @@
     Attributes:
         file: name of the file, or "(merged)" when no single file is at fault.
         field: dotted path of the field.
+        message: what is wrong there.
     """
 
     def __init__(self, file: str, field: str, message: str):
         super().__init__(f"{file}: {field}: {message}")
         self.file = file
         self.field = field
+        self.message = message
 
 
 class ConfigRejected(ExceptionGroup[ConfigError]):
--- a/src/vanillaswitch/state/rows.py
+++ b/src/vanillaswitch/state/rows.py
@@ -19,6 +19,19 @@
 T = TypeVar("T")
 
 
+@dataclasses.dataclass(frozen=True)
+class AcceptedConfig:
+    """One configuration that was accepted earlier.
+
+    Attributes:
+        token: of the transaction that accepted it.
+    """
+
+    number: int
+    digest: str
+    token: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigHead:
     """``config/head``: the configuration in force.
@@ -27,12 +40,16 @@
         number: grows by one with each accepted change.
         digest: SHA-256 in hex of the body in the object store.
         author: operator who applied it.
+        recent: the latest configurations, this one first; shows a writer
+            whose answer was lost whether its write took effect, also when
+            another one has followed it.
     """
 
     number: int
     digest: str
     author: str
     applied_wall_s: float
+    recent: tuple[AcceptedConfig, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,7 +131,9 @@
         peer: peer address of that process.
         digest: of method, target, body and time of issue.
         answer_status: status of the whole answer when DONE.
-        answer_body: base64 of the answer's body.
+        answer_body: base64 of the answer's body; empty for a large one.
+        answer_object: SHA-256 in hex of a large answer's body in the object
+            store; empty when the body is in the row.
     """
 
     state: peers.ClaimState
@@ -126,6 +145,7 @@
     answer_status: int = 0
     answer_headers: tuple[tuple[str, str], ...] = ()
     answer_body: str = ""
+    answer_object: str = ""
 
 
 @functools.cache
