Run non-idempotent requests at most once by claims

Cause: a charge that is asked for again at another entry must not run twice, and the caller must hear the truth about the first attempt. Ruled out: leases on claims (a paused holder could send after its lease lapsed); taking a claim over when its holder is silent (it may have sent).

--- /dev/null
+++ b/src/vanillaswitch/coordination/claim_expiry.py
@@ -0,0 +1,76 @@
+"""Deletes claims that no request can meet any more.
+
+A request whose key was issued longer ago than the retention is refused, so
+its claim is of no use. The margin covers clocks that differ: an entry may
+accept a request that the controller takes for older. It also makes a late
+copy of a claim's insert harmless: a claim that stands up again after it was
+deleted is too old to be met, and is deleted again.
+"""
+
+from collections.abc import Iterable
+import random
+
+from vanillaswitch.internal import ids
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+MARGIN_S = 3600
+ROWS_PER_TRANSACTION = 64
+
+
+def too_old(issued_ms: int, now_ms: int, retention_s: float) -> bool:
+    """Tells whether a request is refused since its claim may be gone."""
+    return now_ms - issued_ms > retention_s * 1000
+
+
+def expired(
+    found: Iterable[platform.Row], now_ms: int, retention_s: float
+) -> tuple[platform.Put, ...]:
+    """Returns the deletes of the claims that are past their retention.
+
+    Args:
+        found: claim rows.
+        now_ms: wall clock in milliseconds since the Unix epoch.
+        retention_s: how long claims are kept, in seconds.
+    """
+    return tuple(
+        platform.Put(row.key, row.version, None)
+        for row in found
+        if too_old(
+            rows.load(rows.Claim, row.value).issued_ms,
+            now_ms,
+            retention_s + MARGIN_S,
+        )
+    )
+
+
+def expire(
+    table: platform.Table,
+    source: random.Random,
+    now_ms: int,
+    retention_s: float,
+    limit: int,
+) -> int:
+    """Deletes up to ``limit`` expired claims; a controller's duty calls it.
+
+    A batch that conflicts, or whose answer is lost, is left to the next call:
+    deleting is version-checked, so that nothing else can be deleted.
+
+    Returns:
+        How many claims were surely deleted.
+    """
+    read = table.scan(keys.CLAIMS)
+    if isinstance(read, platform.Unavailable):
+        return 0
+    deletes = expired(read.rows, now_ms, retention_s)[:limit]
+    deleted = 0
+    for start in range(0, len(deletes), ROWS_PER_TRANSACTION):
+        batch = deletes[start : start + ROWS_PER_TRANSACTION]
+        transaction = platform.Transaction(ids.new_id(source), batch)
+        outcome = table.commit(transaction)
+        if isinstance(outcome, platform.Committed):
+            deleted += len(batch)
+        elif not isinstance(outcome, platform.Conflict):
+            break
+    return deleted
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -32,6 +32,7 @@
         leaving: it is shutting down.
         loads: requests in flight by minion instance; absent means zero.
         peers: peer addresses it knows, so that new processes are found.
+        interval_s: when the receiver may expect the next heartbeat.
     """
 
     process: str
@@ -45,6 +46,7 @@
     leaving: bool
     loads: Mapping[str, int]
     peers: tuple[str, ...] = ()
+    interval_s: float = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,11 +97,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class ClaimQuery:
-    """Asks the holder of a claim how far it has come."""
+    """Asks the holder of a claim how far it has come.
+
+    Attributes:
+        boot: the boot that holds the claim; another one does not know.
+    """
 
     query: str
     claim: str
     digest: str
+    boot: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/tests/common/claim_world.py
@@ -0,0 +1,164 @@
+"""Entries over one table, and a minion that counts what it runs."""
+
+import collections
+import dataclasses
+import random
+
+import gevent
+
+from standins import faults as faults_module
+from standins import objects as objects_module
+from standins import table as table_module
+from tests.common import clocks
+from vanillaswitch.coordination import claim_rules
+from vanillaswitch.coordination import claims
+from vanillaswitch.protocol import claims as claims_protocol
+from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import platform
+from vanillaswitch.protocol import requests
+
+RETENTION_S = 86_400.0
+
+
+class ForgetfulTable(table_module.MemoryTable):
+    """Takes each copy of a transaction for a new one.
+
+    The interface does not promise that a table knows a token again, so what
+    holds only with such a table is not proved.
+    """
+
+    def _apply(self, transaction):
+        self._applied.clear()
+        return super()._apply(transaction)
+
+
+class Link:
+    """One entry's way to the shared table, with faults of its own."""
+
+    def __init__(self, table: platform.Table):
+        self.faults = faults_module.Faults()
+        self._table = table
+
+    def read(self, keys):
+        """Reads over this link."""
+        return self.faults.read(lambda: self._table.read(keys))
+
+    def scan(self, prefix):
+        """Scans over this link."""
+        return self.faults.read(lambda: self._table.scan(prefix))
+
+    def commit(self, transaction):
+        """Commits over this link."""
+        return self.faults.write(lambda: self._table.commit(transaction))
+
+
+class Entry:
+    """One boot of an entry."""
+
+    def __init__(self, world: "World", name: str, boot: str):
+        self.name = name
+        self.boot = boot
+        self.link = Link(world.table)
+        self.cut_from_peers = False
+        self.parts = claims.make_parts(
+            claim_rules.Holder(name, boot, f"peer-{name}"),
+            self.link,
+            world.objects,
+            lambda peer, query, _: world.ask(self, peer, query),
+            world.clock,
+            world.source,
+            lambda: RETENTION_S,
+        )
+        self.claims = claims.Claims(self.parts)
+        self._task = gevent.spawn(self.parts.committer.run)
+
+    def kill(self) -> None:
+        """Ends its task; what it knows is gone."""
+        self._task.kill()
+
+    def write_all(self) -> None:
+        """Does one round of the background writer."""
+        self.parts.ledger.write_all()
+
+
+@dataclasses.dataclass
+class Attempt:
+    """A claimed request on its way through an entry."""
+
+    entry: Entry
+    request: requests.Request
+    ticket: str
+    answer: requests.Answer | None = None
+
+
+class World:
+    """All that the tests of claims share."""
+
+    def __init__(self, names=("a", "b", "c")):
+        self.clock = clocks.ManualClock()
+        self.source = random.Random(5)
+        self.table = ForgetfulTable()
+        self.objects = objects_module.MemoryObjects()
+        self.issued_ms = int(self.clock.wall() * 1000)
+        self.runs: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.entries: dict[str, Entry] = {}
+        self._boots = 0
+        for name in names:
+            self.restart(name)
+
+    def restart(self, name: str) -> Entry:
+        """Kills the entry, if there is one; a new boot takes its place."""
+        if name in self.entries:
+            self.entries[name].kill()
+        self._boots += 1
+        self.entries[name] = Entry(self, name, f"boot-{self._boots}")
+        return self.entries[name]
+
+    def close(self) -> None:
+        """Kills all entries."""
+        for entry in self.entries.values():
+            entry.kill()
+
+    def request(self, key="k", caller="tacoma", body=b"one veil"):
+        """Makes an order that has a second to be answered."""
+        return requests.Request(
+            request_id="r",
+            caller=caller,
+            service="fabric-store",
+            request_class="order",
+            method="POST",
+            target="/fabric-store/orders",
+            headers=(),
+            body=body,
+            deadline=self.clock.monotonic() + 1.0,
+            key=key,
+            issued_ms=self.issued_ms,
+        )
+
+    def run(self, attempt: Attempt, body: bytes = b"done") -> requests.Answer:
+        """The minion runs the request; it counts, and must see it once."""
+        name = (attempt.request.caller, attempt.request.key)
+        self.runs[name] += 1
+        assert self.runs[name] == 1, f"{name} ran twice"
+        attempt.answer = requests.Answer(
+            201, (("Content-Type", "text/plain"),), repr(name).encode() + body
+        )
+        return attempt.answer
+
+    def begin(self, name: str, request=None):
+        """Asks an entry to begin a request."""
+        return self.entries[name].claims.begin(request or self.request())
+
+    def attempt(self, name: str, request=None) -> Attempt:
+        """Begins a request that must get the claim."""
+        request = request or self.request()
+        begun = self.begin(name, request)
+        assert isinstance(begun, claims_protocol.Proceed), begun
+        return Attempt(self.entries[name], request, begun.ticket)
+
+    def ask(self, asker: Entry, peer: str, query: peers.ClaimQuery):
+        """Carries a query to the living process at an address."""
+        holder = self.entries.get(peer.removeprefix("peer-"))
+        if holder is None or holder.cut_from_peers or asker.cut_from_peers:
+            return None
+        return holder.claims.answer_query(query)
