--- /dev/null
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -0,0 +1,217 @@
+"""HTTP towards minions: each call of ``send`` sends at most once.
+
+``geventhttpclient.HTTPClient.request`` is not used, because it sends again by
+itself when a pooled connection turns out closed; only its response parser is.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+
+import gevent
+from gevent import socket
+
+from vanillaswitch import errors
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import minions
+from vanillaswitch.protocol import requests
+from vanillaswitch.transport import answer_reader
+from vanillaswitch.transport import connections
+from vanillaswitch.transport import headers
+from vanillaswitch.transport import sockets
+
+_BLOCK_BYTES = 65_536
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+_OWN_FIELDS = (
+    "host",
+    "content-length",
+    requests.HEADER_REQUEST.lower(),
+    requests.HEADER_CALLER.lower(),
+    requests.HEADER_KEY.lower(),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class ClientSettings:
+    """Limits of the client.
+
+    Attributes:
+        max_answer_bytes: largest answer with its head; a larger one is Lost.
+        connect_timeout_s: longest wait for a new connection.
+        idle_per_minion: connections kept open without work, per minion.
+        idle_s: longest time that a connection is kept open without work.
+    """
+
+    max_answer_bytes: int = 16 * 1024 * 1024
+    connect_timeout_s: float = 1.0
+    idle_per_minion: int = 8
+    idle_s: float = 30.0
+
+
+def encode(minion: minions.Minion, request: requests.Request) -> bytes:
+    """Returns the bytes of a request.
+
+    Raises:
+        errors.InvariantError: a field holds a line break.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1",
+        f"Host: {minion.address}",
+        f"{requests.HEADER_REQUEST}: {request.request_id}",
+        f"{requests.HEADER_CALLER}: {request.caller}",
+    ]
+    if request.key:
+        lines.append(f"{requests.HEADER_KEY}: {request.key}")
+    if request.body or request.method in _METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(request.body)}")
+    passed_on = headers.without(
+        headers.end_to_end(request.headers), *_OWN_FIELDS
+    )
+    lines.extend(f"{name}: {value}" for name, value in passed_on)
+    # A line break inside a field would begin a second request, which would
+    # run unseen: the caller's side lets none in, and this holds it to that.
+    if any("\r" in line or "\n" in line for line in lines):
+        raise errors.InvariantError("a header field holds a line break")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + request.body
+
+
+class _Exchange:
+    """One request and its answer on one connection."""
+
+    def __init__(self, limit: int, request: requests.Request):
+        self._reader = answer_reader.AnswerReader(request.method, limit)
+        self._request = request
+        self._sent = 0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return self._reader.reusable
+
+    def run(
+        self, connection: socket.socket, data: bytes
+    ) -> minions.SendOutcome:
+        """Sends ``data`` once and reads the whole answer."""
+        try:
+            self._send(connection, data)
+            self._read(connection)
+        except (OSError, answer_reader.BrokenAnswerError) as error:
+            return self.broken(str(error) or type(error).__name__)
+        return self._check(self._reader.answer())
+
+    def broken(
+        self, reason: str, timed_out: bool = False
+    ) -> minions.NotSent | minions.Lost:
+        """Returns what is known when the exchange ended early."""
+        if not self._sent:
+            return minions.NotSent(reason)
+        silent = timed_out and not self._reader.received
+        return minions.Lost(reason, silent)
+
+    def _send(self, connection: socket.socket, data: bytes) -> None:
+        # ``sendall`` does not tell how much had left when it failed. Here
+        # ``_sent`` stays 0 exactly until the kernel has taken a first byte,
+        # so that NotSent is never said of a request that may have arrived.
+        view = memoryview(data)
+        while self._sent < len(data):
+            self._sent += connection.send(view[self._sent :])
+
+    def _read(self, connection: socket.socket) -> None:
+        while not self._reader.whole:
+            self._reader.feed(connection.recv(_BLOCK_BYTES))
+
+    def _check(self, answer: requests.Answer) -> minions.SendOutcome:
+        # A minion that answers one request twice leaves an answer on the
+        # connection that may arrive just after it was found quiet. Where the
+        # minion names the request that it answers, the name tells them apart.
+        named = headers.first(answer.headers, requests.HEADER_REQUEST)
+        if named is not None and named != self._request.request_id:
+            return minions.Lost("this answers another request", silent=False)
+        return minions.Answered(answer)
+
+
+class HttpMinionClient:
+    """Implements ``protocol.minions.MinionClient`` over HTTP/1.1."""
+
+    def __init__(
+        self, clock: clocks.Clock, settings: ClientSettings | None = None
+    ):
+        self._settings = settings or ClientSettings()
+        self._pool = connections.ConnectionPool(
+            clock, self._settings.idle_per_minion, self._settings.idle_s
+        )
+
+    def send(
+        self,
+        minion: minions.Minion,
+        request: requests.Request,
+        timeout_s: float,
+        fresh: bool,
+    ) -> minions.SendOutcome:
+        """Sends one request once; see ``protocol.minions.MinionClient``."""
+        if timeout_s <= 0:
+            return minions.NotSent("no time left")
+        data = encode(minion, request)
+        exchange = _Exchange(self._settings.max_answer_bytes, request)
+        timeout = gevent.Timeout.start_new(timeout_s)
+        try:
+            return self._exchange(exchange, minion.address, data, fresh)
+        except gevent.Timeout as raised:
+            if raised is not timeout:
+                raise
+            return self._timed_out(exchange, minion.address)
+        finally:
+            timeout.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self._pool.close()
+
+    def _exchange(
+        self, exchange: _Exchange, address: str, data: bytes, fresh: bool
+    ) -> minions.SendOutcome:
+        connection = None if fresh else self._pool.take(address)
+        if connection is None:
+            try:
+                connection = sockets.connect(
+                    address, self._settings.connect_timeout_s
+                )
+            except OSError as error:
+                return minions.NotSent(f"no connection: {error}")
+        reusable = False
+        try:
+            outcome = exchange.run(connection, data)
+            reusable = exchange.reusable
+            reusable = reusable and isinstance(outcome, minions.Answered)
+            return outcome
+        finally:
+            # Also when the task is killed or timed out: an answer that comes
+            # late on this connection would be read as the next request's.
+            if reusable:
+                self._pool.give_back(address, connection)
+            else:
+                connection.close()
+
+    def _timed_out(
+        self, exchange: _Exchange, address: str
+    ) -> minions.NotSent | minions.Lost:
+        outcome = exchange.broken("no whole answer in time", timed_out=True)
+        # What lost track of one connection (a firewall that restarted, say)
+        # has likely lost track of its neighbours of the same age, and each
+        # would cost a request its whole timeout. New ones work.
+        if isinstance(outcome, minions.Lost) and outcome.silent:
+            self._pool.discard(address)
+        return outcome
+
+
+@contextlib.contextmanager
+def open_client(
+    clock: clocks.Clock, settings: ClientSettings | None = None
+) -> Iterator[HttpMinionClient]:
+    """Yields a client and closes its idle connections afterwards."""
+    client = HttpMinionClient(clock, settings)
+    try:
+        yield client
+    finally:
+        client.close()
--- /dev/null
+++ b/tests/failures/test_sent_once.py
@@ -0,0 +1,173 @@
+"""No request leaves twice unless the caller of the client decides so."""
+
+import gevent
+from gevent import socket
+import pytest
+
+from standins import minion as standin
+from tests.common import clocks
+from tests.common import wire
+from vanillaswitch.protocol import minions
+from vanillaswitch.transport import minion_http
+from vanillaswitch.transport import sockets
+
+SOON_S = 0.02
+"""A timeout that is always meant to run out."""
+
+
+@pytest.fixture
+def client():
+    with minion_http.open_client(clocks.ManualClock()) as made:
+        yield made
+
+
+def warm(client, minion, count):
+    """Leaves ``count`` idle connections to a minion."""
+    sends = [
+        gevent.spawn(
+            client.send, minion, wire.request_of(f"w-{n}"), wire.LONG_S, True
+        )
+        for n in range(count)
+    ]
+    gevent.joinall(sends)
+    assert all(isinstance(one.value, minions.Answered) for one in sends)
+
+
+def test_a_pooled_connection_that_closes_under_a_request_is_lost_once(client):
+    """A skipper is charged twice for one pilotage.
+
+    The entry has several idle connections. The minion closes each as soon as
+    the next request has arrived on it, having run it. A client that takes
+    the close for a stale connection sends again, once for each idle one.
+    """
+    answered = []
+
+    def reply(request, connection):
+        if b"Request-Id: w-" in request:
+            connection.sendall(wire.answer(b""))
+        else:
+            answered.append(request)
+            connection.close()
+
+    with wire.scripted(reply) as (script, minion):
+        warm(client, minion, 4)
+        outcome = client.send(
+            minion, wire.request_of("charge"), wire.LONG_S, False
+        )
+        assert isinstance(outcome, minions.Lost)
+        assert not outcome.silent
+        assert len(answered) == 1
+        assert len(script.requests) == 5
+
+
+def test_a_connection_closed_before_the_send_is_passed_over(client):
+    """A quote fails although every minion is well.
+
+    The minion closes an idle connection, as it may. The next request must not
+    go on it: nothing would run, and nobody could tell.
+    """
+    with standin.run_minion() as running:
+        running.switch(close_next=1)
+        minion = wire.minion_at(running.address)
+        warm(client, minion, 1)
+        while running.open_connections:
+            gevent.sleep(0)
+        outcome = client.send(minion, wire.request_of(), wire.LONG_S, False)
+        assert isinstance(outcome, minions.Answered)
+        assert running.by_request == {"w-0": 1, "r-1": 1}
+
+
+@pytest.mark.parametrize("ran", [True, False])
+def test_a_reset_after_the_send_is_never_sent_again(client, ran):
+    """A fabric order cuts two veils.
+
+    The order is sent on a kept connection and the minion resets it. Whether
+    the order ran can't be told from here, so it is lost, not sent again.
+    """
+    with standin.run_minion() as running:
+        minion = wire.minion_at(running.address)
+        warm(client, minion, 3)
+        running.switch(reset_next=1, unlucky_run=ran)
+        outcome = client.send(minion, wire.request_of(), wire.LONG_S, False)
+        assert isinstance(outcome, minions.Lost)
+        assert not outcome.silent
+        assert running.received == 4
+        assert running.by_request["r-1"] == int(ran)
+
+
+def test_a_silent_connection_is_lost_once_and_its_neighbours_are_given_up(
+    client,
+):
+    """Each quote of a minute takes a whole timeout, one after another.
+
+    A firewall between entry and minion forgets the open connections. The
+    first request on one is lost as silent; those of the same age must not
+    cost the next requests their timeouts too.
+    """
+    with standin.run_minion() as running:
+        minion = wire.minion_at(running.address)
+        warm(client, minion, 3)
+        running.switch(silent_next=1)
+        outcome = client.send(minion, wire.request_of("q"), SOON_S, False)
+        assert outcome == minions.Lost("no whole answer in time", silent=True)
+        running.wait_for_received(4)
+        assert running.by_request["q"] == 1
+        while running.open_connections:
+            gevent.sleep(0)
+        again = client.send(minion, wire.request_of("n"), wire.LONG_S, False)
+        assert isinstance(again, minions.Answered)
+        assert running.received == 5
+
+
+def test_a_refused_connection_is_not_sent(client):
+    """A charge is reported as unknown although it can't have run.
+
+    The minion is gone and its port refuses: no byte left, so trying another
+    minion is safe and has to be allowed.
+    """
+    with standin.run_minion() as running:
+        running.switch(refuse=True)
+        minion = wire.minion_at(running.address)
+        outcome = client.send(minion, wire.request_of(), wire.LONG_S, True)
+        assert isinstance(outcome, minions.NotSent)
+        assert running.received == 0
+
+
+def test_a_failure_of_the_first_byte_is_not_sent(client, monkeypatch):
+    """A charge is reported as unknown although the kernel took none of it."""
+    mine, theirs = socket.socketpair()
+    theirs.close()
+    monkeypatch.setattr(sockets, "connect", lambda *_: mine)
+    outcome = client.send(
+        wire.minion_at("127.0.0.1:1"), wire.request_of(), wire.LONG_S, True
+    )
+    assert isinstance(outcome, minions.NotSent)
+
+
+def test_a_request_that_left_in_part_may_have_run(client, monkeypatch):
+    """A charge is sent to a second minion while the first still reads it.
+
+    The first minion takes part of a long request and then stalls. What was
+    taken may yet be completed from the kernel's buffers, so it is not "not
+    sent", whatever part had left.
+    """
+    mine, theirs = socket.socketpair()
+    monkeypatch.setattr(sockets, "connect", lambda *_: mine)
+    request = wire.request_of(method="POST", body=b"x" * 10_000_000)
+    outcome = client.send(wire.minion_at("127.0.0.1:1"), request, SOON_S, True)
+    assert outcome == minions.Lost("no whole answer in time", silent=True)
+    theirs.close()
+
+
+def test_no_time_left_means_not_sent(client):
+    """A caller that has long given up is charged.
+
+    Its deadline passed while the request was on its way here: nothing may be
+    sent then.
+    """
+    with standin.run_minion() as running:
+        outcome = client.send(
+            wire.minion_at(running.address), wire.request_of(), 0.0, False
+        )
+        assert isinstance(outcome, minions.NotSent)
+        assert running.received == 0
