--- /dev/null
+++ b/tests/failures/test_not_run_is_true.py
@@ -0,0 +1,177 @@
+"""A request that is refused as "not run" was not run, nor will be."""
+
+import collections
+import enum
+
+import gevent
+import gevent.event
+import hypothesis
+from hypothesis import strategies as st
+
+from tests.common import clocks
+from tests.common import paths
+from vanillaswitch.protocol import minions
+from vanillaswitch.protocol import requests
+
+
+class Fault(enum.Enum):
+    """What happens to one send."""
+
+    NONE = "answered"
+    REFUSED = "no connection"
+    DECLINED = "declared not run"
+    RESET_BEFORE_RUN = "reset, not run"
+    RESET_AFTER_RUN = "reset, run"
+    SILENT = "silent, not run"
+    SILENT_RUNS_LATE = "silent, runs long after"
+    SLOW = "runs, answers too late"
+    PAUSED = "the process is paused, then no connection"
+
+
+class FaultyMinions:
+    """Does the next fault with each send and counts runs, late ones too."""
+
+    def __init__(self, clock: clocks.ManualClock, faults: list[Fault]):
+        self._clock = clock
+        self._faults = collections.deque(faults)
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.risky_sends: collections.Counter[str] = collections.Counter()
+
+    def answer(
+        self, _: minions.Minion, request: requests.Request, timeout_s: float
+    ) -> minions.SendOutcome:
+        """Does the next fault."""
+        assert timeout_s > 0
+        fault = self._faults.popleft() if self._faults else Fault.NONE
+        name = request.request_id
+        if fault is Fault.REFUSED:
+            return minions.NotSent("refused")
+        if fault is Fault.PAUSED:
+            self._clock.advance(30)
+            return minions.NotSent("refused")
+        if fault is Fault.DECLINED:
+            return paths.answer_to(request, 503)
+        self.risky_sends[name] += 1
+        if fault not in (Fault.SILENT, Fault.RESET_BEFORE_RUN):
+            self.runs[name] += 1
+        if fault is Fault.NONE:
+            return paths.answer_to(request)
+        if fault in (Fault.RESET_AFTER_RUN, Fault.RESET_BEFORE_RUN):
+            return minions.Lost("reset", silent=False)
+        self._clock.advance(timeout_s)
+        return minions.Lost("no answer", silent=True)
+
+
+_FAULTS = st.lists(st.sampled_from(Fault), max_size=5)
+_KINDS = st.sampled_from(("quote", "charge", "charge with key"))
+
+
+def _handle(rig: paths.Rig, kind: str, request_id: str) -> requests.Reply:
+    if kind == "quote":
+        return rig.handle(request_id=request_id)
+    key = request_id if kind == "charge with key" else ""
+    return rig.charge(key, request_id)
+
+
+def _check_reply(
+    rig: paths.Rig, faulty: FaultyMinions, kind: str, name: str
+) -> None:
+    reply = _handle(rig, kind, name)
+    if isinstance(reply, requests.Answer):
+        outcome = "finished"
+        assert reply.body == name.encode()
+    elif reply.outcome is requests.Outcome.NOT_RUN:
+        outcome = "released"
+        assert faulty.runs[name] == 0
+    else:
+        outcome = "lost"
+        assert faulty.risky_sends[name] > 0
+    if kind != "quote":
+        assert faulty.risky_sends[name] <= 1
+    settled = [how for ticket, how in rig.claims.settled if ticket == name]
+    assert settled == ([outcome] if kind == "charge with key" else [])
+
+
+@hypothesis.settings(deadline=None, max_examples=150)
+@hypothesis.given(
+    st.lists(st.tuples(_KINDS, _FAULTS), min_size=1, max_size=6),
+    st.booleans(),
+)
+def test_not_run_is_true_under_any_order_of_faults(script, can_catch_up):
+    """A clerk is told "not run", charges again, and the ship pays twice.
+
+    Any faults in any order: refused, declined, reset or silent connections,
+    minions that run a request long after it was given up, pauses of the
+    process. The cause would be a retry whose own failure is told instead of
+    what an earlier attempt may still do.
+    """
+    faults = [fault for _, faults in script for fault in faults]
+    with paths.running() as rig:
+        faulty = FaultyMinions(rig.clock, faults)
+        rig.sends.answering = faulty.answer
+        if not can_catch_up:
+            rig.catch_up = lambda _: False
+        for number, (kind, _) in enumerate(script):
+            _check_reply(rig, faulty, kind, f"r{number}")
+        gevent.idle()
+        assert rig.path.loads == {}
+        assert rig.path.in_flight == 0
+
+
+def test_a_charge_whose_task_is_killed_while_it_is_sent_is_unknown():
+    """The terminal hangs up during a charge; asked again, it was charged.
+
+    The charge is at the minion when the task that waits for it is killed.
+    Were its claim released then, the same key would run a second time.
+    """
+    sent, never = gevent.event.Event(), gevent.event.Event()
+
+    def hang(*_: object) -> minions.SendOutcome:
+        sent.set()
+        never.wait()
+        raise AssertionError
+
+    with paths.running(hang) as rig:
+        task = gevent.spawn(rig.charge, "k")
+        sent.wait()
+        task.kill()
+        assert rig.claims.settled == [("r1", "lost")]
+        gevent.idle()
+        assert rig.path.loads == {}
+
+
+def test_a_charge_whose_task_is_killed_in_the_queue_is_released():
+    """A terminal hangs up while its charge waits, and can't charge again.
+
+    The charge was claimed and waits for a slot when its task is killed. It
+    surely never ran; a claim left open would be answered "unknown" for good.
+    """
+    with paths.running() as rig:
+        rig.peer_loads.update(m0=8, m1=8, m2=8)
+        task = gevent.spawn(rig.charge, "k")
+        while not rig.claims.begun:
+            gevent.sleep(0)
+        task.kill()
+        assert rig.claims.settled == [("r1", "released")]
+        assert not rig.sends.minions
+
+
+def test_a_charge_is_not_sent_after_its_deadline():
+    """A charge that was told to have failed is made a minute later.
+
+    The process is paused while it writes the claim and goes on after the
+    deadline, when the terminal has long stopped waiting.
+    """
+    with paths.running() as rig:
+        begin = rig.claims.begin
+
+        def slow_begin(request):
+            rig.clock.advance(60)
+            return begin(request)
+
+        rig.claims.begin = slow_begin
+        reply = rig.charge("k")
+    assert isinstance(reply, requests.Refusal)
+    assert reply.outcome is requests.Outcome.NOT_RUN
+    assert rig.claims.settled == [("r1", "released")]
+    assert not rig.sends.minions
