--- a/standins/control.py
+++ b/standins/control.py
@@ -3,14 +3,17 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import http.client
 import json
 
 import geventhttpclient
 
+from standins import minion_http
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import sockets
 
 _TIMEOUT_S = 1.0
+_GONE = (OSError, http.client.HTTPException)
 
 
 class MinionControls:
@@ -29,16 +32,17 @@
 
     def on_phase(self, instance: str, phase: platform.Phase) -> None:
         """Makes a minion show that it leaves, or that it serves again."""
-        leaving = int(phase is not platform.Phase.SERVING)
+        leaving = phase is not platform.Phase.SERVING
+        body = json.dumps({"leaving": leaving})
         with self._client(instance) as client:
             if client is not None:
-                client.post(f"/_standin/leaving?on={leaving}").read()
+                client.post(minion_http.SWITCH_PATH, body=body).read()
 
     def in_flight(self, instance: str) -> int:
         """Returns how many requests a minion works on."""
         with self._client(instance) as client:
             if client is not None:
-                body = client.get("/_standin/counters").read()
+                body = client.get(minion_http.RUNS_PATH).read()
                 return int(json.loads(body).get("in_flight", 0))
         return 0
 
@@ -59,7 +63,7 @@
             network_timeout=_TIMEOUT_S,
         )
         try:
-            with contextlib.suppress(OSError, ValueError):
+            with contextlib.suppress(*_GONE):
                 yield client
         finally:
             client.close()
