--- a/src/vanillaswitch/coordination/duties.py
+++ b/src/vanillaswitch/coordination/duties.py
@@ -162,6 +162,13 @@
     return tuple(put for put in puts if put.key not in lost)
 
 
+def written(puts: Iterable[platform.Put], version: int) -> dict[str, Held]:
+    """Returns the duties that a commit wrote, by name."""
+    rows_put = [platform.Row(p.key, version, p.value or {}, "") for p in puts]
+    names = [keys.name_of(keys.DUTIES, row.key) for row in rows_put]
+    return table_of(names, rows_put)
+
+
 def fences(table: Mapping[str, Held], me: str, boot: str) -> dict[str, Fence]:
     """Returns the fence of each duty that this start of ``me`` holds."""
     return {
--- /dev/null
+++ b/tests/common/controllers.py
@@ -0,0 +1,100 @@
+"""A few controllers over one table in memory, moved by hand."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from standins import faults
+from standins import table as table_lib
+from tests.common import clocks
+from vanillaswitch.coordination import controller
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config
+from vanillaswitch.state import settings
+
+TERM = 3.0
+
+
+class OffsetClock:
+    """The same time as another clock, counted from elsewhere."""
+
+    def __init__(self, base: clocks.ManualClock, offset: float):
+        self._base, self._offset = base, offset
+
+    def monotonic(self) -> float:
+        """Returns monotonic seconds of its own origin."""
+        return self._base.monotonic() + self._offset
+
+    def wall(self) -> float:
+        """Returns a wall time that is off."""
+        return self._base.wall() - self._offset
+
+    def sleep(self, seconds: float) -> None:
+        """Moves the shared time on."""
+        self._base.sleep(seconds)
+
+
+class HookedTable:
+    """A table whose commits run a hook first: the place for a pause."""
+
+    def __init__(self, inner: table_lib.MemoryTable):
+        self.inner = inner
+        self.read = inner.read
+        self.scan = inner.scan
+        self.before_commit: Callable[[], None] | None = None
+
+    def commit(self, wanted: platform.Transaction) -> platform.CommitOutcome:
+        """Runs the hook once, then commits."""
+        hook, self.before_commit = self.before_commit, None
+        if hook is not None:
+            hook()
+        return self.inner.commit(wanted)
+
+
+def waves(count: int) -> config.Config:
+    """Returns a configuration with ``count`` duties in all, at least 2."""
+    wave = config.Wave((), config.WaveTarget.MINIONS)
+    names = (f"w{number}" for number in range(count - 2))
+    return config.Config({}, {}, {}, waves=dict.fromkeys(names, wave))
+
+
+class Group:
+    """Controllers that share a table, a clock and a configuration."""
+
+    def __init__(self, names: str, duties: int):
+        self.clock = clocks.ManualClock()
+        self.faults = faults.Faults(self.clock)
+        self.table = table_lib.MemoryTable(self.faults)
+        self.config = waves(duties)
+        self.members: dict[str, controller.Controller] = {}
+        self.tables: dict[str, HookedTable] = {}
+        self.sent: list[object] = []
+        self._starts = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> controller.Controller:
+        """Starts a controller, or replaces one by a new start."""
+        self._starts += 1
+        self.tables[name] = HookedTable(self.table)
+        none: Any = None
+        self.members[name] = controller.Controller(
+            settings.Settings(name, "dc", "", "", "", lease_s=TERM),
+            platform.Platform(self.tables[name], none, none, none),
+            OffsetClock(self.clock, 1e4 * self._starts),
+            random.Random(self._starts),
+            lambda: self.config,
+            self.sent.append,
+        )
+        return self.members[name]
+
+    def rounds(self, count: int, names: str = "") -> None:
+        """Ticks controllers in turn, a third of a term between rounds."""
+        for _ in range(count):
+            for name in names or self.members:
+                self.members[name].tick()
+            self.clock.advance(TERM / 3)
+
+    def shares(self) -> dict[str, int]:
+        """Returns how many duties each controller thinks it holds."""
+        return {name: len(m.fences) for name, m in self.members.items()}
--- /dev/null
+++ b/tests/cover/test_duties.py
@@ -0,0 +1,168 @@
+"""Duties are shared evenly, moved rarely, and fenced at any time."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests.common import controllers
+from vanillaswitch.coordination import controller
+from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import duty_names
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+MEMBERS = st.sets(st.sampled_from("abcdefgh"), min_size=1)
+
+
+@st.composite
+def tables(draw: st.DrawFn) -> dict[str, duties.Held]:
+    holders = draw(st.lists(st.sampled_from(["", *"abcdefgh"]), max_size=40))
+    return {
+        f"wave/{n}": duties.Held(f"wave/{n}", n + 1, rows.Duty(who, "b", n))
+        for n, who in enumerate(holders)
+    }
+
+
+def boots(members: set[str]) -> dict[str, str]:
+    return dict.fromkeys(sorted(members), "b")
+
+
+@given(tables(), MEMBERS)
+def test_shares_differ_by_at_most_one(
+    table: dict[str, duties.Held], members: set[str]
+) -> None:
+    assigned = list(duties.assign(table, boots(members)).values())
+    counts = [assigned.count(member) for member in members]
+    assert sum(counts) == len(table)
+    assert max(counts) - min(counts) <= 1
+
+
+@given(tables(), MEMBERS)
+def test_a_duty_leaves_its_living_holder_only_when_the_share_is_full(
+    table: dict[str, duties.Held], members: set[str]
+) -> None:
+    assigned = duties.assign(table, boots(members))
+    for member in members:
+        held = {n for n, h in table.items() if h.duty.holder == member}
+        if held - {n for n, who in assigned.items() if who == member}:
+            assert list(assigned.values()).count(member) <= len(held)
+            assert all(assigned[n] != member for n in table if n not in held)
+
+
+@given(tables(), MEMBERS)
+def test_each_change_is_written_by_exactly_one_controller(
+    table: dict[str, duties.Held], members: set[str]
+) -> None:
+    alive = boots(members)
+    puts = [p for m in members for p in duties.changes(table, alive, m)]
+    assert len({put.key for put in puts}) == len(puts)
+    for put in puts:
+        held = table[keys.name_of(keys.DUTIES, put.key)]
+        assert rows.load(rows.Duty, put.value or {}).epoch == (
+            held.duty.epoch + 1
+        )
+
+
+class Fencing(stateful.RuleBasedStateMachine):
+    """Any interleaving: pauses, lost and delayed writes, replacements."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.group = controllers.Group("abc", duties=4)
+        self.fences: list[tuple[str, duties.Fence]] = []
+        self.writes = 0
+        self.epochs: dict[str, int] = {}
+
+    @stateful.rule(name=st.sampled_from("abc"))
+    def tick(self, name: str) -> None:
+        """One controller renews, looks and takes."""
+        member = self.group.members[name]
+        member.tick()
+        self.note(member)
+
+    def note(self, member: controller.Controller) -> None:
+        """Remembers what a controller believes to hold."""
+        self.fences += [(member.boot, f) for f in member.fences.values()]
+
+    @stateful.rule(thirds=st.integers(1, 5))
+    def time_passes(self, thirds: int) -> None:
+        """Nobody runs: everyone is paused."""
+        self.group.clock.advance(controllers.TERM * thirds / 3)
+
+    @stateful.rule(name=st.sampled_from("abc"))
+    def replace(self, name: str) -> None:
+        """A controller is killed and started anew."""
+        self.group.start(name)
+
+    @stateful.rule()
+    def everyone_ticks_for_two_terms(self) -> None:
+        """All runs well for a while."""
+        self.group.rounds(6)
+        for member in self.group.members.values():
+            self.note(member)
+
+    @stateful.rule(
+        fault=st.sampled_from(["lose_answers", "drop_calls", "delay_effect"])
+    )
+    def fail_next(self, fault: str) -> None:
+        """The next commit fails in this way."""
+        setattr(self.group.faults, fault, 1)
+
+    @stateful.rule()
+    def release(self) -> None:
+        """Delayed writes take effect."""
+        self.group.faults.release_delayed()
+
+    @stateful.rule(down=st.booleans())
+    def switch_table(self, down: bool) -> None:
+        """An outage begins or ends."""
+        self.group.faults.down = down
+
+    @stateful.precondition(lambda self: self.fences)
+    @stateful.rule(data=st.data())
+    def write_under_a_fence_of_any_age(self, data: st.DataObject) -> None:
+        """A holder, or one that was, writes."""
+        holder, fence = data.draw(st.sampled_from(self.fences))
+        self.writes += 1
+        value = {"duty": fence.key, "epoch": fence.epoch, "holder": holder}
+        put = platform.Put(f"work/{self.writes}", platform.ABSENT, value)
+        self.group.table.commit(
+            platform.Transaction(f"w{self.writes}", (put,), (fence.check,))
+        )
+
+    @stateful.invariant()
+    def writes_take_effect_in_the_order_of_epochs(self) -> None:
+        """One holder writes in each epoch."""
+        if self.group.faults.down:
+            return
+        found = self.group.table.scan("work/")
+        assert isinstance(found, platform.Rows)
+        last: dict[str, tuple[int, str]] = {}
+        for row in sorted(found.rows, key=lambda row: row.version):
+            duty, written = row.value["duty"], row.value
+            epoch, holder = last.get(duty, (0, ""))
+            assert written["epoch"] >= epoch
+            assert written["epoch"] > epoch or written["holder"] == holder
+            last[duty] = (written["epoch"], written["holder"])
+
+    @stateful.invariant()
+    def epochs_only_grow(self) -> None:
+        """No row goes back."""
+        found = self.group.table.scan(keys.DUTIES)
+        for row in found.rows if isinstance(found, platform.Rows) else ():
+            epoch = rows.load(rows.Duty, row.value).epoch
+            assert epoch >= self.epochs.get(row.key, 0)
+            self.epochs[row.key] = epoch
+
+
+TestFencing = Fencing.TestCase
+TestFencing.settings = settings(
+    max_examples=40, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_every_wanted_duty_is_named_once() -> None:
+    names = duty_names.of_config(controllers.waves(5))
+    assert names == ("claim-expiry", "repair", "wave/w0", "wave/w1", "wave/w2")
--- /dev/null
+++ b/tests/cover/test_leases.py
@@ -0,0 +1,62 @@
+"""Session leases: the holder always gives up before a watcher counts it out."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from vanillaswitch.coordination import leases
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import rows
+
+TERM = 3.0
+SESSION = rows.Session("boot", "127.0.0.1:1", "dc", 0)
+TIMES = st.floats(0, 20)
+
+
+def row(version: int) -> platform.Row:
+    return platform.Row("session/a", version, rows.dump(SESSION), "t")
+
+
+@given(sent=TIMES, delay=TIMES, reads=st.lists(st.tuples(TIMES, TIMES)))
+def test_holder_gives_up_before_a_watcher_counts_it_as_dead(
+    sent: float, delay: float, reads: list[tuple[float, float]]
+) -> None:
+    lease, _ = leases.renewal(leases.Lease(SESSION), "a")
+    lease = leases.renewed(lease, platform.Committed(7), sent, TERM)
+    watch, now = leases.Watch(), sent + delay
+    for pause, duration in reads:
+        asked, now = now + pause, now + pause + duration
+        watch = leases.observe(watch, [row(7)], asked, now, TERM)
+        if "a" not in leases.living(watch, TERM):
+            assert not lease.held(asked)
+        now += 0.001
+
+
+def test_watcher_counts_a_silent_session_as_dead_after_the_term() -> None:
+    watch = leases.Watch()
+    for tick in range(6):
+        watch = leases.observe(watch, [row(7)], tick, tick, TERM)
+    assert leases.living(watch, TERM) == {}
+
+
+def test_an_answered_renewal_counts_from_before_it_was_sent() -> None:
+    lease = leases.renewed(
+        leases.Lease(SESSION), platform.Committed(1), 10.0, TERM
+    )
+    assert lease.held(12.9)
+    assert not lease.held(13.0)
+
+
+def test_an_unknown_outcome_extends_nothing() -> None:
+    lease = leases.Lease(SESSION, version=1, expires=13.0)
+    unknown = platform.OutcomeUnknown("lost")
+    assert leases.renewed(lease, unknown, 12.0, TERM) == lease
+
+
+def test_a_start_whose_row_was_taken_never_renews_again() -> None:
+    other = platform.Row(
+        "session/a", 9, {**rows.dump(SESSION), "boot": "x"}, ""
+    )
+    lease = leases.Lease(SESSION, version=1, expires=13.0)
+    lease = leases.renewed(lease, platform.Conflict((other,)), 12.0, TERM)
+    assert lease.superseded
+    assert not lease.held(12.1)
