Plan and carry out maintenance waves within the budgets

Cause: a wave has to finish without breaking a service's availability budget, whoever holds it and whatever fails meanwhile.

Ruled out: trusting the lagging list alone (a dead instance is listed live for seconds); one lease for each instance; keeping a wave's progress in the process that holds it.

Change: a step reads budgets, instances and waves first and asks the instances after that, decides as a pure function, and writes budget row, instance rows, wave row, decision record and fence check in one transaction. Rows move on only when the instance itself names the operation that was written. More failures than a Poisson bound of the background rate explains stop the wave; a stopped wave returns what only drains. Plans are sized by headroom, one failure domain of a service at a time, and say beforehand why they can't finish.

Conclusion: the budget holds in the tests with the controller killed at each second call, lost and late calls, two racing waves, dead minions and a stale list.

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet_state.py
@@ -0,0 +1,143 @@
+"""The fleet as one planning step sees it: rows, list and own words.
+
+Rows are read before instances are asked. A take-down that another task
+commits in between changes the budget row, so that a transaction built on this
+view conflicts; what an instance said is never older than the rows.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+from vanillaswitch.coordination import wave_state
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True)
+class Versioned(Generic[T]):
+    """A typed row with the version that a write of it has to name."""
+
+    version: int
+    row: T
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """One instance that belongs to a pool.
+
+    Attributes:
+        listing: its line of the lagging list; None when it has none.
+        status: what it says of itself; None when it did not answer.
+    """
+
+    name: str
+    version: int
+    row: rows.Instance
+    listing: platform.Listing | None
+    status: platform.InstanceStatus | None
+
+    @property
+    def domain(self) -> str:
+        """Its failure domain: data centre of a minion, rack of a worker."""
+        if self.row.kind is platform.InstanceKind.WORKER:
+            return f"{self.row.data_centre}/{self.row.rack}"
+        return self.row.data_centre
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """All members, budgets and waves, by name.
+
+    Attributes:
+        strangers: listed minions and workers that belong to no pool yet.
+    """
+
+    members: Mapping[str, Member]
+    budgets: Mapping[str, Versioned[rows.Budget]]
+    waves: Mapping[str, Versioned[wave_state.Wave]]
+    strangers: tuple[platform.Listing, ...] = ()
+
+    def budget(self, service: str) -> Versioned[rows.Budget]:
+        """Returns a service's budget row, an empty one before the first."""
+        empty = Versioned(platform.ABSENT, rows.Budget({}))
+        return self.budgets.get(service, empty)
+
+
+def read(
+    source: platform.Platform, asked: Collection[str] | None = None
+) -> Fleet | platform.Unavailable:
+    """Reads the fleet.
+
+    Args:
+        source: the platform.
+        asked: services whose instances are asked for their status; None asks
+            all. Members that are not asked have no status.
+    """
+    found = []
+    for prefix in (keys.BUDGETS, keys.INSTANCES, keys.WAVES):
+        outcome = source.table.scan(prefix)
+        if isinstance(outcome, platform.Unavailable):
+            return outcome
+        found.append({_name(prefix, row): row for row in outcome.rows})
+    listed = source.instances.list()
+    if isinstance(listed, platform.Unavailable):
+        return listed
+    names = [name for name, row in found[1].items() if _is_asked(row, asked)]
+    statuses = source.instances.status(names)
+    if isinstance(statuses, platform.Unavailable):
+        return statuses
+    return assemble(found[1], found[0], found[2], listed.instances, statuses)
+
+
+def assemble(
+    instance_rows: Mapping[str, platform.Row],
+    budget_rows: Mapping[str, platform.Row],
+    wave_rows: Mapping[str, platform.Row],
+    listed: Collection[platform.Listing],
+    statuses: Collection[platform.InstanceStatus],
+) -> Fleet:
+    """Returns the fleet of rows by name, the list and the statuses."""
+    listings = {listing.instance: listing for listing in listed}
+    by_name = {status.instance: status for status in statuses}
+    members = {
+        name: Member(
+            name,
+            row.version,
+            rows.load(rows.Instance, row.value),
+            listings.get(name),
+            by_name.get(name),
+        )
+        for name, row in instance_rows.items()
+    }
+    strangers = tuple(
+        listing
+        for name, listing in sorted(listings.items())
+        if name not in members
+        and listing.kind is not platform.InstanceKind.ENTRY
+    )
+    return Fleet(
+        members,
+        {name: _load(rows.Budget, row) for name, row in budget_rows.items()},
+        {name: _load(wave_state.Wave, row) for name, row in wave_rows.items()},
+        strangers,
+    )
+
+
+def _load(kind: type[T], row: platform.Row) -> Versioned[T]:
+    return Versioned(row.version, rows.load(kind, row.value))
+
+
+def _name(prefix: str, row: platform.Row) -> str:
+    return keys.name_of(prefix, row.key)
+
+
+def _is_asked(row: platform.Row, asked: Collection[str] | None) -> bool:
+    value: Mapping[str, Any] = row.value
+    return asked is None or value["service"] in asked
--- /dev/null
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -0,0 +1,148 @@
+"""One step of a maintenance wave as a pure decision.
+
+In this order: judge failures, carry on what is under way or take it back,
+begin the next instances of the round.
+"""
+
+import dataclasses
+
+from vanillaswitch.coordination import budgets
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import instance_steps
+from vanillaswitch.coordination import wave_plan
+from vanillaswitch.coordination import wave_state
+from vanillaswitch.coordination import wave_verdict
+from vanillaswitch.protocol import platform
+
+
+@dataclasses.dataclass(frozen=True)
+class Decided:
+    """What to write, and what to ask of the platform as written before."""
+
+    changes: changes.Changes
+    calls: tuple[instance_steps.Call, ...]
+
+
+def decide(view: wave_verdict.View) -> Decided:
+    """Returns the next step of a wave that has a row."""
+    draft = changes.Draft(view.fleet)
+    wave = wave_verdict.record_failures(view)
+    wave = wave_verdict.stop_if_correlated(view, wave, draft)
+    calls, done = _carry(view, wave, draft)
+    wave = wave_verdict.record_done(wave, done)
+    wave = wave_verdict.finish_if_over(view, wave, draft)
+    began = False
+    if wave.state is wave_state.WaveState.RUNNING:
+        began = _begin(view, wave, draft)
+    # The row is written with each take-down even when it stays as it is: an
+    # operator's pause that was committed a moment ago then refuses it.
+    if began or wave != view.wave:
+        draft.put_wave(view.name, wave)
+    return Decided(draft.build(), tuple(calls))
+
+
+def _carry(
+    view: wave_verdict.View, wave: wave_state.Wave, draft: changes.Draft
+) -> tuple[list[instance_steps.Call], list[str]]:
+    """Moves on what is under way; returns calls and what is done."""
+    undone = _to_undo(view, wave)
+    calls = []
+    done = []
+    for member in view.under_way:
+        step = instance_steps.step(
+            member.name,
+            member.row,
+            member.status,
+            member.name in undone,
+            member.row.service,
+            view.new_operation,
+        )
+        if isinstance(step, instance_steps.Call):
+            calls.append(step)
+        if not isinstance(step, instance_steps.Advance):
+            continue
+        draft.put_instance(member.name, step.row)
+        if not instance_steps.is_under_way(step.row) and _rebooted(member):
+            done.append(member.name)
+    return calls, done
+
+
+def _rebooted(member: fleet_state.Member) -> bool:
+    return bool(member.status and member.status.boots > member.row.boots)
+
+
+def _to_undo(view: wave_verdict.View, wave: wave_state.Wave) -> frozenset[str]:
+    """Returns the drains to take back: they serve again without a reboot.
+
+    A wave that stopped must not send more instances into the reboot that
+    others did not come back from; one that is paused finishes what it began.
+    """
+    draining = [
+        member
+        for member in view.under_way
+        if member.row.phase is platform.Phase.DRAINING
+    ]
+    if wave.state is wave_state.WaveState.STOPPED:
+        return frozenset(member.name for member in draining)
+    return budgets.to_return(view.fleet, view.config, draining)
+
+
+def _begin(
+    view: wave_verdict.View, wave: wave_state.Wave, draft: changes.Draft
+) -> bool:
+    """Takes the next instances of the round down; tells whether any."""
+    current = wave.current_round
+    if current is None:
+        return False
+    waiting = [
+        member
+        for name in wave.rounds[current]
+        if name not in wave.over
+        and (member := view.fleet.members.get(name)) is not None
+    ]
+    kind = wave_plan.KINDS[view.config.waves[view.name].targets]
+    began = False
+    for service in sorted({member.row.service for member in waiting}):
+        group = [m for m in waiting if m.row.service == service]
+        began |= _begin_service(view, draft, current, service, kind, group)
+    return began
+
+
+def _begin_service(
+    view: wave_verdict.View,
+    draft: changes.Draft,
+    current: int,
+    service: str,
+    kind: platform.InstanceKind,
+    waiting: list[fleet_state.Member],
+) -> bool:
+    planned = view.fleet.budget(service).row.down
+    ready = [m for m in waiting if budgets.down_reason(m, planned) is None]
+    room = budgets.headroom(view.fleet, view.config, service, kind)
+    if room <= 0 or not ready:
+        return False
+    members = budgets.members_of(view.fleet, service, kind)
+    busy = budgets.planned_domains(members, planned)
+    domain = min(busy, default=ready[0].domain)
+    chosen = [m for m in ready if busy <= {domain} and m.domain == domain]
+    for member in chosen[:room]:
+        assert member.status is not None  # it is up, so that it answered
+        row = instance_steps.take_down(
+            member.row, member.status, view.new_operation()
+        )
+        draft.put_instance(
+            member.name, dataclasses.replace(row, wave=view.name)
+        )
+    if chosen:
+        figures = {
+            "round": float(current + 1),
+            "headroom": float(room),
+            "taken": float(len(chosen[:room])),
+        }
+        names = ", ".join(member.name for member in chosen[:room])
+        cause = f"{service}: {names} are next in {domain}"
+        draft.explain(
+            wave_verdict.decision(view, cause, "headroom of budget", figures)
+        )
+    return bool(chosen)
--- /dev/null
+++ b/tests/common/benches.py
@@ -0,0 +1,218 @@
+"""A small fleet in memory, with controllers that can be killed at any call."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Any
+
+from standins import fleet as fleet_module
+from tests.common import clocks
+from vanillaswitch.coordination import controller
+from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+MINION = platform.InstanceKind.MINION
+WORKER = platform.InstanceKind.WORKER
+
+
+class KilledError(Exception):
+    """The controller's process ended here."""
+
+
+class Mortal:
+    """Passes calls on until one of them kills the caller.
+
+    With ``after`` the call takes effect and its answer is never seen.
+    """
+
+    def __init__(self, inner: Any, tick: Callable[[], str]):
+        self._inner = inner
+        self._tick = tick
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._inner, name)
+
+        def call(*args: Any) -> Any:
+            when = self._tick()
+            if when == "before":
+                raise KilledError
+            answer = method(*args)
+            if when == "after":
+                raise KilledError
+            return answer
+
+        return call
+
+
+def config_of(
+    services: Sequence[str] = ("quotes",),
+    minions: int = 6,
+    minions_down: int = 2,
+    pools: dict[str, config_lib.Pool] | None = None,
+    workers_down: int = 1,
+    **fields: Any,
+) -> config_lib.Config:
+    """Returns a configuration of equal services."""
+    budget = config_lib.AvailabilityBudget(minions_down, workers_down)
+    service = config_lib.Service(budget, (), minions)
+    return config_lib.Config(
+        data_centres={},
+        classes={},
+        services=dict.fromkeys(services, service),
+        pools=pools or {},
+        **fields,
+    )
+
+
+def minion_listings(
+    service: str = "quotes", count: int = 6, data_centres: int = 3
+) -> list[platform.Listing]:
+    """Returns minions spread over data centres."""
+    return [
+        platform.Listing(
+            f"{service}-{index}",
+            MINION,
+            platform.ListedState.LIVE,
+            f"dc{index % data_centres}",
+            "r0",
+            service=service,
+        )
+        for index in range(count)
+    ]
+
+
+def worker_listings(count: int, per_rack: int = 4) -> list[platform.Listing]:
+    """Returns workers, so many to a rack."""
+    return [
+        platform.Listing(
+            f"worker-{index:03}",
+            WORKER,
+            platform.ListedState.LIVE,
+            "dc0",
+            f"r{index // per_rack}",
+            cores=16.0,
+            memory_mb=65536,
+        )
+        for index in range(count)
+    ]
+
+
+@dataclasses.dataclass
+class Bench:
+    """A platform with adopted instances and one duty holder at a time."""
+
+    listings: list[platform.Listing]
+    config: config_lib.Config
+    pool_of: Callable[[platform.Listing], tuple[str, str]] = lambda listing: (
+        listing.service,
+        listing.service,
+    )
+    lag_s: float = 0.0
+    reboot_s: float = 1.0
+
+    def __post_init__(self):
+        self.clock = clocks.ManualClock()
+        members = tuple(fleet_module.Member(one) for one in self.listings)
+        fleet = fleet_module.Fleet(members, self.lag_s, self.reboot_s)
+        self.platform = fleet_module.MemoryPlatform(fleet, self.clock)
+        self.rng = random.Random(1)
+        self.memory: dict[str, dict[str, Any]] = {}
+        self.notices: list[peers.Message] = []
+        self.fences: dict[str, duties.Fence] = {}
+        self.kill_at: int | None = None
+        self.kill_when = "before"
+        self._calls = 0
+        for listing in self.listings:
+            pool, service = self.pool_of(listing)
+            row = rows.Instance(
+                pool,
+                listing.kind,
+                service,
+                listing.data_centre,
+                listing.rack,
+            )
+            self.put(keys.instance(listing.instance), row)
+
+    @property
+    def interface(self) -> platform.Platform:
+        """The platform as a mortal controller sees it."""
+        real = self.platform.interface
+        return platform.Platform(
+            Mortal(real.table, self._tick),
+            real.objects,
+            Mortal(real.instances, self._tick),
+            real.workers,
+        )
+
+    def put(self, key: str, row: object) -> int:
+        """Writes a row whatever its version; returns the new version."""
+        table = self.platform.table
+        found = table.read([key]).rows
+        version = found[0].version if found else platform.ABSENT
+        token = f"bench-{self.rng.random()}"
+        put = platform.Put(key, version, rows.dump(row))
+        return table.commit(platform.Transaction(token, (put,))).version
+
+    def take_over(self, duty: str) -> None:
+        """A new controller takes the duty, with no memory."""
+        epoch = self.fences[duty].epoch + 1 if duty in self.fences else 1
+        row = rows.Duty(f"controller-{epoch}", "boot", epoch)
+        key = keys.duty(duty)
+        self.fences[duty] = duties.Fence(key, self.put(key, row), epoch)
+        self.memory[duty] = {}
+
+    def step(self, duty: str) -> None:
+        """Runs one step; a killed controller has a successor."""
+        if duty not in self.fences:
+            self.take_over(duty)
+        context = controller.Context(
+            self.interface,
+            self.clock,
+            self.rng,
+            self.config,
+            self.notices.append,
+            self.memory[duty],
+        )
+        kind = duty.partition("/")[0]
+        try:
+            controller.STEPS.get(kind)(context, duty, self.fences[duty])
+        except KilledError:
+            self.take_over(duty)
+        self.clock.advance(0.5)
+
+    def before_next_commit(self, event: Callable[[], object]) -> None:
+        """Lets something happen after a decision and before its commit."""
+        table = self.platform.table
+        commit = table.commit
+
+        def interrupted(transaction: platform.Transaction) -> Any:
+            table.commit = commit
+            event()
+            return commit(transaction)
+
+        table.commit = interrupted
+
+    def fleet(self) -> fleet_state.Fleet:
+        """Reads the fleet without any fault."""
+        return fleet_state.read(self.platform.interface)
+
+    def not_serving(self) -> set[str]:
+        """Returns the instances that truly don't serve."""
+        return {
+            one.instance
+            for one in self.listings
+            if self.platform.instances.phase(one.instance)
+            is not platform.Phase.SERVING
+        }
+
+    def _tick(self) -> str:
+        self._calls += 1
+        if self._calls == self.kill_at:
+            return self.kill_when
+        return ""
--- /dev/null
+++ b/tests/cover/test_wave_plan.py
@@ -0,0 +1,73 @@
+"""Plans of maintenance waves."""
+
+import collections
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from tests.common import benches
+from vanillaswitch.coordination import wave_plan
+from vanillaswitch.state import config as config_lib
+
+MINIONS = config_lib.WaveTarget.MINIONS
+SERVICES = ("quotes", "charges")
+
+targets = st.lists(
+    st.builds(
+        lambda number, service, domain: wave_plan.Target(
+            f"{service}-{number}", service, f"dc{domain}"
+        ),
+        st.integers(0, 999),
+        st.sampled_from(SERVICES),
+        st.integers(0, 3),
+    ),
+    unique_by=lambda target: target.name,
+    max_size=30,
+)
+allowances = st.fixed_dictionaries(dict.fromkeys(SERVICES, st.integers(1, 4)))
+
+
+@pytest.mark.parametrize("order", wave_plan.ORDERS.names)
+@given(targets, allowances, st.integers(1, 4), st.floats(1.0, 4.0))
+def test_each_round_keeps_budget_and_failure_domain(
+    order, targets, allowance, canary, growth
+):
+    wave = config_lib.Wave(SERVICES, MINIONS, canary, growth)
+    rounds = wave_plan.ORDERS.get(order)(targets, allowance, wave)
+    by_name = {target.name: target for target in targets}
+    assert sorted(n for names in rounds for n in names) == sorted(by_name)
+    for names in rounds:
+        group = [by_name[name] for name in names]
+        counts = collections.Counter(target.service for target in group)
+        domains = {(target.service, target.domain) for target in group}
+        assert all(counts[s] <= allowance[s] for s in counts)
+        assert len(domains) == len(counts)
+    if order == "growing" and rounds:
+        assert len(rounds[0]) <= canary
+    assert len(rounds) >= wave_plan.fewest_rounds(targets, allowance)
+
+
+def test_a_plan_says_that_a_budget_of_none_forbids_the_wave():
+    config = benches.config_of(minions_down=0)
+    fleet = benches.Bench(benches.minion_listings(), config).fleet()
+    plan = wave_plan.plan(fleet, config, config_lib.Wave(("quotes",), MINIONS))
+    assert plan.cannot == ("quotes: its budget allows no minion to be down",)
+
+
+def test_a_plan_says_that_too_much_is_down_already():
+    config = benches.config_of(minions_down=1)
+    bench = benches.Bench(benches.minion_listings(), config)
+    bench.platform.instances.kill("quotes-3", vanish=True)
+    wave = config_lib.Wave(("quotes",), MINIONS)
+    plan = wave_plan.plan(bench.fleet(), config, wave)
+    assert plan.cannot == ("quotes: 1 of 1 allowed minions are down already",)
+
+
+def test_a_wave_of_one_service_takes_one_data_centre_at_a_time():
+    config = benches.config_of()
+    fleet = benches.Bench(benches.minion_listings(), config).fleet()
+    plan = wave_plan.plan(fleet, config, config_lib.Wave(("quotes",), MINIONS))
+    sizes = [len(names) for names in plan.rounds]
+    assert sizes == [1, 2, 2, 1]
+    assert plan.expected_s == 4 * (5.0 + 120.0 + 5.0)
