--- a/src/vanillaswitch/state/check.py
+++ b/src/vanillaswitch/state/check.py
@@ -21,7 +21,7 @@
 from vanillaswitch.state import structure
 
 Names = Mapping[str, Collection[str]]
-"""Names that may be referred to, by section of the configuration."""
+"""Names that may be referred to, by section or field."""
 
 _MAPPINGS = {
     field: typing.get_args(kind)[1]
@@ -37,18 +37,19 @@
 
 
 def check(
-    loaded: folder.Loaded, routing_policies: Collection[str] = ()
+    loaded: folder.Loaded, variants: Names | None = None
 ) -> config_module.Config:
     """Returns the typed configuration of a merged folder.
 
     Args:
         loaded: what ``folder.read`` returned.
-        routing_policies: the registered names; empty to accept any name.
+        variants: the registered names, by the field of ``policies`` that
+            chooses one of them; a field that is left out takes any name.
 
     Raises:
         errors.ConfigRejected: every mistake, each with its file and field.
     """
-    checker = _Checker(loaded.merged, routing_policies)
+    checker = _Checker(loaded.merged, variants or {})
     config = checker.check()
     if checker.problems:
         raise errors.ConfigRejected(
@@ -71,16 +72,12 @@
 class _Checker:
     """One check under way."""
 
-    def __init__(
-        self, merged: Mapping[str, Any], routing_policies: Collection[str]
-    ):
+    def __init__(self, merged: Mapping[str, Any], variants: Names):
         names = {
             section: tuple(_items(merged, section)) for section in _MAPPINGS
         }
         self._merged = merged
-        self._converter = structure.make_converter(
-            _limits(names, routing_policies)
-        )
+        self._converter = structure.make_converter(_limits(names, variants))
         self.problems: list[folder.Problem] = []
 
     def check(self) -> config_module.Config:
@@ -141,18 +138,15 @@
     return items if isinstance(items, dict) else {}
 
 
-def _limits(
-    names: Names, routing_policies: Collection[str]
-) -> structure.Constraints:
+def _limits(names: Names, variants: Names) -> structure.Constraints:
     """Returns the constraints on single fields."""
     count = constraints.at_least(0)
     some = constraints.at_least(1)
     pool_service = constraints.one_of("service", names["services"])
-    routing = (
-        constraints.one_of("routing policy", routing_policies)
-        if routing_policies
-        else constraints.not_empty
-    )
+    chosen = {
+        field: constraints.one_of(f"{field} policy", known)
+        for field, known in variants.items()
+    }
     return {
         config_module.DataCentre: {"region": constraints.not_empty},
         config_module.RequestClass: {
@@ -201,12 +195,12 @@
             "background_failures_per_day": count,
         },
         config_module.Policies: {
-            "routing": routing,
             "retry_ratio": constraints.between(0, 1),
             "claim_retention_s": constraints.at_least(1, "s"),
             "max_body_bytes": some,
             # A leaving minion has to lose its new work within seconds.
             "drain_poll_ms": constraints.between(50, 2000, "ms"),
+            **chosen,
         },
     }
 
