Place jobs by usage seen, under fences, quotas and budgets

Cause: pools had workers and nothing put the declared jobs on them. Ruled out: one placement duty for each data centre's own workers (a job whose tasks span data centres would have two owners; pools are dealt out to the duties instead); renewing task leases in the table; taking an unanswered start back after a later refusal (a delayed copy may still take effect). Change: pure plan with orders best-fit and first-fit; the duty's step with intent rows, resent starts, batched stops, quotas by a row that each start writes; failures that put jobs aside or cordon workers within the budget; task leases renewed by message while the table is away. Conclusion: starts happen once per intent; what stays open is a start that a worker delays beyond its lease.

--- a/src/vanillaswitch/coordination/controller.py
+++ b/src/vanillaswitch/coordination/controller.py
@@ -40,6 +40,10 @@
     del fence
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(frozen=True)
 class Context:
     """What a step of a duty works with.
@@ -50,6 +54,8 @@
         memory: soft memory of this duty in this process; empty at the start
             of each epoch, never shared between duties.
         drop: to be called with the fence that was found broken.
+        leased: whether the session lease is still held; asked again right
+            before a message that must not come late.
     """
 
     platform: platform.Platform
@@ -59,6 +65,7 @@
     broadcast: Callable[[peers.Message], None]
     memory: dict[str, Any] = dataclasses.field(default_factory=dict)
     drop: Callable[[duties.Fence], None] = _keep
+    leased: Callable[[], bool] = _always
 
 
 Broadcast = Callable[[peers.Message], None]
@@ -236,6 +243,7 @@
             broadcast=self._broadcast,
             memory=holding.memory,
             drop=self._drop,
+            leased=lambda: self.leased,
         )
 
     def _drop(self, fence: duties.Fence) -> None:
--- /dev/null
+++ b/src/vanillaswitch/coordination/cordons.py
@@ -0,0 +1,97 @@
+"""Cordons of workers that fail all they start, within the service's budget."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from vanillaswitch.coordination import budgets
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import controller
+from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import explain
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import jobs
+from vanillaswitch.coordination import placement_view
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import keys
+
+Failed = Mapping[str, tuple[str, ...]]
+"""Names of the jobs that failed, by worker."""
+
+
+def allowed(
+    fleet: fleet_state.Fleet, config: config_lib.Config, service: str
+) -> int:
+    """Returns how many more workers of a service may be cordoned.
+
+    A cordoned worker takes no tasks, so that it counts as down here.
+    """
+    if service not in config.services:
+        return 0
+    kind = platform.InstanceKind.WORKER
+    standing = budgets.standing(fleet, config, service, kind)
+    cordoned = [
+        member
+        for member in budgets.members_of(fleet, service, kind)
+        if member.row.cordoned and member.name not in standing.down
+    ]
+    return standing.headroom - len(cordoned)
+
+
+def cordon(
+    context: controller.Context,
+    fence: duties.Fence,
+    reading: placement_view.Reading,
+    states: Mapping[str, jobs.JobState],
+) -> None:
+    """Cordons workers at fault, the worst first."""
+    proven = placement_view.proven(reading)
+    by_service: dict[str, dict[str, tuple[str, ...]]] = {}
+    for worker, failed in jobs.faulty_workers(states, proven).items():
+        member = reading.fleet.members.get(worker)
+        if member is not None and not member.row.cordoned:
+            found = by_service.setdefault(member.row.service, {})
+            found[worker] = failed
+    for service, found in sorted(by_service.items()):
+        allowance = allowed(reading.fleet, context.config, service)
+        chosen = jobs.to_cordon(found, allowance)
+        if chosen:
+            decided = _decided(
+                context, fence, reading.fleet, {w: found[w] for w in chosen}
+            )
+            # The budget row is written unchanged, so that a wave which takes
+            # workers down at the same moment conflicts with this.
+            budget = reading.fleet.budget(service).row
+            decided = dataclasses.replace(decided, budgets={service: budget})
+            changes.commit(context, fence, reading.fleet, decided)
+
+
+def _decided(
+    context: controller.Context,
+    fence: duties.Fence,
+    fleet: fleet_state.Fleet,
+    chosen: Failed,
+) -> changes.Changes:
+    reasons = {
+        worker: "failed several jobs in a row: " + ", ".join(failed)
+        for worker, failed in chosen.items()
+    }
+    return changes.Changes(
+        instances={
+            worker: dataclasses.replace(
+                fleet.members[worker].row, cordoned=True, reason=reason
+            )
+            for worker, reason in reasons.items()
+        },
+        decisions=tuple(
+            explain.Decision(
+                subject=f"instance/{worker}",
+                cause=reason,
+                rule="a worker that fails several jobs is cordoned",
+                figures={"jobs": len(chosen[worker])},
+                actor=keys.name_of(keys.DUTIES, fence.key),
+                wall_s=context.clock.wall(),
+            )
+            for worker, reason in reasons.items()
+        ),
+    )
--- /dev/null
+++ b/src/vanillaswitch/coordination/job_records.py
@@ -0,0 +1,60 @@
+"""Writes of what is known of jobs, each with the decision behind it."""
+
+from collections.abc import Mapping
+
+from vanillaswitch.coordination import controller
+from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import explain
+from vanillaswitch.coordination import jobs
+from vanillaswitch.coordination import placement_view
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+
+def puts(
+    context: controller.Context,
+    fence: duties.Fence,
+    reading: placement_view.Reading,
+    states: Mapping[str, jobs.JobState],
+) -> list[platform.Put]:
+    """Returns the writes of the states that differ from their rows."""
+    changed = []
+    decisions = []
+    for name, state in states.items():
+        found = reading.jobs.get(name)
+        before = found.row if found else jobs.JobState(shape=state.shape)
+        if state == before:
+            continue
+        version = found.version if found else platform.ABSENT
+        changed.append(platform.Put(keys.job(name), version, rows.dump(state)))
+        if state.aside and state.aside != before.aside:
+            decisions.append(_put_aside(context, fence, name, state))
+    return changed + _explained(context, decisions)
+
+
+def _put_aside(
+    context: controller.Context,
+    fence: duties.Fence,
+    name: str,
+    state: jobs.JobState,
+) -> explain.Decision:
+    return explain.Decision(
+        subject=f"job/{name}",
+        cause=state.aside,
+        rule="a job that can never run is put aside",
+        figures={"failures": sum(state.failed_on.values())},
+        actor=keys.name_of(keys.DUTIES, fence.key),
+        wall_s=context.clock.wall(),
+    )
+
+
+def _explained(
+    context: controller.Context, decisions: list[explain.Decision]
+) -> list[platform.Put]:
+    if not decisions:
+        return []
+    found = context.platform.table.read(explain.keys_of(decisions))
+    if isinstance(found, platform.Unavailable):
+        return []
+    return list(explain.puts(decisions, found.rows))
--- /dev/null
+++ b/src/vanillaswitch/coordination/placement_view.py
@@ -0,0 +1,262 @@
+"""What one placement duty reads, and the view that it plans on.
+
+Each pool belongs to the placement duty of one data centre, chosen by
+rendezvous hashing over the configured data centres. It places the pool's
+tasks on the pool's workers wherever they are.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+import dataclasses
+
+from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import jobs
+from vanillaswitch.coordination import placement
+from vanillaswitch.coordination import quotas
+from vanillaswitch.coordination import rooms
+from vanillaswitch.coordination import tasks
+from vanillaswitch.coordination import usage
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+
+def owns(pool: str, data_centre: str, config: config_lib.Config) -> bool:
+    """Tells whether a data centre's placement duty looks after a pool."""
+    owner = max(
+        sorted(config.data_centres), key=lambda dc: duties.score(pool, dc)
+    )
+    return owner == data_centre
+
+
+@dataclasses.dataclass(frozen=True)
+class Reading:
+    """The rows and reports of one step.
+
+    Attributes:
+        tasks: of all pools, by name.
+        jobs: of all pools, by name.
+        quotas: version of each team's quota row.
+        reports: by operation.
+    """
+
+    fleet: fleet_state.Fleet
+    tasks: Mapping[str, fleet_state.Versioned[tasks.Task]]
+    jobs: Mapping[str, fleet_state.Versioned[jobs.JobState]]
+    quotas: Mapping[str, int]
+    reports: Mapping[str, platform.TaskReport]
+
+
+def read(
+    outside: platform.Platform, services: Collection[str]
+) -> Reading | platform.Unavailable:
+    """Reads what a step needs; asks workers of ``services`` for their status.
+
+    Quota rows come first: a start that another duty commits after this read
+    changes one of them, so that a plan which did not count it conflicts.
+    """
+    found = []
+    for prefix in (keys.QUOTAS, keys.TASKS, keys.JOBS):
+        outcome = outside.table.scan(prefix)
+        if isinstance(outcome, platform.Unavailable):
+            return outcome
+        found.append(
+            {keys.name_of(prefix, row.key): row for row in outcome.rows}
+        )
+    fleet = fleet_state.read(outside, services)
+    if isinstance(fleet, platform.Unavailable):
+        return fleet
+    reports = outside.workers.reports()
+    if isinstance(reports, platform.Unavailable):
+        return reports
+    return Reading(
+        fleet,
+        {
+            name: fleet_state.Versioned(
+                row.version, rows.load(tasks.Task, row.value)
+            )
+            for name, row in found[1].items()
+        },
+        {
+            name: fleet_state.Versioned(
+                row.version, rows.load(jobs.JobState, row.value)
+            )
+            for name, row in found[2].items()
+        },
+        {name: row.version for name, row in found[0].items()},
+        {report.operation: report for report in reports},
+    )
+
+
+def size_of(member: fleet_state.Member) -> tasks.Need | None:
+    """Returns a worker's size; None while the list does not show it."""
+    listing = member.listing
+    if listing is None or listing.cores <= 0 or listing.memory_mb <= 0:
+        return None
+    return tasks.Need(listing.cores, listing.memory_mb, listing.accelerators)
+
+
+def sizes_by_pool(fleet: fleet_state.Fleet) -> dict[str, list[tasks.Need]]:
+    """Returns the sizes of each pool's workers that the list shows."""
+    found: dict[str, list[tasks.Need]] = {}
+    for member in fleet.members.values():
+        size = size_of(member)
+        if size is not None:
+            found.setdefault(member.row.pool, []).append(size)
+    return found
+
+
+def leaving_reason(member: fleet_state.Member | None) -> str:
+    """Returns why tasks must leave a worker; empty when they may stay."""
+    if member is None:
+        return ""
+    if member.row.target_pool:
+        return f"worker moves to pool {member.row.target_pool}"
+    if member.row.phase is not platform.Phase.SERVING:
+        return f"worker is {member.row.phase}"
+    if member.listing and member.listing.state is not platform.ListedState.LIVE:
+        return "worker is leaving"
+    return ""
+
+
+def is_open(member: fleet_state.Member) -> bool:
+    """Tells whether a worker takes new tasks."""
+    serves = (
+        member.status is not None
+        and member.status.phase is platform.Phase.SERVING
+    )
+    return serves and not member.row.cordoned and not leaving_reason(member)
+
+
+@dataclasses.dataclass(frozen=True)
+class Inputs:
+    """What a view is built from.
+
+    Attributes:
+        pools: those that the duty looks after.
+        states: of the pools' jobs, failures of cordoned workers forgiven.
+        over: names of tasks that use no room any more, though their rows
+            still exist.
+        seen: usage by job.
+        refusing: workers that refused a start just now.
+    """
+
+    reading: Reading
+    config: config_lib.Config
+    pools: frozenset[str]
+    states: Mapping[str, jobs.JobState]
+    over: frozenset[str]
+    seen: Mapping[str, usage.Seen]
+    refusing: frozenset[str] = frozenset()
+
+
+def proven(reading: Reading) -> frozenset[str]:
+    """Returns the workers on which a task is seen to run."""
+    return frozenset(
+        report.worker
+        for report in reading.reports.values()
+        if report.state is platform.TaskState.RUNNING
+    )
+
+
+def build(inputs: Inputs) -> placement.View:
+    """Returns the view to plan on."""
+    workers = _workers(inputs)
+    placed = [
+        (name, found.row)
+        for name, found in sorted(inputs.reading.tasks.items())
+        if name not in inputs.over
+    ]
+    held = [(task.team, _need(inputs, task)) for _, task in placed]
+    return placement.View(
+        workers=workers,
+        placed=tuple(
+            _placed(inputs, name, task)
+            for name, task in placed
+            if task.pool in inputs.pools
+        ),
+        wanted=tuple(_wanted(inputs)),
+        quotas={
+            team: quotas.limit(inputs.config, team)
+            for team in inputs.config.teams
+        },
+        used=quotas.used(held),
+    )
+
+
+def _workers(inputs: Inputs) -> tuple[rooms.Worker, ...]:
+    running = proven(inputs.reading)
+    found = []
+    for name, member in sorted(inputs.reading.fleet.members.items()):
+        size = size_of(member)
+        if member.row.pool not in inputs.pools or size is None:
+            continue
+        takes = is_open(member) and name not in inputs.refusing
+        found.append(
+            rooms.Worker(name, member.row.pool, size, takes, name in running)
+        )
+    return tuple(found)
+
+
+def _need(inputs: Inputs, task: tasks.Task) -> tasks.Need:
+    job = inputs.config.jobs.get(task.job)
+    seen = inputs.seen.get(task.job)
+    if job is None or seen is None or task.pool not in inputs.pools:
+        return task.need
+    return usage.need(job, seen)
+
+
+def _placed(inputs: Inputs, name: str, task: tasks.Task) -> rooms.Placed:
+    report = inputs.reading.reports.get(task.operation)
+    job = inputs.config.jobs.get(task.job)
+    return rooms.Placed(
+        name,
+        task.worker,
+        _need(inputs, task),
+        urgent=job is not None and job.urgent,
+        stopping=bool(task.stopping),
+        memory_used_mb=report.memory_mb_used if report else 0,
+    )
+
+
+def _wanted(inputs: Inputs) -> list[rooms.Wanted]:
+    indices: dict[str, set[int]] = {}
+    for found in inputs.reading.tasks.values():
+        indices.setdefault(found.row.job, set()).add(found.row.index)
+    sizes = sizes_by_pool(inputs.reading.fleet)
+    wanted: list[rooms.Wanted] = []
+    for name, job in sorted(inputs.config.jobs.items()):
+        state = inputs.states.get(name, jobs.JobState())
+        if job.pool not in inputs.pools or job.cancelled or state.aside:
+            continue
+        seen = inputs.seen.get(name, usage.Seen())
+        need = _fitted(job, seen, sizes.get(job.pool, []))
+        wanted += [
+            rooms.Wanted(
+                tasks.name(name, index),
+                name,
+                job.pool,
+                job.team,
+                need,
+                job.urgent,
+                frozenset(state.failed_on),
+            )
+            for index in jobs.missing(job, state, indices.get(name, ()))
+        ]
+    return wanted
+
+
+def _fitted(
+    job: config_lib.Job, seen: usage.Seen, sizes: list[tasks.Need]
+) -> tasks.Need:
+    """Returns a job's need; a declaration above any worker takes a whole one.
+
+    It may be twice what the task uses, so that it is worth a try.
+    """
+    need = usage.need(job, seen)
+    if not sizes or any(need.fits(size) for size in sizes):
+        return need
+    largest = max(sizes, key=lambda size: (size.memory_mb, size.cores))
+    return usage.capped(need, largest)
--- a/src/vanillaswitch/state/config.py
+++ b/src/vanillaswitch/state/config.py
@@ -165,6 +165,7 @@
             earlier is refused.
         max_body_bytes: largest request body.
         drain_poll_ms: how often entries read the drains.
+        placement: name in the registry of placement orders.
     """
 
     routing: str = "two-choices"
@@ -172,6 +173,7 @@
     claim_retention_s: int = 86_400
     max_body_bytes: int = 1_048_576
     drain_poll_ms: int = 1000
+    placement: str = "best-fit"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/state/keys.py
+++ b/src/vanillaswitch/state/keys.py
@@ -12,6 +12,7 @@
 TASKS = "task/"
 JOBS = "job/"
 DECISIONS = "decision/"
+QUOTAS = "quota/"
 
 
 def _quote(part: str) -> str:
@@ -54,6 +55,11 @@
     return TASKS + _quote(name)
 
 
+def quota(team: str) -> str:
+    """Returns the row that each start for one team writes."""
+    return QUOTAS + _quote(team)
+
+
 def decisions(subject: str) -> str:
     """Returns the row that keeps the decisions about one subject."""
     return DECISIONS + _quote(subject)
