--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,6 @@
 
 test: setup
 	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m standins.demo
--- /dev/null
+++ b/src/vanillaswitch/wiring/base.py
@@ -0,0 +1,119 @@
+"""What both daemons stand on: platform, peers and configuration."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import functools
+import random
+
+import gevent
+
+from vanillaswitch.coordination import announcer
+from vanillaswitch.coordination import config_task
+from vanillaswitch.coordination import peer_task
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import ids
+from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import config_view
+from vanillaswitch.state import settings as settings_lib
+from vanillaswitch.transport import streams
+
+_DEFAULTS = config_lib.Policies()
+_CONFIG_MESSAGES = (
+    peers.ConfigOffer,
+    peers.ConfigRequest,
+    peers.ConfigBody,
+    peers.Heartbeat,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Base:
+    """What both daemons stand on."""
+
+    settings: settings_lib.Settings
+    clock: clocks.Clock
+    rng: random.Random
+    platform: platform.Platform
+    config: config_view.ConfigView
+    network: peer_task.PeerNetwork
+
+    @property
+    def policies(self) -> config_lib.Policies:
+        """The policies in force; the defaults before the first one."""
+        config = self.config.config
+        return _DEFAULTS if config is None else config.policies
+
+
+class Leaving:
+    """Whether this process is shutting down."""
+
+    def __init__(self) -> None:
+        self.begun = False
+
+
+@contextlib.contextmanager
+def tasks(*runs: Callable[[], None]) -> Iterator[list[gevent.Greenlet]]:
+    """Runs tasks until the block is left.
+
+    A task that ends by an error is a broken invariant: it is raised in the
+    task that opened the block, so that the process stops instead of going on
+    without one of its parts.
+    """
+    opener = gevent.getcurrent()
+    spawned = [gevent.spawn(run) for run in runs]
+    for task in spawned:
+        task.link_exception(lambda task: gevent.kill(opener, task.exception))
+    try:
+        yield spawned
+    finally:
+        gevent.killall(spawned)
+
+
+@contextlib.contextmanager
+def network(
+    settings: settings_lib.Settings,
+    role: peers.Role,
+    clock: clocks.Clock,
+    rng: random.Random,
+    snapshot: Callable[[], announcer.Own],
+) -> Iterator[peer_task.PeerNetwork]:
+    """Yields this process's place among its peers.
+
+    Args:
+        settings: who it is, where it listens.
+        role: which daemon it is.
+        clock: paces heartbeats.
+        rng: draws the boot id and jitter.
+        snapshot: what to tell of this process; must not block.
+    """
+    open_transport = functools.partial(streams.run, clock=clock, rng=rng)
+    with peer_task.run(
+        settings,
+        role,
+        ids.new_id(rng),
+        open_transport,
+        clock,
+        rng,
+        snapshot,
+    ) as network:
+        yield network
+
+
+@contextlib.contextmanager
+def configured(base: Base) -> Iterator[None]:
+    """Keeps the configuration the newest that can be heard of."""
+    task = config_task.ConfigTask(
+        base.config,
+        base.platform.table,
+        base.platform.objects,
+        base.clock,
+        base.network.broadcast,
+    )
+    for kind in _CONFIG_MESSAGES:
+        base.network.subscribe(kind, task.on_message)
+    with tasks(task.run):
+        yield
--- /dev/null
+++ b/src/vanillaswitch/wiring/entry.py
@@ -0,0 +1,223 @@
+"""Wires an entry: the request path between callers and minions."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import random
+from typing import Any
+
+from vanillaswitch import errors
+from vanillaswitch.coordination import announcer
+from vanillaswitch.coordination import claim_rules
+from vanillaswitch.coordination import claims
+from vanillaswitch.coordination import fleet_task
+from vanillaswitch.coordination import fleet_view
+from vanillaswitch.coordination import peer_task
+from vanillaswitch.coordination import request_path
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import metrics as metrics_lib
+from vanillaswitch.protocol import peers
+from vanillaswitch.state import config_view
+from vanillaswitch.state import settings as settings_lib
+from vanillaswitch.transport import caller_http
+from vanillaswitch.transport import minion_http
+from vanillaswitch.transport import platform_http
+from vanillaswitch.wiring import base as base_lib
+
+
+class Entry:
+    """A running entry; ``run`` makes it."""
+
+    def __init__(
+        self,
+        base: base_lib.Base,
+        path: request_path.RequestPath,
+        fleet: fleet_view.FleetView,
+        claim_service: claims.Claims,
+        metrics: metrics_lib.Metrics,
+        leaving: base_lib.Leaving,
+    ):
+        self._base = base
+        self._path = path
+        self._fleet = fleet
+        self._claims = claim_service
+        self._metrics = metrics
+        self._leaving = leaving
+        self._server: caller_http.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """The "ip:port" for callers."""
+        return self._running.address
+
+    @property
+    def peer_address(self) -> str:
+        """The "ip:port" for peers."""
+        return self._base.network.address
+
+    @property
+    def config_number(self) -> int:
+        """Number of the configuration in force; 0 for none."""
+        return self._base.config.number
+
+    @property
+    def _running(self) -> caller_http.Server:
+        if self._server is None:
+            raise errors.InvariantError("the entry does not serve yet")
+        return self._server
+
+    def ready(self) -> tuple[bool, str]:
+        """Returns whether callers may come, and why not."""
+        if self._leaving.begun:
+            return False, "leaving"
+        if self._base.config.config is None:
+            return False, "no configuration yet"
+        if not self._fleet.loaded:
+            return False, "no list of minions yet"
+        return True, ""
+
+    def counters(self) -> Mapping[str, int]:
+        """Returns totals since the start, by name."""
+        return {
+            **{f"peers.{k}": v for k, v in self._base.network.counters.items()},
+            **self._metrics.counters.snapshot(),
+            "callers.bad_requests": self._running.bad_requests,
+            "config.number": self._base.config.number,
+        }
+
+    def histograms(self) -> Mapping[str, Any]:
+        """Returns latency figures by "class/..." and "caller/..."."""
+        measured = self._metrics.snapshot()
+        return {
+            f"{kind}/{name}": summary
+            for kind, page in (("class", "classes"), ("caller", "callers"))
+            for name, summary in measured[page].items()
+        }
+
+    def stop(self) -> bool:
+        """Shuts down gracefully; returns whether all was finished in time.
+
+        Peers are told first, so that they count on us no longer; requests in
+        flight are answered; then the outcomes of charges are written.
+        """
+        self._leaving.begun = True
+        grace_s = self._base.settings.stop_grace_s
+        began = self._base.clock.monotonic()
+        answered = self._running.drain(grace_s)
+        left_s = grace_s - (self._base.clock.monotonic() - began)
+        unwritten = self._claims.flush(max(left_s, 0.0))
+        return answered and unwritten == 0
+
+    @contextlib.contextmanager
+    def _serving(self) -> Iterator[None]:
+        pages = caller_http.Pages(
+            self.ready, lambda: True, self.counters, self.histograms
+        )
+        with caller_http.serve(
+            self._base.settings.listen,
+            self._path.handle,
+            pages,
+            self._base.clock,
+            lambda: self._base.policies.max_body_bytes,
+        ) as server:
+            self._server = server
+            yield
+
+
+def _claim_parts(base: base_lib.Base) -> claims.Parts:
+    holder = claim_rules.Holder(
+        base.settings.process, base.network.boot, base.network.address
+    )
+    return claims.make_parts(
+        holder,
+        base.platform.table,
+        base.platform.objects,
+        base.network.ask,
+        base.clock,
+        base.rng,
+        lambda: base.policies.claim_retention_s,
+    )
+
+
+def _answer_queries(
+    network: peer_task.PeerNetwork, service: claims.Claims
+) -> None:
+    def answer(_sender: Any, query: peers.ClaimQuery, reply: Any) -> None:
+        reply(service.answer_query(query))
+
+    network.subscribe(peers.ClaimQuery, answer)
+
+
+def _take_drains(
+    network: peer_task.PeerNetwork, fleet: fleet_view.FleetView
+) -> None:
+    def take(_sender: Any, notice: peers.DrainNotice, _reply: Any) -> None:
+        if fleet.take_drain(notice):
+            network.broadcast(notice)
+
+    network.subscribe(peers.DrainNotice, take)
+
+
+@contextlib.contextmanager
+def run(settings: settings_lib.Settings) -> Iterator[Entry]:
+    """Yields a running entry, and closes all of it afterwards.
+
+    Args:
+        settings: who it is, where it listens, whom it asks.
+
+    Raises:
+        OSError: an address can't be bound.
+    """
+    clock = clocks.SystemClock()
+    rng = random.SystemRandom()
+    metrics = metrics_lib.Metrics()
+    view = config_view.ConfigView()
+    fleet = fleet_view.FleetView()
+    leaving = base_lib.Leaving()
+    paths: list[request_path.RequestPath] = []
+
+    def own() -> announcer.Own:
+        loads = paths[0].loads if paths else {}
+        return announcer.Own(view.number, fleet.version, leaving.begun, loads)
+
+    with contextlib.ExitStack() as stack:
+        outside = stack.enter_context(platform_http.connect(settings.platform))
+        network = stack.enter_context(
+            base_lib.network(settings, peers.Role.ENTRY, clock, rng, own)
+        )
+        base = base_lib.Base(settings, clock, rng, outside, view, network)
+        stack.enter_context(base_lib.configured(base))
+        _take_drains(network, fleet)
+        fleets = fleet_task.FleetTask(
+            fleet,
+            outside.instances,
+            outside.table,
+            clock,
+            lambda: base.policies.drain_poll_ms / 1000,
+        )
+        stack.enter_context(fleets.running())
+        parts = _claim_parts(base)
+        service = claims.Claims(parts)
+        _answer_queries(network, service)
+        stack.enter_context(
+            base_lib.tasks(parts.committer.run, parts.ledger.run)
+        )
+        client = stack.enter_context(minion_http.open_client(clock))
+        path = request_path.RequestPath(
+            clock,
+            rng,
+            settings.data_centre,
+            view,
+            fleet,
+            fleets.catch_up,
+            network.peer_loads,
+            lambda: 1 + len(network.alive(peers.Role.ENTRY)),
+            client,
+            service,
+            metrics,
+        )
+        paths.append(path)
+        stack.enter_context(path.running())
+        running = Entry(base, path, fleet, service, metrics, leaving)
+        stack.enter_context(running._serving())
+        yield running
