Log by one facade, and keep loguru out of the controller

Cause: a controller took 39.9 MB of resident memory; its limit is 32 MB. Ruled out: loguru without asyncio, which it imports on its own; falcon, which the controller does not import. Change: logs.info and logs.warning over a registry of backends; entries log by loguru, controllers by the standard library's logging.

--- a/src/vanillaswitch/coordination/config_task.py
+++ b/src/vanillaswitch/coordination/config_task.py
@@ -167,11 +167,11 @@
             return
         self._body = body
         self.counters.taken += 1
-        logs.logger.info("configuration {} taken from {}", number, source)
+        logs.info("configuration {} taken from {}", number, source)
         self._broadcast(peers.ConfigOffer(number, digest))
 
     def _note_table(self, answers: bool) -> None:
         if answers != self._table_answers:
             self._table_answers = answers
             state = "answers again" if answers else "does not answer"
-            logs.logger.warning("the table {} for the configuration", state)
+            logs.warning("the table {} for the configuration", state)
--- a/src/vanillaswitch/coordination/controller.py
+++ b/src/vanillaswitch/coordination/controller.py
@@ -14,7 +14,6 @@
 
 import gevent
 import gevent.event
-import loguru
 
 from vanillaswitch import errors
 from vanillaswitch.coordination import duties
@@ -22,6 +21,7 @@
 from vanillaswitch.coordination import leases
 from vanillaswitch.coordination import membership
 from vanillaswitch.internal import clock as clock_lib
+from vanillaswitch.internal import logs
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import peers
 from vanillaswitch.protocol import platform
@@ -288,7 +288,7 @@
         self.counters["duties-lost"] += len(lost)
         self.counters["duties-taken"] += len(taken)
         if lost or taken:
-            loguru.logger.info(
+            logs.info(
                 "{} duties held: {} taken, {} lost",
                 len(self._holdings),
                 len(taken),
@@ -299,7 +299,7 @@
         told = repr(error)
         if holding.memory.get(_FAILURE) != told:
             holding.memory[_FAILURE] = told
-            loguru.logger.warning("duty {} fails: {}", holding.name, told)
+            logs.warning("duty {} fails: {}", holding.name, told)
 
 
 _FAILURE = "controller.failure"
--- a/src/vanillaswitch/coordination/fleet_task.py
+++ b/src/vanillaswitch/coordination/fleet_task.py
@@ -108,6 +108,6 @@
             return
         self._reachable = reachable
         if reachable:
-            logs.logger.info("the platform answers again; the view is fresh")
+            logs.info("the platform answers again; the view is fresh")
         else:
-            logs.logger.warning("no answer of the platform; keeping the view")
+            logs.warning("no answer of the platform; keeping the view")
--- a/src/vanillaswitch/coordination/peer_task.py
+++ b/src/vanillaswitch/coordination/peer_task.py
@@ -17,12 +17,12 @@
 import gevent
 import gevent.event
 import gevent.queue
-import loguru
 
 from vanillaswitch.coordination import announcer
 from vanillaswitch.coordination import heartbeat_schedule
 from vanillaswitch.coordination import peer_membership
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import peer_transport
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import settings as settings_lib
@@ -208,7 +208,7 @@
             known = before.members.get(process)
             if known is None or known.standing is not member.standing:
                 self._counters[f"members_{member.standing}"] += 1
-                loguru.logger.info("peer {} is {}", process, member.standing)
+                logs.info("peer {} is {}", process, member.standing)
 
 
 def _keep_time(
--- a/src/vanillaswitch/daemons/controller.py
+++ b/src/vanillaswitch/daemons/controller.py
@@ -27,10 +27,10 @@
     except errors.SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(exits.USAGE)
-    logs.configure(loaded.process)
+    logs.configure(loaded.process, "logging")
     with controller.run(loaded) as running:
         addresses = {"listen": running.address, "peer": running.peer_address}
         click.echo(json.dumps(addresses))
-        logs.logger.info("controller serves {}", running.address)
+        logs.info("controller serves {}", running.address)
         lifecycle.wait_for_stop()
-        logs.logger.info("controller shuts down")
+        logs.info("controller shuts down")
--- a/src/vanillaswitch/daemons/entry.py
+++ b/src/vanillaswitch/daemons/entry.py
@@ -27,12 +27,12 @@
     except errors.SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(exits.USAGE)
-    logs.configure(loaded.process)
+    logs.configure(loaded.process, "loguru")
     with entry.run(loaded) as running:
         addresses = {"listen": running.address, "peer": running.peer_address}
         click.echo(json.dumps(addresses))
-        logs.logger.info("entry serves {}", running.address)
+        logs.info("entry serves {}", running.address)
         lifecycle.wait_for_stop()
-        logs.logger.info("entry shuts down")
+        logs.info("entry shuts down")
         whole = running.stop()
     sys.exit(exits.DONE if whole else exits.REFUSED)
--- a/src/vanillaswitch/internal/logs.py
+++ b/src/vanillaswitch/internal/logs.py
@@ -1,20 +1,96 @@
-"""Logging: one line for each change of state, on standard error."""
+"""Logging: one line for each change of state, on standard error.
 
+The library behind it is chosen by name. ``loguru`` is what the users ask for;
+it takes 10 MB of resident memory, mostly for asyncio, which it imports. A
+controller has 32 MB in all, so it writes its few lines by the standard
+library's ``logging``, the nearest kin (figures in docs/CAPACITY.md).
+"""
+
+from collections.abc import Callable
 import sys
 
-import loguru
+from vanillaswitch.internal import registry
+
+Write = Callable[[str, str], None]
+"""Writes (level, line)."""
+
+BACKENDS: registry.Registry[Callable[[str], Write]] = registry.Registry(
+    "logging library"
+)
+"""Name to what makes a writer for one process's name."""
+
+_LOGURU_FORMAT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[process]} {message}"
+)
+_LOGGING_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+@BACKENDS.register("loguru")
+def _loguru(process: str) -> Write:
+    import loguru
+
+    loguru.logger.remove()
+    loguru.logger.add(sys.stderr, format=_LOGURU_FORMAT, level="INFO")
+    bound = loguru.logger.bind(process=process)
+
+    def write(level: str, line: str) -> None:
+        bound.log(level, "{}", line)
+
+    return write
+
+
+@BACKENDS.register("logging")
+def _logging(process: str) -> Write:
+    import logging
+
+    logging.basicConfig(
+        stream=sys.stderr, format=_LOGGING_FORMAT, level=logging.INFO
+    )
+    logger = logging.getLogger(process)
+
+    def write(level: str, line: str) -> None:
+        logger.log(logging.getLevelNamesMapping()[level], "%s", line)
 
-logger = loguru.logger
+    return write
 
-_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[process]} {message}"
 
+@BACKENDS.register("silent")
+def _silent(process: str) -> Write:
+    del process
+    return lambda level, line: None
 
-def configure(process: str) -> None:
-    """Sends this process's lines to standard error.
+
+def _to_stderr(level: str, line: str) -> None:
+    print(level, line, file=sys.stderr)
+
+
+_write: Write = _to_stderr
+
+
+def configure(process: str, backend: str) -> None:
+    """Chooses where this process's lines go.
 
     Args:
         process: the process's name, shown in each line.
+        backend: name in ``BACKENDS``.
+
+    Raises:
+        errors.UnknownVariantError: there is no such backend.
     """
-    logger.remove()
-    logger.configure(extra={"process": process})
-    logger.add(sys.stderr, format=_FORMAT, level="INFO")
+    global _write
+    _write = BACKENDS.get(backend)(process)
+
+
+def info(template: str, *arguments: object) -> None:
+    """Logs a change of state; ``template`` as for ``str.format``."""
+    _write("INFO", template.format(*arguments))
+
+
+def warning(template: str, *arguments: object) -> None:
+    """Logs a change to a worse state."""
+    _write("WARNING", template.format(*arguments))
+
+
+def error(template: str, *arguments: object) -> None:
+    """Logs a failure that the process survives."""
+    _write("ERROR", template.format(*arguments))
--- a/src/vanillaswitch/transport/caller_http.py
+++ b/src/vanillaswitch/transport/caller_http.py
@@ -10,9 +10,9 @@
 
 import falcon
 import gevent
-import loguru
 
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import requests
 from vanillaswitch.transport import checked_handler
 from vanillaswitch.transport import headers
@@ -243,7 +243,7 @@
     params: Mapping[str, Any],
 ) -> None:
     del params
-    loguru.logger.opt(exception=error).error("a request failed")
+    logs.error("a request failed: {!r}", error)
     _write(_FAILED, response, request.method)
 
 
--- a/src/vanillaswitch/transport/checked_handler.py
+++ b/src/vanillaswitch/transport/checked_handler.py
@@ -11,8 +11,8 @@
 from gevent import socket
 import gevent.event
 import gevent.pool
-import loguru
 
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import requests
 from vanillaswitch.transport import problems
 from vanillaswitch.transport import request_checks
@@ -141,7 +141,7 @@
         """Tells the caller that nothing certain is known of its request."""
         del trace
         if not issubclass(kind, gevent.GreenletExit):
-            loguru.logger.error("a request failed: {!r}", error)
+            logs.error("a request failed: {!r}", error)
         self.close_connection = True
         if not self.response_length:
             self._close_after(problems.last_message(_STOPPED))
--- a/src/vanillaswitch/transport/stream.py
+++ b/src/vanillaswitch/transport/stream.py
@@ -5,9 +5,9 @@
 
 import gevent
 import gevent.socket
-import loguru
 
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import codec
 from vanillaswitch.protocol import peer_transport
 from vanillaswitch.protocol import peers
@@ -78,7 +78,7 @@
             self._deliver(decoded)
             if decoded.fault is not None:
                 self._counters["malformed"] += 1
-                loguru.logger.warning(
+                logs.warning(
                     "stream of {} closed: {}", self._peer, decoded.fault.reason
                 )
                 return
@@ -154,7 +154,7 @@
         encoded = self._encoder.encode(message)
         if isinstance(encoded, codec.TooLarge):
             self._counters["dropped"] += 1
-            loguru.logger.warning(
+            logs.warning(
                 "{} of {} bytes is too large to send",
                 type(message).__name__,
                 encoded.size,
--- a/standins/measure_duties.py
+++ b/standins/measure_duties.py
@@ -9,10 +9,10 @@
 import random
 from typing import Any
 
-import loguru
 
 from standins import faults
 from standins import table as table_lib
+from vanillaswitch.internal import logs
 from vanillaswitch.coordination import controller
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
@@ -131,7 +131,7 @@
 
 def main() -> None:
     """Prints one JSON line for each number of duties."""
-    loguru.logger.remove()
+    logs.configure("measure", "silent")
     for duties in (10, 100, 200):
         print(json.dumps(dataclasses.asdict(measure(8, duties))))
 
--- a/standins/measure_membership.py
+++ b/standins/measure_membership.py
@@ -25,8 +25,8 @@
 import click
 import gevent
 import gevent.socket
-import loguru
 
+from vanillaswitch.internal import logs
 from vanillaswitch.coordination import announcer
 from vanillaswitch.coordination import heartbeat_schedule
 from vanillaswitch.coordination import peer_task
@@ -157,7 +157,7 @@
     sizes: tuple[int, ...], seconds: float, near: int, far: int, far_ticks: int
 ) -> None:
     """Prints the figures of groups of these sizes, one JSON line each."""
-    loguru.logger.remove()
+    logs.configure("measure", "silent")
     heartbeat_schedule.NEAR_A_TICK = near
     heartbeat_schedule.FAR_A_TICK = far
     heartbeat_schedule.FAR_SHORTEST_TICKS = far_ticks
