--- a/standins/load.py
+++ b/standins/load.py
@@ -7,7 +7,6 @@
 
 import collections
 import dataclasses
-import enum
 import json
 import pathlib
 import random
@@ -19,27 +18,16 @@
 from hdrh import histogram
 
 from standins import load_plan
-from standins import minion_work
+from standins import verdicts
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
 from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import requests
-from vanillaswitch.transport import headers
 from vanillaswitch.transport import minion_http
 
 _GRACE_S = 2.0
 _HIGHEST_US = 600_000_000
 _DIGITS = 2
-_OK = 200
-
-
-class _Result(enum.Enum):
-    ANSWERED = "answered"
-    WRONG = "wrong"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-    FAILED = "failed"
-    OTHER = "other"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,18 +44,22 @@
     """Results and latencies of one class."""
 
     def __init__(self) -> None:
-        self._counts: collections.Counter[_Result] = collections.Counter()
+        self._counts: collections.Counter[verdicts.Result] = (
+            collections.Counter()
+        )
         self._latencies = histogram.HdrHistogram(1, _HIGHEST_US, _DIGITS)
 
-    def add(self, result: _Result, seconds: float) -> None:
+    def add(self, result: verdicts.Result, seconds: float) -> None:
         """Counts one request."""
         self._counts[result] += 1
-        if result is _Result.ANSWERED:
+        if result is verdicts.Result.ANSWERED:
             self._latencies.record_value(max(1, int(seconds * 1e6)))
 
     def report(self, name: str) -> load_plan.ClassReport:
         """Returns the figures so far."""
-        counts = {result.value: self._counts[result] for result in _Result}
+        counts = {
+            result.value: self._counts[result] for result in verdicts.Result
+        }
         return load_plan.ClassReport(
             name=name,
             sent=self._counts.total(),
@@ -119,45 +111,6 @@
     return _Planned(at_s, entry, one, request)
 
 
-def _judge(outcome: minions.SendOutcome, request: requests.Request) -> _Result:
-    if isinstance(outcome, minions.NotSent):
-        return _Result.FAILED
-    if isinstance(outcome, minions.Lost):
-        return _Result.UNKNOWN
-    answer = outcome.answer
-    told = headers.first(answer.headers, requests.HEADER_OUTCOME)
-    if told == requests.Outcome.NOT_RUN:
-        return _Result.NOT_RUN
-    if told == requests.Outcome.UNKNOWN:
-        return _Result.UNKNOWN
-    if answer.status != _OK:
-        return _Result.OTHER
-    return _Result.ANSWERED if _belongs(answer, request) else _Result.WRONG
-
-
-def _belongs(answer: requests.Answer, request: requests.Request) -> bool:
-    """Whether a stand-in minion gave this answer to this very request.
-
-    An answer to a request with a key names the request id under which it was
-    run first, so there the key decides and not the request id.
-    """
-    try:
-        document = json.loads(answer.body)
-    except ValueError:
-        return False
-    work = minion_work.Work(
-        request_id=request.request_id,
-        caller=request.caller,
-        key=request.key,
-        target=request.target,
-        digest=minion_work.digest(request.body),
-    )
-    expected = minion_work.expected_answer(request.service, work)
-    if request.key and isinstance(document, dict):
-        document["request_id"] = work.request_id
-    return bool(document == expected)
-
-
 def _entry(address: str) -> minions.Minion:
     return minions.Minion(address, "", address, "", "", 0, 0)
 
@@ -180,7 +133,7 @@
                 fresh=item.plan.once,
             )
             seconds = clock.monotonic() - start - item.at_s
-            result = _judge(outcome, item.request)
+            result = verdicts.judge(outcome, item.request)
             tallies[item.plan.name].add(result, seconds)
 
         for item in planned:
--- a/standins/minion_http.py
+++ b/standins/minion_http.py
@@ -78,6 +78,7 @@
             self._answer(STATUS_NOT_RUN, {"error": "leaving, not run"})
         else:
             minion.do(work)
+            board.wait_released()
             self._answer_work(minion, work)
 
     def _run_unlucky(self, minion: Worker, work: minion_work.Work) -> None:
--- a/standins/minion_switches.py
+++ b/standins/minion_switches.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import gevent.event
+
 
 @dataclasses.dataclass(frozen=True)
 class Switches:
@@ -21,6 +23,7 @@
         unlucky_run: whether requests that go silent or are reset do run.
         leaving: every request is declared "not run" with status 503.
         refuse: new connections are refused.
+        hold: requests run, and are answered once this is switched off.
     """
 
     slow_ms: float = 0.0
@@ -34,6 +37,7 @@
     unlucky_run: bool = True
     leaving: bool = False
     refuse: bool = False
+    hold: bool = False
 
 
 class SwitchBoard:
@@ -41,6 +45,8 @@
 
     def __init__(self) -> None:
         self._switches = Switches()
+        self._released = gevent.event.Event()
+        self._released.set()
 
     @property
     def now(self) -> Switches:
@@ -57,6 +63,14 @@
             self._switches,
             **changes,  # type: ignore[arg-type]
         )
+        if self._switches.hold:
+            self._released.clear()
+        else:
+            self._released.set()
+
+    def wait_released(self) -> None:
+        """Waits while answers are held."""
+        self._released.wait()
 
     def take(self, name: str) -> bool:
         """Returns whether a counting switch is on, and counts it down."""
