--- a/standins/minion.py
+++ b/standins/minion.py
@@ -24,7 +24,13 @@
 
 
 class Minion:
-    """Works on requests; ``run_minion`` makes it and lets it listen."""
+    """Works on requests; ``run_minion`` makes it and lets it listen.
+
+    Attributes:
+        handler_class: serves its connections; a test may put in its own.
+    """
+
+    handler_class: type[minion_http.Handler] = minion_http.Handler
 
     def __init__(self, service: str, work_ms: float, slots: int):
         self.service = service
@@ -94,7 +100,7 @@
             sockets.listen(address),
             lambda *_: (),
             spawn=self._connections,
-            handler_class=minion_http.Handler,
+            handler_class=self.handler_class,
             environ={minion_http.ENVIRON_MINION: self},
         )
         self._address = self._server.bound
