Test peer streams, codec, membership and the peer task

Ruled out: tests that wait for time to pass. Time is moved by the test (StepClock); what must come is waited for as an event, with a guard that only a failure reaches. The waits of a reconnection and of a write that blocks are the only real ones, and no verdict hangs on their length.

--- /dev/null
+++ b/tests/common/peer_doubles.py
@@ -0,0 +1,120 @@
+"""Doubles around peer networks: time in steps and messages in memory."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+
+import gevent
+import gevent.event
+
+from tests.common import clocks
+from vanillaswitch.protocol import peer_transport
+from vanillaswitch.protocol import peers
+
+GUARD_S = 20.0
+"""How long a test waits for what must come; only a failure takes so long."""
+
+
+def heartbeat(process="a", sequence=1, boot="boot", **others):
+    """Returns a heartbeat of a living entry."""
+    fields = {
+        "role": peers.Role.ENTRY,
+        "address": "127.0.0.1:7001",
+        "data_centre": "tacoma",
+        "config_version": 1,
+        "view_version": 1,
+        "leaving": False,
+        "loads": {},
+    }
+    fields.update(others)
+    return peers.Heartbeat(
+        process=process, boot=boot, sequence=sequence, **fields
+    )
+
+
+class StepClock(clocks.ManualClock):
+    """Sleepers wait until the test has moved time far enough."""
+
+    def __init__(self):
+        super().__init__()
+        self.slept = []
+        self._sleepers = []
+        self._asleep = gevent.event.Event()
+
+    def sleep(self, seconds):
+        """Waits for the test."""
+        woken = gevent.event.Event()
+        self.slept.append(seconds)
+        self._sleepers.append((self.monotonic() + seconds, woken))
+        self._asleep.set()
+        woken.wait()
+
+    def advance(self, seconds):
+        """Moves time and wakes those whose time has come."""
+        super().advance(seconds)
+        now = self.monotonic()
+        due = [one for one in self._sleepers if one[0] <= now]
+        self._sleepers = [one for one in self._sleepers if one[0] > now]
+        for _, woken in due:
+            woken.set()
+
+    def wait_for_sleeper(self):
+        """Waits until some task sleeps."""
+        self._asleep.clear()
+        if not self._sleepers:
+            assert self._asleep.wait(GUARD_S), "nobody sleeps"
+
+    def wake_next_sleeper(self):
+        """Waits until some task sleeps, then lets its time pass."""
+        self.wait_for_sleeper()
+        self.advance(max(one[0] for one in self._sleepers) - self.monotonic())
+
+
+class Bus:
+    """Carries messages between networks in memory, except on cut ways."""
+
+    def __init__(self):
+        self.cut = set()
+        self.sent = []
+        self._receivers = {}
+
+    @contextlib.contextmanager
+    def open(
+        self, address: str, on_message: peer_transport.OnMessage
+    ) -> Iterator["_BusTransport"]:
+        """Opens one process's transport."""
+        self._receivers[address] = on_message
+        yield _BusTransport(self, address)
+        del self._receivers[address]
+
+    def carry(self, source, target, message):
+        """Delivers a message, or loses it."""
+        self.sent.append((source, target, message))
+        receive = self._receivers.get(target)
+        if receive is not None and (source, target) not in self.cut:
+
+            def reply(answer):
+                self.carry(target, source, answer)
+
+            receive(source, message, reply)
+
+
+class _BusTransport:
+    def __init__(self, bus, address):
+        self._bus = bus
+        self.address = address
+        self.counters: Mapping[str, int] = {}
+
+    def send(self, address, message):
+        """Delivers at once."""
+        self._bus.carry(self.address, address, message)
+        return True
+
+    def retain(self, addresses):
+        """Keeps nothing, so has nothing to close."""
+
+
+def settle():
+    """Lets every task run until it waits for something."""
+    for _ in range(20):
+        gevent.sleep(0)
