Let idle placement duties rest between turns

Cause: a placement duty read and planned everything in each step, twice a second, although reports lag by two seconds. Ruled out: longer steps (urgent jobs come by configuration and must be seen at once); a cache of rows beside the last reading. Change: a turn runs when the configuration changed, when the last one acted or urgent work waits, else every 2 s; unchanged rows are not parsed again. The soft memory of the duty is a module of its own.

--- a/src/vanillaswitch/coordination/placement_duty.py
+++ b/src/vanillaswitch/coordination/placement_duty.py
@@ -12,12 +12,12 @@
 from vanillaswitch.coordination import job_records
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement
+from vanillaswitch.coordination import placement_memory
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.coordination import quotas
 from vanillaswitch.coordination import task_endings
 from vanillaswitch.coordination import task_messages
 from vanillaswitch.coordination import tasks
-from vanillaswitch.coordination import usage
 from vanillaswitch.internal import ids
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
@@ -46,22 +46,25 @@
     memory = _memory(context)
     task_messages.renew(context, memory)
     config = context.config
+    now = context.clock.monotonic()
+    if not memory.due(config, now):
+        return
     owned = frozenset(
         pool
         for pool in _pools(config)
         if placement_view.owns(pool, duty_names.subject(name), config)
     )
     services = {config.pools[p].service for p in owned if p in config.pools}
-    reading = placement_view.read(context.platform, services)
+    reading = placement_view.read(context.platform, services, memory.reading)
     if isinstance(reading, platform.Unavailable):
         return
-    turn = _Turn(context, fence, memory, reading, owned)
-    turn.run()
+    memory.reading, memory.config, memory.turned = reading, config, now
+    memory.busy = _Turn(context, fence, memory, reading, owned).run()
 
 
-def _memory(context: controller.Context) -> task_messages.Memory:
-    memory: task_messages.Memory = context.memory.setdefault(
-        "placement", task_messages.Memory(context.clock.monotonic())
+def _memory(context: controller.Context) -> placement_memory.Memory:
+    memory: placement_memory.Memory = context.memory.setdefault(
+        "placement", placement_memory.Memory(context.clock.monotonic())
     )
     return memory
 
@@ -77,7 +80,7 @@
         self,
         context: controller.Context,
         fence: duties.Fence,
-        memory: task_messages.Memory,
+        memory: placement_memory.Memory,
         reading: placement_view.Reading,
         pools: frozenset[str],
     ):
@@ -88,20 +91,28 @@
         self._pools = pools
         self._config = context.config
         self._lost = False
+        self._acted = False
         self._mine = {
             name: found.row
             for name, found in sorted(reading.tasks.items())
             if found.row.pool in pools
         }
 
-    def run(self) -> None:
-        """Decides and acts; starts go first, as urgent ones wait for them."""
-        self._learn()
+    def run(self) -> bool:
+        """Decides and acts; starts go first, as urgent ones wait for them.
+
+        Returns:
+            Whether there is more to do that must not wait.
+        """
+        now = self._context.clock.monotonic()
+        self._memory.learn(
+            self._mine, self._reading.reports, self._config.jobs, now
+        )
         ended = task_endings.ended(
             self._mine,
             self._reading.reports,
             self._memory,
-            self._context.clock.monotonic(),
+            now,
         )
         states = task_endings.states(
             self._reading, self._config, self._pools, ended
@@ -114,7 +125,7 @@
                 states,
                 task_endings.vacated(self._mine, self._memory) | ended.keys(),
                 self._memory.seen,
-                self._memory.refusing(self._context.clock.monotonic()),
+                self._memory.refusing(now),
             )
         )
         plan = placement.plan(view, self._config)
@@ -123,32 +134,24 @@
         # A broken fence means that another holder has decided since; what
         # was read before says nothing of what may be sent now.
         if self._lost:
-            return
+            return True
         self._resend(ended)
         cordons.cordon(self._context, self._fence, self._reading, states)
         self._send_stops(ended)
         task_messages.throttle(
             self._context, self._memory, self._running(ended), plan.shares
         )
+        return self._is_busy(plan)
 
-    def _learn(self) -> None:
-        """Notes usage, and what is to be renewed from now on."""
-        memory = self._memory
-        now = self._context.clock.monotonic()
-        by_worker: dict[str, list[str]] = {}
-        for task in self._mine.values():
-            by_worker.setdefault(task.worker, []).append(task.operation)
-            report = self._reading.reports.get(task.operation)
-            if report and report.state is platform.TaskState.RUNNING:
-                memory.confirmed.add(task.operation)
-                memory.reported[task.operation] = now
-                seen = memory.seen.get(task.job, usage.Seen())
-                throttled = memory.shares.get(task.operation, 1.0) < 1.0
-                memory.seen[task.job] = usage.observe(seen, report, throttled)
-        memory.operations = {w: tuple(ops) for w, ops in by_worker.items()}
-        memory.forget_all_but(
-            {task.operation for task in self._mine.values()},
-            self._config.jobs.keys(),
+    def _is_busy(self, plan: placement.Placement) -> bool:
+        known = self._config.jobs
+        return (
+            self._acted
+            or any(known[job].urgent for job in plan.waiting)
+            or any(
+                task.stopping or task.operation not in self._memory.confirmed
+                for task in self._mine.values()
+            )
         )
 
     def _start(
@@ -277,6 +280,7 @@
         transaction = platform.Transaction(
             ids.new_id(self._context.rng), tuple(puts), (self._fence.check,)
         )
+        self._acted = True
         clock = self._context.clock
         outcome = commits.settle(
             self._context.platform.table,
--- a/src/vanillaswitch/coordination/placement_view.py
+++ b/src/vanillaswitch/coordination/placement_view.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -50,46 +51,72 @@
 
 
 def read(
-    outside: platform.Platform, services: Collection[str]
+    outside: platform.Platform,
+    services: Collection[str],
+    known: Reading | None = None,
 ) -> Reading | platform.Unavailable:
-    """Reads what a step needs; asks workers of ``services`` for their status.
+    """Reads what a step needs.
 
     Quota rows come first: a start that another duty commits after this read
     changes one of them, so that a plan which did not count it conflicts.
+
+    Args:
+        outside: the platform.
+        services: those whose instances are asked for their status.
+        known: an earlier reading, whose unchanged rows are not parsed again.
     """
     found = []
     for prefix in (keys.QUOTAS, keys.TASKS, keys.JOBS):
         outcome = outside.table.scan(prefix)
         if isinstance(outcome, platform.Unavailable):
             return outcome
-        found.append(
-            {keys.name_of(prefix, row.key): row for row in outcome.rows}
-        )
+        found.append(outcome.rows)
     fleet = fleet_state.read(outside, services)
     if isinstance(fleet, platform.Unavailable):
         return fleet
     reports = outside.workers.reports()
     if isinstance(reports, platform.Unavailable):
         return reports
+    quota_rows, task_rows, job_rows = found
     return Reading(
         fleet,
-        {
-            name: fleet_state.Versioned(
-                row.version, rows.load(tasks.Task, row.value)
-            )
-            for name, row in found[1].items()
-        },
-        {
-            name: fleet_state.Versioned(
-                row.version, rows.load(jobs.JobState, row.value)
-            )
-            for name, row in found[2].items()
-        },
-        {name: row.version for name, row in found[0].items()},
+        _parsed_tasks(task_rows, known.tasks if known else {}),
+        _parsed_jobs(job_rows, known.jobs if known else {}),
+        {keys.name_of(keys.QUOTAS, r.key): r.version for r in quota_rows},
         {report.operation: report for report in reports},
     )
 
 
+def _parsed_tasks(
+    found: Iterable[platform.Row],
+    known: Mapping[str, fleet_state.Versioned[tasks.Task]],
+) -> dict[str, fleet_state.Versioned[tasks.Task]]:
+    parsed = {}
+    for row in found:
+        name = tasks.name(row.value["job"], row.value["index"])
+        kept = known.get(name)
+        if kept is None or kept.version != row.version:
+            task = rows.load(tasks.Task, row.value)
+            kept = fleet_state.Versioned(row.version, task)
+        parsed[name] = kept
+    return parsed
+
+
+def _parsed_jobs(
+    found: Iterable[platform.Row],
+    known: Mapping[str, fleet_state.Versioned[jobs.JobState]],
+) -> dict[str, fleet_state.Versioned[jobs.JobState]]:
+    parsed = {}
+    for row in found:
+        name = keys.name_of(keys.JOBS, row.key)
+        kept = known.get(name)
+        if kept is None or kept.version != row.version:
+            state = rows.load(jobs.JobState, row.value)
+            kept = fleet_state.Versioned(row.version, state)
+        parsed[name] = kept
+    return parsed
+
+
 def size_of(member: fleet_state.Member) -> tasks.Need | None:
     """Returns a worker's size; None while the list does not show it."""
     listing = member.listing
--- a/src/vanillaswitch/coordination/task_endings.py
+++ b/src/vanillaswitch/coordination/task_endings.py
@@ -4,9 +4,9 @@
 import dataclasses
 
 from vanillaswitch.coordination import jobs
+from vanillaswitch.coordination import placement_memory
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.coordination import quotas
-from vanillaswitch.coordination import task_messages
 from vanillaswitch.coordination import tasks
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
@@ -29,7 +29,7 @@
 def ended(
     mine: Mapping[str, tasks.Task],
     reports: Mapping[str, platform.TaskReport],
-    memory: task_messages.Memory,
+    memory: placement_memory.Memory,
     now: float,
 ) -> dict[str, platform.TaskReport]:
     """Returns the last report of each task that is over, by name.
@@ -53,7 +53,7 @@
 
 
 def _is_lost(
-    memory: task_messages.Memory, task: tasks.Task, now: float
+    memory: placement_memory.Memory, task: tasks.Task, now: float
 ) -> bool:
     """Tells whether a task's lease has surely lapsed on a silent worker.
 
@@ -66,7 +66,7 @@
 
 
 def _is_stopped(
-    memory: task_messages.Memory, task: tasks.Task, now: float
+    memory: placement_memory.Memory, task: tasks.Task, now: float
 ) -> bool:
     """Tells whether a stopped task's row may go.
 
@@ -81,7 +81,7 @@
 
 
 def vacated(
-    mine: Mapping[str, tasks.Task], memory: task_messages.Memory
+    mine: Mapping[str, tasks.Task], memory: placement_memory.Memory
 ) -> frozenset[str]:
     """Returns the tasks that are stopped and use no room any more."""
     return frozenset(
@@ -90,7 +90,7 @@
 
 
 def _is_refused(
-    memory: task_messages.Memory, task: tasks.Task, now: float
+    memory: placement_memory.Memory, task: tasks.Task, now: float
 ) -> bool:
     """Tells whether a start was sent in vain for longer than a lease.
 
@@ -112,7 +112,7 @@
 def unwanted(
     task: tasks.Task,
     config: config_lib.Config,
-    memory: task_messages.Memory,
+    memory: placement_memory.Memory,
     now: float,
 ) -> str:
     """Returns why a task is to be stopped; empty when it may go on."""
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -39,6 +39,15 @@
     assert len(place.running()) == 2
 
 
+def test_waiting_urgent_work_is_looked_at_in_every_step() -> None:
+    first = placing.job(cores=16, memory_mb=60000, urgent=True)
+    place = placing.Placing(1, {"a": first, "b": first})
+    place.step(8)
+    assert len(place.running()) == 1
+    memory = place.memory["placement"]
+    assert memory.due(place.config, place.clock.monotonic())
+
+
 def test_an_evicted_task_goes_on_from_its_checkpoint() -> None:
     full = placing.job(cores=16, memory_mb=60000, checkpoints=True)
     place = placing.Placing(1, {"long": full})
--- a/tests/failures/test_duty_failures.py
+++ b/tests/failures/test_duty_failures.py
@@ -221,6 +221,34 @@
     assert member.leased
 
 
+def test_keepalives_go_on_for_held_duties_while_the_table_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An outage of the table ends every running task within a lease.
+
+    The session lease lapses, so that steps stop; what keeps tasks alive must
+    go on, and end once the duty has another holder.
+    """
+    called: list[str] = []
+    for name in ("STEPS", "KEEPALIVES"):
+        kinds: registry.Registry[controller.Step] = registry.Registry("duty")
+        kinds.register("repair")(lambda *_, name=name: called.append(name))  # type: ignore[misc]
+        monkeypatch.setattr(controller, name, kinds)
+    group = controllers.Group("a", duties=2)
+    group.rounds(3)
+    group.members["a"].step("repair")
+    group.faults.down = True
+    group.rounds(6)
+    group.members["a"].step("repair")
+    assert called == ["STEPS", "KEEPALIVES"]
+    group.faults.down = False
+    group.start("b")
+    group.rounds(8, "b")
+    group.members["a"].tick()
+    group.members["a"].step("repair")
+    assert called == ["STEPS", "KEEPALIVES"]
+
+
 @pytest.mark.parametrize("count", [10, 200])
 def test_takes_are_grouped_in_few_transactions(count: int) -> None:
     """The table is overrun when many duties change hands at once."""
