Leave no duty running when a controller ends by an error

Cause: a broken invariant in a step ended the controller's loop and left the tasks of its duties running; a new test of a running controller saw steps of the controller of the test before it. Ruled out: a shared flag that each task reads (one that waits on the table would go on for as long as the table is slow). Change: the tasks belong to a context manager that ends them on every way out; a task is handed its fence instead of looking it up when it first runs, by which time the duty may be gone. Conclusion: run, stop and the end by a broken invariant are tested.

--- a/src/vanillaswitch/coordination/controller.py
+++ b/src/vanillaswitch/coordination/controller.py
@@ -8,6 +8,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import random
 from typing import Any
@@ -18,6 +20,7 @@
 from vanillaswitch import errors
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import duty_names
+from vanillaswitch.coordination import holdings
 from vanillaswitch.coordination import leases
 from vanillaswitch.coordination import membership
 from vanillaswitch.internal import clock as clock_lib
@@ -32,9 +35,6 @@
 STEP_S = 0.5
 """Pause between two steps of a duty."""
 
-GROUP = 64
-"""Rows in one transaction of takes and hand-overs."""
-
 
 def _keep(fence: duties.Fence) -> None:
     del fence
@@ -94,15 +94,6 @@
     return KEEPALIVES.register(kind)
 
 
-@dataclasses.dataclass(frozen=True)
-class _Holding:
-    """A duty that this process holds, and its soft memory."""
-
-    name: str
-    fence: duties.Fence
-    memory: dict[str, Any]
-
-
 class Controller:
     """One controller process: a thin task around leases and duties."""
 
@@ -132,10 +123,10 @@
         self._config = config
         self._broadcast = broadcast
         self._member = membership.Member(settings, outside.table, clock, rng)
-        self._holdings: dict[str, _Holding] = {}
         self._stopping = gevent.event.Event()
         self._fatal: errors.InvariantError | None = None
         self.counters: collections.Counter[str] = collections.Counter()
+        self._holdings = holdings.Holdings(self._member, self.counters)
 
     @property
     def name(self) -> str:
@@ -155,7 +146,7 @@
     @property
     def fences(self) -> dict[str, duties.Fence]:
         """The fence of each duty that this process last knew as its own."""
-        return {name: held.fence for name, held in self._holdings.items()}
+        return self._holdings.fences
 
     def run(self) -> None:
         """Runs until ``stop``, then hands every duty over.
@@ -163,20 +154,32 @@
         Raises:
             errors.InvariantError: a step found a broken invariant.
         """
-        tasks: dict[duties.Fence, gevent.Greenlet] = {}
-        while not self._stopping.is_set():
-            self.tick()
-            if self._fatal is not None:
-                raise self._fatal
-            for name, holding in self._holdings.items():
-                if holding.fence not in tasks:
-                    tasks[holding.fence] = gevent.spawn(self._serve, name)
-            tasks = {f: task for f, task in tasks.items() if not task.dead}
-            self._clock.sleep(self._pause)
-        gevent.joinall(list(tasks.values()), timeout=self._pause)
-        gevent.killall(list(tasks.values()))
+        with self._stepping() as tasks:
+            while not self._stopping.is_set():
+                self.tick()
+                if self._fatal is not None:
+                    raise self._fatal
+                self._spawn(tasks)
+                self._clock.sleep(self._pause)
         self.resign()
 
+    @contextlib.contextmanager
+    def _stepping(self) -> Iterator[dict[duties.Fence, gevent.Greenlet]]:
+        """Yields the tasks of held duties; none is left running behind."""
+        tasks: dict[duties.Fence, gevent.Greenlet] = {}
+        try:
+            yield tasks
+            gevent.joinall(list(tasks.values()), timeout=self._pause)
+        finally:
+            gevent.killall(list(tasks.values()))
+
+    def _spawn(self, tasks: dict[duties.Fence, gevent.Greenlet]) -> None:
+        for fence in [fence for fence, task in tasks.items() if task.dead]:
+            del tasks[fence]
+        for name, fence in self._holdings.fences.items():
+            if fence not in tasks:
+                tasks[fence] = gevent.spawn(self._serve, name, fence)
+
     def stop(self) -> None:
         """Asks ``run`` to end."""
         self._stopping.set()
@@ -223,18 +226,15 @@
         self._holdings.clear()
         self._member.leave()
 
-    def _serve(self, name: str) -> None:
+    def _serve(self, name: str, fence: duties.Fence) -> None:
         """Steps one duty for as long as this epoch of it is held."""
-        fence = self._holdings[name].fence
-        while self._holds(name, fence) and not self._stopping.is_set():
+        while self._holdings.has(name, fence) and not self._stopping.is_set():
             self.step(name)
             self._clock.sleep(STEP_S)
 
-    def _holds(self, name: str, fence: duties.Fence) -> bool:
-        holding = self._holdings.get(name)
-        return holding is not None and holding.fence == fence
-
-    def _context(self, holding: _Holding, config: config_lib.Config) -> Context:
+    def _context(
+        self, holding: holdings.Holding, config: config_lib.Config
+    ) -> Context:
         return Context(
             platform=self._platform,
             clock=self._clock,
@@ -242,16 +242,10 @@
             config=config,
             broadcast=self._broadcast,
             memory=holding.memory,
-            drop=self._drop,
+            drop=self._holdings.drop,
             leased=lambda: self.leased,
         )
 
-    def _drop(self, fence: duties.Fence) -> None:
-        for name, holding in list(self._holdings.items()):
-            if holding.fence == fence:
-                del self._holdings[name]
-                self.counters["fence-broken"] += 1
-
     def _rebalance(self, members: dict[str, str]) -> None:
         """Reads the duties, writes what is to change, keeps what is held."""
         config = self._config()
@@ -259,43 +253,11 @@
         if config is None or isinstance(found, platform.Unavailable):
             return
         table = duties.table_of(duty_names.of_config(config), found.rows)
-        self._keep(table)
+        self._holdings.keep(table)
         if self.leased and self._member.settled_in:
-            self._write(table, duties.changes(table, members, self.name))
-
-    def _write(
-        self, table: dict[str, duties.Held], puts: list[platform.Put]
-    ) -> None:
-        for start in range(0, len(puts), GROUP):
-            group = tuple(puts[start : start + GROUP])
-            outcome = self._member.commit(group)
-            if isinstance(outcome, platform.Conflict):
-                group = duties.without(group, outcome)
-                outcome = self._member.commit(group) if group else outcome
-            if isinstance(outcome, platform.Committed):
-                table.update(duties.written(group, outcome.version))
-                self._keep(table)
-
-    def _keep(self, table: dict[str, duties.Held]) -> None:
-        """Holds what the rows give it; memory lasts as long as the epoch."""
-        fences = duties.fences(table, self.name, self._member.boot)
-        lost = self._holdings.keys() - fences.keys()
-        taken = [n for n, f in fences.items() if not self._holds(n, f)]
-        for name in lost:
-            del self._holdings[name]
-        for name in taken:
-            self._holdings[name] = _Holding(name, fences[name], {})
-        self.counters["duties-lost"] += len(lost)
-        self.counters["duties-taken"] += len(taken)
-        if lost or taken:
-            logs.info(
-                "{} duties held: {} taken, {} lost",
-                len(self._holdings),
-                len(taken),
-                len(lost),
-            )
-
-    def _log_failure(self, holding: _Holding, error: Exception) -> None:
+            self._holdings.rebalance(table, members)
+
+    def _log_failure(self, holding: holdings.Holding, error: Exception) -> None:
         told = repr(error)
         if holding.memory.get(_FAILURE) != told:
             holding.memory[_FAILURE] = told
--- a/tests/common/controllers.py
+++ b/tests/common/controllers.py
@@ -4,6 +4,8 @@
 import random
 from typing import Any
 
+import gevent
+
 from standins import faults
 from standins import table as table_lib
 from tests.common import clocks
@@ -30,8 +32,9 @@
         return self._base.wall() - self._offset
 
     def sleep(self, seconds: float) -> None:
-        """Moves the shared time on."""
+        """Moves the shared time on and lets other tasks run."""
         self._base.sleep(seconds)
+        gevent.sleep(0)
 
 
 class HookedTable:
--- a/tests/failures/test_duty_failures.py
+++ b/tests/failures/test_duty_failures.py
@@ -7,6 +7,7 @@
 
 from standins import measure_duties
 from tests.common import controllers
+from vanillaswitch import errors
 from vanillaswitch.coordination import controller
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import duty_names
@@ -249,6 +250,53 @@
     assert called == ["STEPS", "KEEPALIVES"]
 
 
+def test_a_broken_invariant_in_a_step_ends_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A controller that found the rows contradict each other goes on.
+
+    Any other error of a step is counted and the step tried again.
+    """
+    kinds: registry.Registry[controller.Step] = registry.Registry("duty")
+    monkeypatch.setattr(controller, "STEPS", kinds)
+
+    @kinds.register("repair")
+    def fail(*_: object) -> None:
+        raise errors.InvariantError("an instance is in two pools")
+
+    with pytest.raises(errors.InvariantError):
+        controllers.Group("a", duties=2).members["a"].run()
+
+
+def test_a_running_controller_steps_its_duties_and_stops_cleanly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A planned stop leaves duties with a controller that is gone.
+
+    It is asked to stop in the middle of a step.
+    """
+    kinds: registry.Registry[controller.Step] = registry.Registry("duty")
+    monkeypatch.setattr(controller, "STEPS", kinds)
+    group = controllers.Group("ab", duties=2)
+    group.rounds(4)
+    stepped: list[str] = []
+
+    @kinds.register("repair")
+    @kinds.register("claim-expiry")
+    def step(_: controller.Context, name: str, __: duties.Fence) -> None:
+        stepped.append(name)
+        if len(stepped) == 3:
+            group.members["a"].stop()
+
+    group.members["a"].run()
+    assert len(stepped) == 3
+    group.rounds(1, "b")
+    assert group.shares() == {"a": 0, "b": 2}
+    found = group.table.scan(keys.SESSIONS)
+    assert isinstance(found, platform.Rows)
+    assert [row.key for row in found.rows] == [keys.session("b")]
+
+
 @pytest.mark.parametrize("count", [10, 200])
 def test_takes_are_grouped_in_few_transactions(count: int) -> None:
     """The table is overrun when many duties change hands at once."""
