--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,6 +4,7 @@
 the caller, so that their counts can be read directly.
 """
 
+import collections
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -18,6 +19,7 @@
 from gevent import subprocess
 import geventhttpclient
 
+from standins import callers
 from standins import fleet as fleet_lib
 from standins import minion as minion_lib
 from vanillaswitch.protocol import platform
@@ -168,6 +170,13 @@
                 counts[key] = counts.get(key, 0) + count
         return counts
 
+    def counts(self) -> callers.Counts:
+        """Returns what all minions together counted."""
+        by_request: collections.Counter[str] = collections.Counter()
+        for minion in self.minions.values():
+            by_request.update(minion.by_request)
+        return callers.Counts(self.runs(), by_request)
+
     def _begin(self) -> None:
         document = json.loads((self.shape.example / "fleet.json").read_text())
         listings = cattrs.structure(
