Count a key's runs over all minions in the stories

Cause: the count of a key's runs looked up the wrong name, so that a run at a second minion replaced the first one's count instead of being added. A trial that let a second entry run a charge again passed the clerk's story; only the golden file saw it.

The order sent to two entries at once was over at the first before it came to the second.

Ruled out: a fault of the claims; the code under test is right.

Change: the counts are added up by key; the order takes 200 ms.

Conclusion: the stories' "ran once" counts every minion.

--- a/tests/common/sessions.py
+++ b/tests/common/sessions.py
@@ -128,7 +128,8 @@
         counts: dict[str, int] = {}
         for minion in self.minions.values():
             for key, count in minion.by_key.items():
-                counts[key.partition("/")[2]] = count + counts.get(key, 0)
+                name = key.partition("/")[2]
+                counts[name] = counts.get(name, 0) + count
         return counts
 
     @property
--- a/tests/stories/test_larkspur.py
+++ b/tests/stories/test_larkspur.py
@@ -18,6 +18,7 @@
 ORDER = sessions.Ask(
     "POST", "/fabric-store/orders", '{"veils": 1}', key="veil-9"
 )
+OVERLAP_MS = 200.0
 ENTRIES = ("entry-1", "entry-2")
 
 bdd.scenarios("larkspur.feature")
@@ -107,6 +108,10 @@
 
 @bdd.when("the same veil order is sent to both entries at once")
 def _(session, replies):
+    # Long enough that the second order comes while the first one runs; the
+    # verdict is the same when it comes after.
+    for minion in session.minions.values():
+        minion.switch(slow_ms=OVERLAP_MS)
     connections = {e: session.send(ORDER, e) for e in ENTRIES}
     for entry, connection in connections.items():
         replies[entry] = session.read(connection, entry)
