Move workers between pools and size the shared spare

Cause: pools whose need grows, or that lose workers, have to be given others, and an instance must belong to exactly one pool meanwhile.

Ruled out: a guard worker for each pool (kept as the baseline); filling pools anew by first fit (kept as the baseline); moving a worker before its jobs have left; taking the spare while a pool has workers over, which would move each worker twice.

Pool, service and budgets change in one transaction after the drain. Instances are asked for their status only where a step needs them.

--- a/src/vanillaswitch/coordination/changes.py
+++ b/src/vanillaswitch/coordination/changes.py
@@ -8,6 +8,7 @@
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import explain
 from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import instance_steps
 from vanillaswitch.coordination import wave_state
 from vanillaswitch.internal import ids
 from vanillaswitch.protocol import peers
@@ -45,6 +46,14 @@
         return not (self.instances or self.budgets or self.waves)
 
 
+@dataclasses.dataclass(frozen=True)
+class Decided:
+    """What to write, and what to ask of the platform as written before."""
+
+    changes: Changes
+    calls: tuple[instance_steps.Call, ...]
+
+
 class Draft:
     """Collects the changes of one step, budgets kept in line with rows."""
 
@@ -107,6 +116,23 @@
             self._copy_of(service).pop(name, None)
 
 
+def carry_out(
+    context: controller.Context,
+    fence: duties.Fence,
+    fleet: fleet_state.Fleet,
+    decided: Decided,
+) -> None:
+    """Writes what was decided, and asks for what was written before.
+
+    What is written now is asked for in the next step, when it is read back:
+    only then is its intent surely in the table.
+    """
+    if not decided.changes.empty:
+        commit(context, fence, fleet, decided.changes)
+    for call in decided.calls:
+        instance_steps.perform(context.platform.instances, call)
+
+
 def puts(
     fleet: fleet_state.Fleet, changes: Changes
 ) -> tuple[platform.Put, ...]:
--- a/src/vanillaswitch/coordination/fleet_state.py
+++ b/src/vanillaswitch/coordination/fleet_state.py
@@ -6,9 +6,9 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Container
 from collections.abc import Mapping
 import dataclasses
-from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -71,7 +71,7 @@
 
 
 def read(
-    source: platform.Platform, asked: Collection[str] | None = None
+    source: platform.Platform, asked: Container[str] | None = None
 ) -> Fleet | platform.Unavailable:
     """Reads the fleet.
 
@@ -138,6 +138,5 @@
     return keys.name_of(prefix, row.key)
 
 
-def _is_asked(row: platform.Row, asked: Collection[str] | None) -> bool:
-    value: Mapping[str, Any] = row.value
-    return asked is None or value["service"] in asked
+def _is_asked(row: platform.Row, asked: Container[str] | None) -> bool:
+    return asked is None or row.value["service"] in asked
--- a/src/vanillaswitch/coordination/instance_steps.py
+++ b/src/vanillaswitch/coordination/instance_steps.py
@@ -18,7 +18,6 @@
 import dataclasses
 import enum
 
-from vanillaswitch.coordination import controller
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import rows
 
@@ -122,12 +121,6 @@
     methods[call.verb](call.instance, call.operation)
 
 
-def perform_all(context: controller.Context, calls: tuple[Call, ...]) -> None:
-    """Asks for several operations, one after the other."""
-    for call in calls:
-        perform(context.platform.instances, call)
-
-
 def _after_drain(
     row: rows.Instance,
     status: platform.InstanceStatus,
--- /dev/null
+++ b/src/vanillaswitch/coordination/pool_needs.py
@@ -0,0 +1,76 @@
+"""What pools have and need, as the planners of moves and spare take it."""
+
+from collections.abc import Collection
+
+from vanillaswitch.coordination import buffer
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import moves
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+
+
+def workers(fleet: fleet_state.Fleet) -> tuple[fleet_state.Member, ...]:
+    """Returns every worker, by name."""
+    return tuple(
+        member
+        for _, member in sorted(fleet.members.items())
+        if member.row.kind is platform.InstanceKind.WORKER
+    )
+
+
+def held(
+    fleet: fleet_state.Fleet, lost: Collection[str] = ()
+) -> dict[str, list[moves.Worker]]:
+    """Returns the workers of each pool; a begun move counts at its target.
+
+    Args:
+        fleet: the fleet as it is.
+        lost: workers that no pool has any more.
+    """
+    pools: dict[str, list[moves.Worker]] = {}
+    for member in workers(fleet):
+        if member.name in lost:
+            continue
+        row = member.row
+        serving = row.phase is platform.Phase.SERVING and not row.cordoned
+        tasks = member.status.in_flight if member.status else 0
+        worker = moves.Worker(member.name, member.domain, tasks, serving)
+        pools.setdefault(row.target_pool or row.pool, []).append(worker)
+    return pools
+
+
+def needs(
+    fleet: fleet_state.Fleet, config: config_lib.Config
+) -> dict[str, int]:
+    """Returns how many workers each pool needs, the spare among them."""
+    needed = {name: pool.workers for name, pool in config.pools.items()}
+    needed[buffer.SPARE_POOL] = buffer.SIZINGS.get(buffer.DEFAULT_SIZING)(
+        demands(fleet, config)
+    )
+    return needed
+
+
+def demands(
+    fleet: fleet_state.Fleet, config: config_lib.Config
+) -> list[buffer.Demand]:
+    """Returns what each service needs of the spare."""
+    racks: dict[str, dict[str, int]] = {name: {} for name in config.services}
+    planned = dict.fromkeys(config.services, 0)
+    for member in workers(fleet):
+        service = member.row.service
+        if service not in racks:
+            continue
+        by_rack = racks[service]
+        by_rack[member.domain] = by_rack.get(member.domain, 0) + 1
+        planned[service] += bool(member.row.wave)
+    pools = [pool.service for pool in config.pools.values()]
+    return [
+        buffer.Demand(
+            name,
+            pools.count(name),
+            racks[name],
+            service.availability_budget.workers_down,
+            planned[name],
+        )
+        for name, service in config.services.items()
+    ]
--- a/src/vanillaswitch/coordination/wave_duty.py
+++ b/src/vanillaswitch/coordination/wave_duty.py
@@ -8,7 +8,6 @@
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import duty_names
 from vanillaswitch.coordination import fleet_state
-from vanillaswitch.coordination import instance_steps
 from vanillaswitch.coordination import wave_state
 from vanillaswitch.coordination import wave_step
 from vanillaswitch.coordination import wave_verdict
@@ -28,7 +27,10 @@
 def step(context: controller.Context, name: str, fence: duties.Fence) -> None:
     """Does one step of a wave; does nothing while the platform is away."""
     wave = duty_names.subject(name)
-    fleet = fleet_state.read(context.platform, _services(context, wave))
+    spec = context.config.waves.get(wave)
+    if spec is None:
+        return
+    fleet = fleet_state.read(context.platform, spec.services)
     if isinstance(fleet, platform.Unavailable) or wave not in fleet.waves:
         return
     view = wave_verdict.View(
@@ -39,15 +41,7 @@
         context.clock.wall(),
         lambda: ids.new_id(context.rng),
     )
-    decided = wave_step.decide(view)
-    if not decided.changes.empty:
-        changes.commit(context, fence, fleet, decided.changes)
-    instance_steps.perform_all(context, decided.calls)
-
-
-def _services(context: controller.Context, wave: str) -> tuple[str, ...] | None:
-    spec = context.config.waves.get(wave)
-    return spec.services if spec else None
+    changes.carry_out(context, fence, fleet, wave_step.decide(view))
 
 
 def _broken(
--- a/src/vanillaswitch/coordination/wave_step.py
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -16,15 +16,7 @@
 from vanillaswitch.protocol import platform
 
 
-@dataclasses.dataclass(frozen=True)
-class Decided:
-    """What to write, and what to ask of the platform as written before."""
-
-    changes: changes.Changes
-    calls: tuple[instance_steps.Call, ...]
-
-
-def decide(view: wave_verdict.View) -> Decided:
+def decide(view: wave_verdict.View) -> changes.Decided:
     """Returns the next step of a wave that has a row."""
     draft = changes.Draft(view.fleet)
     wave = wave_verdict.record_failures(view)
@@ -39,7 +31,7 @@
     # operator's pause that was committed a moment ago then refuses it.
     if began or wave != view.wave:
         draft.put_wave(view.name, wave)
-    return Decided(draft.build(), tuple(calls))
+    return changes.Decided(draft.build(), tuple(calls))
 
 
 def _carry(
--- /dev/null
+++ b/tests/failures/test_one_pool.py
@@ -0,0 +1,216 @@
+"""An instance belongs to exactly one pool, whatever happens to its move."""
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests.common import benches
+from vanillaswitch.coordination import buffer
+from vanillaswitch.coordination import instance_steps
+from vanillaswitch.coordination import move_duty  # noqa: F401
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import keys
+from vanillaswitch.state import rows
+
+POOLS = {"a1": "a", "a2": "a", "b1": "b"}
+DUTIES = ["pool-group/a", "pool-group/b"]
+WORKERS = 9
+
+
+def config(a1: int = 2, a2: int = 2, b1: int = 3) -> config_lib.Config:
+    pools = {
+        name: config_lib.Pool(POOLS[name], workers)
+        for name, workers in (("a1", a1), ("a2", a2), ("b1", b1))
+    }
+    return benches.config_of(("a", "b"), minions=0, pools=pools)
+
+
+class Watched(benches.Bench):
+    """Judges each change of pool at the moment it is committed."""
+
+    def watch(self) -> None:
+        """Looks at every transaction that takes effect from now on."""
+        table = self.platform.table
+        apply = table._apply
+
+        def judged(transaction):
+            for put in transaction.puts:
+                self._judge(put)
+            return apply(transaction)
+
+        table._apply = judged
+
+    def _judge(self, put: platform.Put) -> None:
+        found = self.platform.table._rows.get(put.key)
+        if found is None or not put.key.startswith(keys.INSTANCES):
+            return
+        if found.version != put.version or put.value is None:
+            return
+        if put.value["pool"] != found.value["pool"]:
+            name = keys.name_of(keys.INSTANCES, put.key)
+            machine = self.platform.instances._machines[name]
+            assert machine.phase is platform.Phase.DRAINED
+            assert machine.in_flight == 0
+
+
+class OnePool(stateful.RuleBasedStateMachine):
+    """A job loses its worker in the middle, or two pools count on one.
+
+    Operators change what pools need while workers move. Controllers are
+    killed between any two calls, race each other, and get late or no
+    answers. The pool is one field of one row that changes only after the
+    jobs have left; what was begun is finished or undone by the next holder.
+    """
+
+    def __init__(self):
+        super().__init__()
+        listings = benches.worker_listings(WORKERS, per_rack=3)
+        pools = ["a1", "a1", "a2", "a2", "b1", "b1", "b1"]
+        pools += [buffer.SPARE_POOL] * 2
+        names = [one.instance for one in listings]
+        of = dict(zip(names, pools, strict=True))
+        self.bench = Watched(
+            listings,
+            config(),
+            lambda one: (of[one.instance], POOLS.get(of[one.instance], "")),
+        )
+        for duty in DUTIES:
+            self.bench.take_over(duty)
+        self.bench.watch()
+
+    @stateful.rule(duty=st.sampled_from(DUTIES), count=st.integers(1, 4))
+    def step(self, duty, count):
+        """A duty's holder does some steps."""
+        for _ in range(count):
+            self.bench.step(duty)
+
+    @stateful.rule(needs=st.tuples(*[st.integers(0, 5)] * 3))
+    def operator_changes_needs(self, needs):
+        """Pools need more or fewer workers."""
+        self.bench.config = config(*needs)
+
+    @stateful.rule(
+        duty=st.sampled_from(DUTIES),
+        call=st.integers(1, 8),
+        when=st.sampled_from(["before", "after"]),
+    )
+    def kill_controller(self, duty, call, when):
+        """A holder ends at one of its calls."""
+        self.bench.kill_at = self.bench._calls + call
+        self.bench.kill_when = when
+        self.bench.step(duty)
+
+    @stateful.rule(duty=st.permutations(DUTIES))
+    def race(self, duty):
+        """One duty commits between decision and commit of another."""
+        first, second = duty
+        self.bench.before_next_commit(lambda: self.bench.step(second))
+        self.bench.step(first)
+
+    @stateful.rule(
+        duty=st.sampled_from(DUTIES),
+        fault=st.sampled_from(["lose_answers", "drop_calls", "delay_effect"]),
+        part=st.sampled_from(["table", "instances"]),
+    )
+    def call_goes_wrong(self, duty, fault, part):
+        """A call or its answer is lost or late."""
+        faults = self.bench.platform.faults[part]
+        setattr(faults, fault, 1)
+        self.bench.step(duty)
+        setattr(faults, fault, 0)
+
+    @stateful.rule()
+    def late_calls_arrive(self):
+        """What was under way takes effect."""
+        for faults in self.bench.platform.faults.values():
+            faults.release_delayed()
+
+    @stateful.rule(index=st.integers(0, WORKERS - 1), jobs=st.integers(0, 2))
+    def jobs_come_and_go(self, index, jobs):
+        """A worker has so many tasks."""
+        name = f"worker-{index:03}"
+        instances = self.bench.platform.instances
+        if instances.phase(name) is not platform.Phase.DRAINED:
+            instances.set_in_flight(name, jobs)
+
+    @stateful.invariant()
+    def each_worker_has_one_pool_and_budgets_agree(self):
+        """What must hold between any two steps."""
+        fleet = self.bench.fleet()
+        assert len(fleet.members) == WORKERS
+        for name, member in fleet.members.items():
+            row = member.row
+            assert row.pool in {*POOLS, buffer.SPARE_POOL}
+            assert row.service == POOLS.get(row.pool, "")
+            down = [s for s in "ab" if name in fleet.budget(s).row.down]
+            under_way = instance_steps.is_under_way(row)
+            assert down == [row.service] * bool(row.service and under_way)
+
+    def teardown(self):
+        """Once faults end, all that was begun comes to its end."""
+        self.late_calls_arrive()
+        for index in range(WORKERS):
+            self.jobs_come_and_go(index, 0)
+        for _ in range(60):
+            for duty in DUTIES:
+                self.bench.step(duty)
+            members = self.bench.fleet().members.values()
+            if not any(instance_steps.is_under_way(m.row) for m in members):
+                break
+        assert not self.bench.not_serving()
+        self.each_worker_has_one_pool_and_budgets_agree()
+
+
+TestOnePool = OnePool.TestCase
+TestOnePool.settings = settings(
+    max_examples=30, stateful_step_count=20, deadline=None, derandomize=True
+)
+
+
+def test_an_instance_that_is_gone_for_good_is_replaced_and_forgotten():
+    """A pool is short of a worker for ever because a dead one counts.
+
+    A worker dies and leaves the list. A spare takes its place after a while,
+    and much later its own row is deleted.
+    """
+    listings = benches.worker_listings(3)
+    pools = {"a": config_lib.Pool("a", 2)}
+    bench = benches.Bench(
+        listings,
+        benches.config_of(("a",), minions=0, pools=pools),
+        lambda one: ("a", "a") if one is not listings[2] else ("spare", ""),
+    )
+    bench.platform.instances.kill("worker-000", vanish=True)
+    bench.step("pool-group/a")
+    assert bench.fleet().members["worker-002"].row.pool == buffer.SPARE_POOL
+    bench.clock.advance(move_duty.LOST_AFTER_S)
+    for _ in range(5):
+        bench.step("pool-group/a")
+    row = bench.fleet().members["worker-002"].row
+    assert (row.pool, row.phase) == ("a", platform.Phase.SERVING)
+    bench.clock.advance(move_duty.GONE_AFTER_S)
+    bench.step("pool-group/a")
+    assert "worker-000" not in bench.fleet().members
+
+
+def test_what_a_removed_wave_left_drained_serves_again():
+    """A minion stays drained for ever after its wave left the configuration.
+
+    The wave's duty is gone with it. The duty of the service's pools takes
+    what the wave had under way.
+    """
+    listings = benches.minion_listings("a", count=2)
+    bench = benches.Bench(listings, benches.config_of(("a",), minions=2))
+    member = bench.fleet().members["a-0"]
+    row = instance_steps.take_down(member.row, member.status, "drain-1")
+    row = dataclasses.replace(row, wave="removed")
+    bench.put(keys.instance("a-0"), row)
+    bench.put(keys.budget("a"), rows.Budget({"a-0": "drain-1"}))
+    for _ in range(5):
+        bench.step("pool-group/a")
+    assert not bench.not_serving()
+    assert not bench.fleet().budget("a").row.down
+    assert bench.platform.instances.reboots_in_use == 0
