--- a/src/vanillaswitch/coordination/explain.py
+++ b/src/vanillaswitch/coordination/explain.py
@@ -55,6 +55,11 @@
     return f"pool/{name}"
 
 
+def key_of(subject: str) -> str:
+    """Returns the row of one subject's decisions."""
+    return keys.decisions(subject)
+
+
 def keys_of(decisions: Iterable[Decision]) -> tuple[str, ...]:
     """Returns the rows that must be read before ``puts`` can write them."""
     subjects = {decision.subject for decision in decisions}
--- a/src/vanillaswitch/errors.py
+++ b/src/vanillaswitch/errors.py
@@ -56,6 +56,10 @@
     """The platform gave no answer to an operator's command; try again."""
 
 
+class WaveRefusedError(VanillaswitchError):
+    """A wave can't be started or paused now; the message says why."""
+
+
 class ApplyConflictError(VanillaswitchError):
     """Another operator applied a configuration first.
 
