--- a/src/vanillaswitch/coordination/budgets.py
+++ b/src/vanillaswitch/coordination/budgets.py
@@ -73,11 +73,7 @@
     fleet: fleet_state.Fleet, service: str, kind: platform.InstanceKind
 ) -> tuple[fleet_state.Member, ...]:
     """Returns the instances of one kind that serve a service, by name."""
-    return tuple(
-        member
-        for _, member in sorted(fleet.members.items())
-        if (member.row.service, member.row.kind) == (service, kind)
-    )
+    return fleet.groups.get((service, kind), ())
 
 
 def standing(
--- a/src/vanillaswitch/coordination/fleet_state.py
+++ b/src/vanillaswitch/coordination/fleet_state.py
@@ -9,6 +9,7 @@
 from collections.abc import Container
 from collections.abc import Mapping
 import dataclasses
+import functools
 from typing import Generic
 from typing import TypeVar
 
@@ -64,6 +65,17 @@
     waves: Mapping[str, Versioned[wave_state.Wave]]
     strangers: tuple[platform.Listing, ...] = ()
 
+    @functools.cached_property
+    def groups(
+        self,
+    ) -> Mapping[tuple[str, platform.InstanceKind], tuple[Member, ...]]:
+        """Members by service and kind, in the order of their names."""
+        found: dict[tuple[str, platform.InstanceKind], list[Member]] = {}
+        for _, member in sorted(self.members.items()):
+            group = (member.row.service, member.row.kind)
+            found.setdefault(group, []).append(member)
+        return {group: tuple(members) for group, members in found.items()}
+
     def budget(self, service: str) -> Versioned[rows.Budget]:
         """Returns a service's budget row, an empty one before the first."""
         empty = Versioned(platform.ABSENT, rows.Budget({}))
--- a/src/vanillaswitch/coordination/wave_plan.py
+++ b/src/vanillaswitch/coordination/wave_plan.py
@@ -110,6 +110,23 @@
     return rounds * (DRAIN_S[kind] + REBOOT_S + RESUME_S)
 
 
+def fewest_growing_rounds(
+    targets: Sequence[Target],
+    allowance: Mapping[str, int],
+    wave: config_lib.Wave,
+) -> int:
+    """Returns a number of rounds that no order with a canary can beat."""
+    room = sum(allowance[service] for service in {t.service for t in targets})
+    left = len(targets)
+    limit = float(max(1, wave.canary))
+    rounds = 0
+    while left > 0:
+        left -= min(math.floor(limit), room)
+        limit *= max(1.0, wave.growth)
+        rounds += 1
+    return max(rounds, fewest_rounds(targets, allowance))
+
+
 def fewest_rounds(
     targets: Sequence[Target], allowance: Mapping[str, int]
 ) -> int:
--- a/tests/cover/test_wave_plan.py
+++ b/tests/cover/test_wave_plan.py
@@ -46,6 +46,9 @@
     if order == "growing" and rounds:
         assert len(rounds[0]) <= canary
     assert len(rounds) >= wave_plan.fewest_rounds(targets, allowance)
+    if order == "growing":
+        fewest = wave_plan.fewest_growing_rounds(targets, allowance, wave)
+        assert len(rounds) >= fewest
 
 
 def test_a_plan_says_that_a_budget_of_none_forbids_the_wave():
