Send nothing after a pause during a connect

Cause: a process that is paused while it connects to a minion went on with the send as if no time had passed; the minion may have been drained, and the check of the view lies before the connect. Ruled out: another check by the sender, which does not see the connect; the request's timeout, which may be far away. Change: a connect that took longer than its own limit can only have been interrupted: NotSent, so that the sender looks again. Conclusion: what is left is a pause between the last look at the clock and the first byte; the minion's own refusal covers that.

--- a/src/vanillaswitch/transport/minion_http.py
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -21,6 +21,7 @@
 from vanillaswitch.transport import sockets
 
 _BLOCK_BYTES = 65_536
+_PAUSE_S = 0.5
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _OWN_FIELDS = (
     "host",
@@ -137,6 +138,7 @@
     def __init__(
         self, clock: clocks.Clock, settings: ClientSettings | None = None
     ):
+        self._clock = clock
         self._settings = settings or ClientSettings()
         self._pool = connections.ConnectionPool(
             clock, self._settings.idle_per_minion, self._settings.idle_s
@@ -173,12 +175,10 @@
     ) -> minions.SendOutcome:
         connection = None if fresh else self._pool.take(address)
         if connection is None:
-            try:
-                connection = sockets.connect(
-                    address, self._settings.connect_timeout_s
-                )
-            except OSError as error:
-                return minions.NotSent(f"no connection: {error}")
+            opened = self._open(address)
+            if isinstance(opened, minions.NotSent):
+                return opened
+            connection = opened
         reusable = False
         try:
             outcome = exchange.run(connection, data)
@@ -193,6 +193,24 @@
             else:
                 connection.close()
 
+    def _open(self, address: str) -> socket.socket | minions.NotSent:
+        """Opens a connection.
+
+        The failure guarded against: the process is paused meanwhile, and the
+        minion is drained. No connect takes longer than its limit, so a longer
+        time shows the pause; whoever chose the minion has to look again.
+        """
+        limit = self._settings.connect_timeout_s
+        began = self._clock.monotonic()
+        try:
+            connection = sockets.connect(address, limit)
+        except OSError as error:
+            return minions.NotSent(f"no connection: {error}")
+        if self._clock.monotonic() - began > limit + _PAUSE_S:
+            connection.close()
+            return minions.NotSent("the process was paused")
+        return connection
+
     def _timed_out(
         self, exchange: _Exchange, address: str
     ) -> minions.NotSent | minions.Lost:
