Refuse charges at once while the table is silent

Cause: the table takes calls and answers none. Each transaction runs into its time limit, and each charge waited until shortly before its deadline to hear "not run", for as long as the outage lasts. Ruled out: a shorter limit for each claim, which would refuse charges that a slow table would still let run; a timer of its own for probes, since the outcomes that are left over are written again and again anyway. Change: the group committer knows whether its last transaction was settled. While it was not, new charges are refused as not run, what waits behind it is told so, and a release does not wait. Conclusion: a lasting silence costs one wait; the price is charges refused for about a second after it.

--- a/src/vanillaswitch/coordination/claims.py
+++ b/src/vanillaswitch/coordination/claims.py
@@ -116,7 +116,7 @@
         known = self._ledger.get(name)
         if known is not None:
             return _reply_of(known, digest)
-        if self._ledger.full:
+        if self._ledger.full or self._committer.silent:
             return claim_rules.UNAVAILABLE
         # Held before the first switch of tasks: a second request with this
         # key then sees the first one in progress.
@@ -133,11 +133,12 @@
     def release(self, ticket: str) -> None:
         """Gives up a claim whose request surely never ran.
 
-        Returns when the row says so, or after the time of one write; this
-        process answers for the claim when it is asked.
+        Returns when the row says so, or after the time of one write, or at
+        once while the table is silent; this process answers for the claim
+        when it is asked.
         """
         self._resolve(ticket, peers.ClaimState.RELEASED)
-        if ticket:
+        if ticket and not self._committer.silent:
             self._ledger.write((_name(ticket),))
 
     def finish(self, ticket: str, answer: requests.Answer) -> None:
--- a/src/vanillaswitch/coordination/group_commit.py
+++ b/src/vanillaswitch/coordination/group_commit.py
@@ -93,6 +93,16 @@
         self._next: collections.deque[Submission] = collections.deque()
         self._transactions = 0
         self._rows = 0
+        self._silent = False
+
+    @property
+    def silent(self) -> bool:
+        """Whether the last transaction got no answer that settles it.
+
+        Callers who can do without should not submit while this holds; the
+        writes that have to be made find out when the table answers again.
+        """
+        return self._silent
 
     @property
     def transactions(self) -> int:
@@ -177,14 +187,31 @@
                 exclusive=True,
             )
             if isinstance(outcome, platform.Conflict):
+                self._silent = False
                 batch = _tell_conflicts(batch, outcome)
                 continue
             if isinstance(outcome, platform.Committed):
                 self._rows += len(batch)
             for submission in batch:
                 submission.tell(outcome)
+            self._silent = isinstance(outcome, platform.OutcomeUnknown)
+            if self._silent:
+                self._refuse_waiting()
             return
 
+    def _refuse_waiting(self) -> None:
+        """Tells the puts that wait that they have no effect.
+
+        The failure guarded against: the table takes calls and answers none.
+        Each transaction then takes its whole time limit, and what waits would
+        learn only near its deadline that it was never sent.
+        """
+        waiting, self._next = self._next, collections.deque()
+        while not self._inbox.empty():
+            waiting.append(self._inbox.get())
+        for submission in waiting:
+            submission.tell(platform.Unavailable("the table does not answer"))
+
 
 def _tell_conflicts(
     batch: list[Submission], conflict: platform.Conflict
--- /dev/null
+++ b/tests/failures/test_silent_table.py
@@ -0,0 +1,64 @@
+"""The table takes calls and answers nothing, for as long as it likes."""
+
+import pytest
+
+from tests.common import claim_world
+from vanillaswitch.coordination import claim_rules
+from vanillaswitch.protocol import platform
+
+
+@pytest.fixture
+def world():
+    made = claim_world.World(("a",))
+    yield made
+    made.close()
+
+
+def silence(world):
+    """Has each call of the table run into its time limit of two seconds."""
+
+    def time_out(outcome):
+        world.clock.advance(2.0)
+        return outcome
+
+    link = world.entries["a"].link
+    link.commit = lambda _: time_out(platform.OutcomeUnknown("no answer"))
+    link.read = lambda _: time_out(platform.Unavailable("no answer"))
+
+
+def heal(world):
+    link = world.entries["a"].link
+    del link.commit, link.read
+
+
+def test_charges_are_refused_at_once_while_the_table_is_silent(world):
+    """Each clerk waits out her whole deadline to hear that nothing was run.
+
+    The first charge finds out that the table answers nothing. Those after it
+    have no better chance, and must not wait for it one by one; when a write
+    that was left over gets through, charges run again.
+    """
+    silence(world)
+    assert world.begin("a") == claim_rules.UNAVAILABLE
+    known = world.clock.monotonic()
+    for key in ("k2", "k3"):
+        reply = world.begin("a", world.request(key))
+        assert reply == claim_rules.UNAVAILABLE
+    assert world.clock.monotonic() == known
+    heal(world)
+    world.entries["a"].write_all()
+    world.attempt("a", world.request("k2"))
+
+
+def test_a_refusal_does_not_wait_for_a_silent_table(world):
+    """A charge that no minion takes is refused a second late.
+
+    The claim of the charge is to be released before "not run" is said, and
+    the table is known to be silent: the entry answers for the claim itself.
+    """
+    attempt = world.attempt("a")
+    silence(world)
+    world.begin("a", world.request("k2"))
+    known = world.clock.monotonic()
+    attempt.entry.claims.release(attempt.ticket)
+    assert world.clock.monotonic() == known
