--- a/standins/site.py
+++ b/standins/site.py
@@ -64,7 +64,7 @@
             yield self.start_entries(count)
         finally:
             self.hold(False)
-            self.table(down=False, lose_answers=0)
+            self.table(down=False, slow_s=0.0, lose_answers=0)
             for process in self.running.entries.values():
                 process.kill()
             self.running.entries.clear()
