Make the tests of claims find each broken rule

Cause: trials that broke one rule at a time on a scratch copy went unseen by six tests' worth of rules (late claims, overtaken commits, a row that was written while its holder was asked). Ruled out: more runs of the wide state machine; two entries and one key make the same faults meet far more often than three entries and four keys. The group test had refused OutcomeUnknown even after six unanswered calls in a row, where it is the truth; its scripts are now at most four long and it is refused again.

--- a/tests/common/claim_world.py
+++ b/tests/common/claim_world.py
@@ -32,7 +32,7 @@
         return super()._apply(transaction)
 
 
-class Link:
+class _Link:
     """One entry's way to the shared table, with faults of its own."""
 
     def __init__(self, table: platform.Table):
@@ -40,25 +40,22 @@
         self._table = table
 
     def read(self, keys):
-        """Reads over this link."""
         return self.faults.read(lambda: self._table.read(keys))
 
-    def scan(self, prefix):
-        """Scans over this link."""
-        return self.faults.read(lambda: self._table.scan(prefix))
+    def scan(self, prefix, after="", limit=0):
+        return self.faults.read(lambda: self._table.scan(prefix, after, limit))
 
     def commit(self, transaction):
-        """Commits over this link."""
         return self.faults.write(lambda: self._table.commit(transaction))
 
 
-class Entry:
+class _Entry:
     """One boot of an entry."""
 
     def __init__(self, world: "World", name: str, boot: str):
         self.name = name
         self.boot = boot
-        self.link = Link(world.table)
+        self.link = _Link(world.table)
         self.cut_from_peers = False
         self.parts = claims.make_parts(
             claim_rules.Holder(name, boot, f"peer-{name}"),
@@ -73,11 +70,9 @@
         self._task = gevent.spawn(self.parts.committer.run)
 
     def kill(self) -> None:
-        """Ends its task; what it knows is gone."""
         self._task.kill()
 
     def write_all(self) -> None:
-        """Does one round of the background writer."""
         self.parts.ledger.write_all()
 
 
@@ -85,7 +80,7 @@
 class Attempt:
     """A claimed request on its way through an entry."""
 
-    entry: Entry
+    entry: _Entry
     request: requests.Request
     ticket: str
     answer: requests.Answer | None = None
@@ -101,17 +96,18 @@
         self.objects = objects_module.MemoryObjects()
         self.issued_ms = int(self.clock.wall() * 1000)
         self.runs: collections.Counter[tuple[str, str]] = collections.Counter()
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, _Entry] = {}
+        self.before_reply = lambda: None
         self._boots = 0
         for name in names:
             self.restart(name)
 
-    def restart(self, name: str) -> Entry:
+    def restart(self, name: str) -> _Entry:
         """Kills the entry, if there is one; a new boot takes its place."""
         if name in self.entries:
             self.entries[name].kill()
         self._boots += 1
-        self.entries[name] = Entry(self, name, f"boot-{self._boots}")
+        self.entries[name] = _Entry(self, name, f"boot-{self._boots}")
         return self.entries[name]
 
     def close(self) -> None:
@@ -145,6 +141,12 @@
         )
         return attempt.answer
 
+    def finish(self, attempt: Attempt, body: bytes = b"done"):
+        """The minion runs the request, and the whole answer comes back."""
+        answer = self.run(attempt, body)
+        attempt.entry.claims.finish(attempt.ticket, answer)
+        return answer
+
     def begin(self, name: str, request=None):
         """Asks an entry to begin a request."""
         return self.entries[name].claims.begin(request or self.request())
@@ -156,8 +158,9 @@
         assert isinstance(begun, claims_protocol.Proceed), begun
         return Attempt(self.entries[name], request, begun.ticket)
 
-    def ask(self, asker: Entry, peer: str, query: peers.ClaimQuery):
+    def ask(self, asker: _Entry, peer: str, query: peers.ClaimQuery):
         """Carries a query to the living process at an address."""
+        self.before_reply()
         holder = self.entries.get(peer.removeprefix("peer-"))
         if holder is None or holder.cut_from_peers or asker.cut_from_peers:
             return None
--- a/tests/cover/test_commits.py
+++ b/tests/cover/test_commits.py
@@ -6,7 +6,6 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
-import pytest
 
 from tests.common import claim_world
 from tests.common import clocks
@@ -16,34 +15,41 @@
 
 STEPS = st.lists(
     st.sampled_from(
-        ("answer", "lose", "drop", "delay", "arrive", "down", "others")
+        ("lose", "blind", "drop", "delay", "arrive", "down", "answer")
+        + ("others", "overtake")
     ),
     max_size=8,
 )
 
 
-class Scripted(claim_world.ForgetfulTable):
+class _Scripted(claim_world.ForgetfulTable):
     """Does one step of a script before each commit; counts effects."""
 
-    def __init__(self, steps, others):
+    def __init__(self, steps=(), others=None):
         super().__init__()
         self.effects = 0
-        self._steps = list(steps)
+        self.steps = list(steps)
         self._others = others
+        self._blind = False
 
     def commit(self, transaction):
-        """Tries the transaction as the script says."""
-        step = self._steps.pop(0) if self._steps else "answer"
-        self.faults.lose_answers = int(step == "lose")
+        step = self.steps.pop(0) if self.steps else "answer"
+        self.faults.lose_answers = int(step in ("lose", "blind"))
         self.faults.drop_calls = int(step == "drop")
         self.faults.delay_effect = int(step == "delay")
         self.faults.down = step == "down"
-        if step == "arrive":
+        if step in ("arrive", "overtake"):
             self.faults.release_delayed()
-        if step == "others":
+        if step in ("others", "overtake"):
             self._others(self)
+        self._blind = step == "blind"
         return super().commit(transaction)
 
+    def read(self, keys):
+        """Reads nothing after a commit whose writer is cut off by it."""
+        self.faults.down |= self._blind
+        return super().read(keys)
+
     def _apply(self, transaction):
         outcome = super()._apply(transaction)
         if transaction.token == "ours":
@@ -51,38 +57,36 @@
         return outcome
 
 
-def write_over(table):
-    """Another writer moves both rows on, whatever they show."""
-    found = {row.key: row.version for row in table.read(["x", "y"]).rows}
-    puts = [
-        platform.Put(key, found.get(key, platform.ABSENT), {"by": "other"})
-        for key in ("x", "y")
-    ]
-    table._apply(platform.Transaction(f"other {found}", tuple(puts)))
+def write_over(table, but=""):
+    """Another writer moves both rows on, unless they have this token."""
+    versions = dict.fromkeys(("x", "y"), platform.ABSENT)
+    for row in table._rows.values():
+        versions[row.key] = row.version
+        if row.token == but:
+            return
+    puts = [platform.Put(k, v, {"by": "other"}) for k, v in versions.items()]
+    table._apply(platform.Transaction(f"other {versions}", tuple(puts)))
 
 
-@given(steps=STEPS, inserts=st.booleans())
-@settings(max_examples=300, derandomize=True, deadline=None)
-def test_a_settled_outcome_is_true_for_good(steps, inserts):
+@given(steps=STEPS, inserts=st.booleans(), exclusive=st.booleans())
+@settings(max_examples=500, derandomize=True, deadline=None)
+def test_a_settled_outcome_is_true_for_good(steps, inserts, exclusive):
     """A holder is told that its lease was not written, though it was.
 
     Answers are lost, calls are lost or arrive late, the table goes down, and
     another writer overwrites the rows in between. What is told as certain
     stays true when the last late copy has arrived, and no copy is doubled.
     """
-    table = Scripted(steps, write_over)
-    versions = {"x": platform.ABSENT, "y": platform.ABSENT}
+    spared = "ours" if exclusive else ""
+    table = _Scripted(steps, lambda table: write_over(table, spared))
     if not inserts:
         write_over(table)
-        versions = {r.key: r.version for r in table.read(["x", "y"]).rows}
-    puts = [platform.Put(k, v, {"by": "us"}) for k, v in versions.items()]
+    found = {row.key: row.version for row in table.read(["x", "y"]).rows}
+    puts = [platform.Put(k, found.get(k, platform.ABSENT), {}) for k in "xy"]
+    transaction = platform.Transaction("ours", tuple(puts))
     clock = clocks.ManualClock()
-    outcome = commits.settle(
-        table,
-        platform.Transaction("ours", tuple(puts)),
-        clock,
-        clock.monotonic() + 2.0,
-    )
+    deadline = clock.monotonic() + 2.0
+    outcome = commits.settle(table, transaction, clock, deadline, exclusive)
     told_effects = table.effects
     table.faults.release_delayed()
     assert table.effects <= 1
@@ -92,13 +96,9 @@
         assert table.effects == 0
 
 
-@pytest.fixture
-def clock():
-    return clocks.ManualClock()
-
-
-def test_settling_gives_up_at_the_deadline(clock):
-    table = Scripted(["drop"] * 99, write_over)
+def test_settling_gives_up_at_the_deadline():
+    clock = clocks.ManualClock()
+    table = _Scripted(["drop"] * 99)
     put = platform.Put("x", platform.ABSENT, {})
     started = clock.monotonic()
     outcome = commits.settle(
@@ -109,46 +109,42 @@
 
 
 @given(
-    taken=st.sets(st.integers(0, 19)),
-    steps=STEPS.filter(lambda steps: "others" not in steps),
+    taken=st.sets(st.integers(0, 9)),
+    steps=st.lists(st.sampled_from(("lose", "blind", "down")), max_size=4)
+    | st.permutations(("delay", "arrive", "drop", "answer")),
 )
-@settings(max_examples=60, derandomize=True, deadline=None)
+@settings(max_examples=200, derandomize=True, deadline=None)
 def test_each_put_of_a_group_is_told_its_own_outcome(taken, steps):
-    """A conflict on one caller's key must not refuse the other callers."""
+    """A conflict on one caller's key must not refuse the other callers.
+
+    Four calls without an answer are settled within the committer's time.
+    """
     clock = clocks.ManualClock()
-    table = Scripted([], write_over)
-    for number in taken:
-        put = platform.Put(f"row/{number}", platform.ABSENT, {"by": "other"})
-        table.commit(platform.Transaction(f"other {number}", (put,)))
-    table._steps = steps
+    table = _Scripted()
+    puts = [platform.Put(f"row/{n}", platform.ABSENT, {}) for n in range(10)]
+    others = tuple(puts[number] for number in taken)
+    table.commit(platform.Transaction("other", others))
+    table.steps = list(steps)
     committer = group_commit.GroupCommitter(table, clock, random.Random(1))
     task = gevent.spawn(committer.run)
     deadline = clock.monotonic() + 60.0
-    submissions = [
-        committer.submit(
-            platform.Put(f"row/{number}", platform.ABSENT, {"by": "us"}),
-            deadline,
-        )
-        for number in range(20)
-    ]
+    submissions = [committer.submit(put, deadline) for put in puts]
     outcomes = [committer.wait(submission) for submission in submissions]
     task.kill()
-    table.faults.down = False
-    found = {row.key: row.value["by"] for row in table.scan("row/").rows}
-    for number, outcome in enumerate(outcomes):
-        by = found.get(f"row/{number}")
-        if isinstance(outcome, platform.Committed):
-            assert by == "us"
-        elif isinstance(outcome, platform.Conflict):
-            assert by == "other"
-        else:
-            assert isinstance(outcome, platform.Unavailable)
-            assert by != "us"
     assert committer.transactions <= 2
+    for put, outcome in zip(puts, outcomes, strict=True):
+        row = table._row_or_absent(put.key)
+        if put in others:
+            told = platform.Conflict((row,))
+        else:
+            told = platform.Committed(row.version)
+        unsent = isinstance(outcome, platform.Unavailable) and "down" in steps
+        assert outcome == told or (unsent and row.token in ("", "other"))
 
 
-def test_puts_of_one_row_keep_their_order(clock):
-    table = Scripted([], write_over)
+def test_puts_of_one_row_keep_their_order():
+    clock = clocks.ManualClock()
+    table = _Scripted()
     committer = group_commit.GroupCommitter(table, clock, random.Random(1))
     deadline = clock.monotonic() + 60.0
     first, second = (
@@ -161,8 +157,9 @@
     task.kill()
 
 
-def test_a_put_that_waited_past_its_deadline_is_not_sent(clock):
-    table = Scripted([], write_over)
+def test_a_put_that_waited_past_its_deadline_is_not_sent():
+    clock = clocks.ManualClock()
+    table = _Scripted()
     committer = group_commit.GroupCommitter(table, clock, random.Random(1))
     late = committer.submit(platform.Put("x", 0, {}), clock.monotonic() + 1.0)
     clock.advance(2.0)
@@ -178,7 +175,7 @@
     orders = [world.request(f"k{number}") for number in range(40)]
     tasks = [gevent.spawn(world.attempt, "a", order) for order in orders]
     for attempt in [task.get() for task in tasks]:
-        attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+        world.finish(attempt)
     world.entries["a"].write_all()
     world.close()
     assert world.table.rows_written == 80
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -1,5 +1,7 @@
 """A charge runs at most once, whichever entry is asked and whatever fails."""
 
+import functools
+
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -10,16 +12,16 @@
 from vanillaswitch.coordination import claim_rules
 from vanillaswitch.protocol import claims
 from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import platform
 from vanillaswitch.protocol import requests
 from vanillaswitch.state import keys
 from vanillaswitch.state import rows
 
-NAMES = st.sampled_from(("a", "b", "c"))
+NAMES = st.sampled_from(("a", "b"))
 CALLERS = st.sampled_from(("tacoma", "olympia"))
-KEYS = st.sampled_from(("k1", "k2"))
 
 
-class AtMostOnce(stateful.RuleBasedStateMachine):
+class _AtMostOnce(stateful.RuleBasedStateMachine):
     """An order is asked for again and again while all around it fails.
 
     A bride's veil is ordered under one key. The desk asks whichever entry
@@ -30,11 +32,11 @@
 
     def __init__(self):
         super().__init__()
-        self.world = claim_world.World()
+        self.world = claim_world.World(("a", "b"))
         self.open: list[claim_world.Attempt] = []
-        self.answers: dict[tuple[str, str], requests.Answer] = {}
-        self.sent: set[tuple[str, str]] = set()
-        self.finished: dict[tuple[str, str], str] = {}
+        self.answers: dict[str, requests.Answer] = {}
+        self.sent: set[str] = set()
+        self.finished: dict[str, str] = {}
 
     def teardown(self):
         """Heals everything; then only the truth may be told."""
@@ -42,14 +44,14 @@
             self._heal_all()
             self._check_table()
             for name in self.world.entries:
-                for caller, key in list(self.sent):
-                    self._check_final(name, caller, key)
+                for caller in list(self.sent):
+                    self._check_final(name, caller)
         finally:
             self.world.close()
 
-    def _check_final(self, name, caller, key):
-        reply = self._check_reply(name, caller, key)
-        if self.finished.get((caller, key)) in self._living():
+    def _check_final(self, name, caller):
+        reply = self._check_reply(name, caller)
+        if self.finished.get(caller) in self._living():
             assert isinstance(reply, claims.Replay)
         elif not isinstance(reply, claims.Replay):
             assert reply.outcome is requests.Outcome.UNKNOWN
@@ -57,16 +59,16 @@
     def _living(self):
         return {entry.boot for entry in self.world.entries.values()}
 
-    def _check_reply(self, name, caller, key):
-        request = self.world.request(key, caller)
+    def _check_reply(self, name, caller):
+        request = self.world.request(caller=caller)
         reply = self.world.begin(name, request)
-        ran = (caller, key) in self.sent
+        ran = caller in self.sent
         if isinstance(reply, claims.Proceed):
             assert not ran
             entry = self.world.entries[name]
             self.open.append(claim_world.Attempt(entry, request, reply.ticket))
         elif isinstance(reply, claims.Replay):
-            assert reply.answer == self.answers[caller, key]
+            assert reply.answer == self.answers[caller]
         elif reply.outcome is requests.Outcome.RAN:
             assert ran
         elif reply.outcome is requests.Outcome.NOT_RUN:
@@ -74,20 +76,19 @@
             assert reply == claim_rules.UNAVAILABLE
         return reply
 
-    @stateful.rule(name=NAMES, caller=CALLERS, key=KEYS)
-    def ask(self, name, caller, key):
-        """The desk asks, or asks again, at some entry."""
-        self._check_reply(name, caller, key)
+    @stateful.rule(name=NAMES, caller=CALLERS)
+    def ask(self, name, caller):
+        self._check_reply(name, caller)
 
     @stateful.rule(data=st.data())
     @stateful.precondition(lambda self: self.open)
     def go_on(self, data):
         """A holder, paused until now, takes its next step."""
         attempt = data.draw(st.sampled_from(self.open))
-        name = (attempt.request.caller, attempt.request.key)
+        caller = attempt.request.caller
         if attempt.answer is None:
             if data.draw(st.booleans()):
-                self.sent.add(name)
+                self.sent.add(caller)
                 self.world.run(attempt)
                 return
             self.open.remove(attempt)
@@ -95,20 +96,14 @@
             return
         self.open.remove(attempt)
         if data.draw(st.booleans()):
-            self.answers[name] = attempt.answer
-            self.finished[name] = attempt.entry.boot
+            self.answers[caller] = attempt.answer
+            self.finished[caller] = attempt.entry.boot
             attempt.entry.claims.finish(attempt.ticket, attempt.answer)
         else:
             attempt.entry.claims.lost(attempt.ticket)
 
-    @stateful.rule(name=NAMES)
-    def write_in_background(self, name):
-        """Outcomes get to the table, if it answers."""
-        self.world.entries[name].write_all()
-
     @stateful.rule(name=NAMES)
     def kill(self, name):
-        """An entry dies at whatever step it is."""
         old = self.world.entries[name]
         self.world.restart(name)
         # What the dead boot had under way in the network stays under way.
@@ -118,21 +113,19 @@
     @stateful.rule(
         name=NAMES,
         fault=st.sampled_from(("down", "lose_answers", "delay_effect")),
-        calls=st.sampled_from((0, 1, 2, 40)),
+        calls=st.sampled_from((0, 1, 99)),
     )
     def fail_the_table(self, name, fault, calls):
         """Commits have no effect, or one that is not answered or is late."""
         setattr(self.world.entries[name].link.faults, fault, calls)
 
-    @stateful.rule(name=NAMES, cut=st.booleans())
-    def cut_peers(self, name, cut):
-        """An entry neither asks nor answers others."""
-        self.world.entries[name].cut_from_peers = cut
-
-    @stateful.rule(name=NAMES)
-    def late_effects(self, name):
-        """The delayed commits arrive."""
-        self.world.entries[name].link.faults.release_delayed()
+    @stateful.rule(name=NAMES, cut=st.booleans(), late=st.booleans())
+    def write_in_background(self, name, cut, late):
+        entry = self.world.entries[name]
+        entry.cut_from_peers = cut
+        if late:
+            entry.link.faults.release_delayed()
+        entry.write_all()
 
     @stateful.rule(seconds=st.sampled_from((1.0, 3600.0)))
     def pass_time(self, seconds):
@@ -151,18 +144,17 @@
 
     def _check_table(self):
         """No claim of a living boot stands without a request under way."""
-        under_way = {(a.entry.boot, a.request.key) for a in self.open}
+        under_way = {(a.entry.boot, a.request.caller) for a in self.open}
         living = self._living()
         for row in self.world.table.scan(keys.CLAIMS).rows:
             claim = rows.load(rows.Claim, row.value)
             if claim.state is peers.ClaimState.CLAIMED and claim.boot in living:
-                key = row.key.rpartition("/")[2]
-                assert (claim.boot, key) in under_way
+                assert (claim.boot, row.key.split("/")[1]) in under_way
 
 
-TestAtMostOnce = AtMostOnce.TestCase
+TestAtMostOnce = _AtMostOnce.TestCase
 TestAtMostOnce.settings = settings(
-    max_examples=150, stateful_step_count=30, derandomize=True, deadline=None
+    max_examples=250, stateful_step_count=25, derandomize=True, deadline=None
 )
 
 
@@ -208,6 +200,7 @@
     world.run(attempt)
     reborn = world.restart("a")
     reborn.link.faults.drop_calls = 10**6
+    reborn.link.read = lambda _: platform.Unavailable("cut off")
     assert world.begin("a").outcome is requests.Outcome.NOT_RUN
     assert world.begin("b").outcome is requests.Outcome.UNKNOWN
 
@@ -226,22 +219,40 @@
     first.entry.link.faults.down = False
     first.entry.write_all()
     assert world.begin("a") == claim_rules.IN_PROGRESS
-    second.entry.claims.finish(second.ticket, world.run(second))
+    world.finish(second)
     assert world.begin("a") == claims.Replay(second.answer)
 
 
-def test_a_late_insert_does_not_stand_as_claimed(world):
+@pytest.mark.parametrize("reclaims", [False, True])
+@pytest.mark.parametrize("arrives_first", [False, True])
+def test_a_late_claim_does_not_stand(world, reclaims, arrives_first):
     """An order refused as not run must not block its key until it expires.
 
-    The insert of the claim is answered by nothing; the entry refuses, and
-    writes the release. Only then the insert arrives. It finds the row there.
+    The write of the claim, new or over a released one, is answered by
+    nothing; the entry refuses, and writes that it gave up. The claim arrives
+    before that or after. Until it is written, the entry claims nothing more.
     """
-    faults = world.entries["a"].link.faults
-    faults.delay_effect = 10**6
+    entry = world.entries["a"]
+    slow_down = functools.partial(
+        setattr, entry.link.faults, "delay_effect", 99
+    )
+    if reclaims:
+        first = world.attempt("b")
+        first.entry.link.faults.down = True
+        first.entry.claims.release(first.ticket)
+        world.before_reply = slow_down
+    else:
+        slow_down()
+    assert world.begin("a") == claim_rules.UNAVAILABLE
+    entry.link.faults.delay_effect = 0
     assert world.begin("a") == claim_rules.UNAVAILABLE
-    faults.delay_effect = 0
-    world.entries["a"].write_all()
-    faults.release_delayed()
+    if arrives_first:
+        entry.link.faults.release_delayed()
+    assert entry.claims.flush(1.0) == 0
+    entry.link.faults.release_delayed()
+    entry.cut_from_peers = True
+    world.entries["b"].link.faults.down = False
+    world.entries["b"].write_all()
     world.attempt("b")
 
 
@@ -249,7 +260,7 @@
     """Two shops that number their orders alike do not meet."""
     for caller in ("tacoma", "olympia"):
         attempt = world.attempt("a", world.request(caller=caller))
-        attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+        world.finish(attempt)
         reply = world.begin("b", world.request(caller=caller))
         assert reply == claims.Replay(attempt.answer)
 
@@ -269,18 +280,13 @@
     does, and the request is refused rather than run again.
     """
     attempt = world.attempt("a")
-    attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+    world.finish(attempt)
     attempt.entry.write_all()
     for seconds, left in ((claim_world.RETENTION_S + 1, 1), (3600, 0)):
         world.clock.advance(seconds)
         now_ms = int(world.clock.wall() * 1000)
-        expire_all(world, now_ms)
+        claim_expiry.expire_page(
+            world.table, world.source, now_ms, claim_world.RETENTION_S
+        )
         assert len(world.table.scan(keys.CLAIMS).rows) == left
         assert world.begin("b") == claim_rules.TOO_OLD
-
-
-def expire_all(world, now_ms):
-    retention_s = claim_world.RETENTION_S
-    return claim_expiry.expire(
-        world.table, world.source, now_ms, retention_s, 10
-    )
--- a/tests/failures/test_lost_answers.py
+++ b/tests/failures/test_lost_answers.py
@@ -24,7 +24,7 @@
     """
     world.entries["a"].link.faults.lose_answers = 1
     attempt = world.attempt("a")
-    attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+    world.finish(attempt)
     assert world.begin("a") == claims.Replay(attempt.answer)
 
 
@@ -38,8 +38,7 @@
     or hear that it ran; a large answer travels by the object store only.
     """
     attempt = world.attempt("a")
-    answer = world.run(attempt, b"x" * size)
-    attempt.entry.claims.finish(attempt.ticket, answer)
+    answer = world.finish(attempt, b"x" * size)
     if written:
         attempt.entry.write_all()
     assert world.begin("a") == claims.Replay(answer)
@@ -57,8 +56,7 @@
     """
     world.objects.faults.down = True
     attempt = world.attempt("a")
-    answer = world.run(attempt, b"x" * 200_000)
-    attempt.entry.claims.finish(attempt.ticket, answer)
+    answer = world.finish(attempt, b"x" * 200_000)
     assert attempt.entry.claims.flush(1.0) == 1
     assert world.begin("b") == claim_rules.ANSWER_UNAVAILABLE
     world.objects.faults.down = False
@@ -84,13 +82,6 @@
     assert world.begin("b") == claim_rules.UNKNOWN
 
 
-def test_a_running_charge_is_reported_as_in_progress(world):
-    """An impatient clerk asks again while her charge is being worked on."""
-    world.attempt("a")
-    for name in ("a", "b"):
-        assert world.begin(name) == claim_rules.IN_PROGRESS
-
-
 def test_a_holder_cut_off_from_its_peers_is_not_overruled(world):
     """The holder is paused or cut off, far past every deadline.
 
@@ -98,14 +89,29 @@
     When the holder wakes and finishes, its answer is the one that is given.
     """
     attempt = world.attempt("a")
+    for name in ("a", "b"):
+        assert world.begin(name) == claim_rules.IN_PROGRESS
     attempt.entry.cut_from_peers = True
     world.clock.advance(3600)
     assert world.begin("b") == claim_rules.HOLDER_SILENT
-    attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+    world.finish(attempt)
     attempt.entry.write_all()
     assert world.begin("b") == claims.Replay(attempt.answer)
 
 
+def test_an_answer_written_while_its_holder_was_asked_is_given(world):
+    """The clerk asks just as the first answer is on its way to the table.
+
+    The other entry reads the claim as running and asks the holder, which is
+    stopping and does not reply, but has written the answer meanwhile.
+    """
+    attempt = world.attempt("a")
+    world.finish(attempt)
+    attempt.entry.cut_from_peers = True
+    world.before_reply = attempt.entry.write_all
+    assert world.begin("b") == claims.Replay(attempt.answer)
+
+
 def test_an_outage_refuses_new_charges_and_keeps_finished_ones(world):
     """The table goes down while a charge runs, and stays down for long.
 
@@ -114,7 +120,7 @@
     """
     attempt = world.attempt("a")
     attempt.entry.link.faults.down = True
-    attempt.entry.claims.finish(attempt.ticket, world.run(attempt))
+    world.finish(attempt)
     assert attempt.entry.claims.flush(60.0) == 1
     assert world.begin("a") == claims.Replay(attempt.answer)
     assert world.begin("a", world.request("new")) == claim_rules.UNAVAILABLE
