--- a/tests/common/deployments.py
+++ b/tests/common/deployments.py
@@ -12,6 +12,7 @@
 from vanillaswitch.state import rows
 from vanillaswitch.transport import platform_http
 
+CONFIG = site_lib.EXAMPLE / "config"
 HANG_S = 60.0
 """Guards against a hang; no verdict depends on it."""
 
