Settle a lost conflict by reading the rows

Cause: while the table loses its answers, an entry asked for a charge that another one holds said "claims-unavailable" for as long as that lasted: the answer that was lost was a conflict, and only a commit's own token was looked for when the rows were read back. Ruled out: giving the insert more time, since each further answer is lost too. Change: for an exclusive writer, rows that moved on without its token prove the conflict, so the caller gets the first answer or hears "unknown". Conclusion: lost answers of the table hide no truth any more.

--- a/src/vanillaswitch/coordination/commits.py
+++ b/src/vanillaswitch/coordination/commits.py
@@ -66,23 +66,38 @@
         if isinstance(outcome, platform.Unavailable) and not in_doubt:
             return outcome
         in_doubt = True
-        written = _find_written(table, transaction)
-        if written is not None:
-            return written
+        settled = _read_back(table, transaction, exclusive)
+        if settled is not None:
+            return settled
         if clock.monotonic() + wait >= deadline:
             return platform.OutcomeUnknown(outcome.reason)
         clock.sleep(wait)
         wait = min(2 * wait, LONGEST_WAIT_S)
 
 
-def _find_written(
-    table: platform.Table, transaction: platform.Transaction
-) -> platform.Committed | None:
-    """Reads the put rows; our token on one of them proves the commit."""
+def _read_back(
+    table: platform.Table, transaction: platform.Transaction, exclusive: bool
+) -> platform.Committed | platform.Conflict | None:
+    """Reads the put rows; returns the outcome where they prove it.
+
+    Our token on one of them proves the commit. Rows that moved on without it
+    prove, for an exclusive writer, that no copy took effect or ever can: the
+    answer that was lost was a conflict, and to wait for another one would
+    keep the truth from the caller for as long as answers are lost.
+    """
     read = table.read([put.key for put in transaction.puts])
     if isinstance(read, platform.Unavailable):
         return None
-    return _ours(read.rows, transaction)
+    written = _ours(read.rows, transaction)
+    if written is not None or not exclusive:
+        return written
+    found = {row.key: row for row in read.rows}
+    moved = tuple(
+        found[put.key]
+        for put in transaction.puts
+        if put.key in found and found[put.key].version != put.version
+    )
+    return platform.Conflict(moved) if moved else None
 
 
 def _ours(
