Measure what each role costs by one command

Ruled out: sampling the processes' pages for the time of a roll-out, which would load what it measures (their logs tell it); steps of duties inside the stand-in's process, whose processor time would count too.

The stand-in platform counts calls and bytes.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 demo: setup
 	$(BIN)/python -m standins.demo
+
+measure: setup
+	$(BIN)/python -m standins.measure
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,6 +13,7 @@
 from standins import control
 from standins import fleet as fleet_module
 from standins import platform_http
+from standins import traffic
 from vanillaswitch.internal import clock as clock_module
 from vanillaswitch.transport import sockets
 
@@ -44,6 +45,7 @@
 ) -> Iterator[str]:
     """Serves a stand-in; yields the "ip:port" that it is bound to."""
     server = platform_http.make_server(sockets.listen(address), standin)
+    server.application = traffic.Traffic(server.application)
     server.start()
     ticker = gevent.spawn(_tick, standin, clock)
     try:
