Let a successor ask the process that has its name

Cause: an entry that is replaced under its own name shuts down with a charge in flight. The caller that asks its successor heard the last word "outcome unknown" although the one before it knows, for the name decided. Ruled out: asking any holder always; a process that took over the address of the holder would ask itself. Change: the address decides. The holder's own address means that it is gone; any other is asked. The test failed before. A second test shows that a frozen holder costs at most three waits of 0.25 s. Conclusion: "unknown" without a time to come back is the last word only where the holder is gone.

--- a/src/vanillaswitch/coordination/claim_rules.py
+++ b/src/vanillaswitch/coordination/claim_rules.py
@@ -48,8 +48,8 @@
     requests.Outcome.UNKNOWN,
     409,
     "outcome-unknown",
-    "An earlier attempt was sent and its answer was lost; it is never sent"
-    " again.",
+    "An earlier attempt may have run and its answer is lost; it is never"
+    " sent again.",
 )
 HOLDER_SILENT = dataclasses.replace(
     UNKNOWN,
@@ -130,11 +130,13 @@
         return Free()
     if found.state is peers.ClaimState.UNKNOWN:
         return UNKNOWN
-    if found.entry != asker.entry:
-        return AskHolder()
-    # The failure guarded against: this process was restarted while it held
-    # the claim. Its earlier boot may have sent the request, and is gone.
-    return Mine() if found.boot == asker.boot else UNKNOWN
+    if found.boot == asker.boot:
+        return Mine()
+    # The failure guarded against: a process was restarted, or replaced at its
+    # address, while it held the claim. It may have sent the request, and is
+    # gone, for only one process can listen there. A process of our name at
+    # another address may still be shutting down, and knows the outcome.
+    return UNKNOWN if found.peer == asker.peer else AskHolder()
 
 
 def claim_row(
