Run every duty in the controller, and expire claims page by page

Cause: the controller held duties that nothing carried out, since no module with their steps was imported; and the expiry of claims read all of them. Ruled out: a limit on deletes only, which still reads every claim. Change: the wiring imports the duties' modules; each step of the expiry reads one page and goes on behind it; the demo's second load has keys of its own.

--- a/src/vanillaswitch/coordination/claim_expiry.py
+++ b/src/vanillaswitch/coordination/claim_expiry.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 import random
 
 from vanillaswitch.internal import ids
@@ -17,6 +18,7 @@
 
 MARGIN_S = 3600
 ROWS_PER_TRANSACTION = 64
+PAGE_ROWS = 256
 
 
 def too_old(issued_ms: int, now_ms: int, retention_s: float) -> bool:
@@ -45,25 +47,43 @@
     )
 
 
-def expire(
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """What became of one page of claims.
+
+    Attributes:
+        deleted: how many claims were surely deleted.
+        next_after: where the next page begins; empty after the last one.
+    """
+
+    deleted: int
+    next_after: str
+
+
+def expire_page(
     table: platform.Table,
     source: random.Random,
     now_ms: int,
     retention_s: float,
-    limit: int,
-) -> int:
-    """Deletes up to ``limit`` expired claims; a controller's duty calls it.
+    after: str = "",
+) -> Page:
+    """Deletes the expired claims among the ``PAGE_ROWS`` behind ``after``.
 
-    A batch that conflicts, or whose answer is lost, is left to the next call:
-    deleting is version-checked, so that nothing else can be deleted.
+    A batch that conflicts, or whose answer is lost, is left to the next round
+    over all claims: deleting is version-checked, so that nothing else can be
+    deleted.
 
-    Returns:
-        How many claims were surely deleted.
+    Args:
+        table: holds the claims.
+        source: draws the transactions' tokens.
+        now_ms: wall clock in milliseconds since the Unix epoch.
+        retention_s: how long claims are kept, in seconds.
+        after: the key that the page before ended with.
     """
-    read = table.scan(keys.CLAIMS)
+    read = table.scan(keys.CLAIMS, after, PAGE_ROWS)
     if isinstance(read, platform.Unavailable):
-        return 0
-    deletes = expired(read.rows, now_ms, retention_s)[:limit]
+        return Page(0, after)
+    deletes = expired(read.rows, now_ms, retention_s)
     deleted = 0
     for start in range(0, len(deletes), ROWS_PER_TRANSACTION):
         batch = deletes[start : start + ROWS_PER_TRANSACTION]
@@ -73,4 +93,5 @@
             deleted += len(batch)
         elif not isinstance(outcome, platform.Conflict):
             break
-    return deleted
+    whole = len(read.rows) < PAGE_ROWS
+    return Page(deleted, "" if whole else read.rows[-1].key)
--- a/src/vanillaswitch/wiring/controller.py
+++ b/src/vanillaswitch/wiring/controller.py
@@ -7,7 +7,11 @@
 from typing import Any
 
 from vanillaswitch.coordination import announcer
+from vanillaswitch.coordination import claim_expiry_duty
 from vanillaswitch.coordination import controller as controller_lib
+from vanillaswitch.coordination import move_duty
+from vanillaswitch.coordination import placement_duty
+from vanillaswitch.coordination import wave_duty
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import config_view
@@ -16,6 +20,9 @@
 from vanillaswitch.transport import platform_http
 from vanillaswitch.wiring import base as base_lib
 
+DUTIES = (claim_expiry_duty, move_duty, placement_duty, wave_duty)
+"""Modules that register the steps of duties when they are imported."""
+
 
 class Controller:
     """A running controller; ``run`` makes it."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -60,10 +60,19 @@
         )
 
 
-def _operate(running: deployment.Deployment, *arguments: str) -> None:
-    """Runs an operator's command and shows what it said."""
+def _operate(
+    running: deployment.Deployment, *arguments: str, asks: bool = True
+) -> None:
+    """Runs an operator's command and shows what it said.
+
+    Args:
+        running: whose platform the command asks.
+        arguments: the command.
+        asks: whether the command asks the platform at all.
+    """
     click.echo(f"$ vanillaswitch {' '.join(arguments)}")
-    code, output = running.command(*arguments, "--platform", running.platform)
+    where = ("--platform", running.platform) if asks else ()
+    code, output = running.command(*arguments, *where)
     for line in output.splitlines()[:30]:
         click.echo(f"  {line}")
     if code != 0:
@@ -102,7 +111,7 @@
     """Runs the whole job once and prints its report."""
     source = example / "config"
     config = check.check(folder.read(source))
-    plan = load_plan.Plan(seed=1, classes=class_plans(config, requests))
+    classes = class_plans(config, requests)
     with tempfile.TemporaryDirectory() as name:
         place = pathlib.Path(name)
         shape = deployment.Shape(example)
@@ -112,18 +121,18 @@
                 f"{len(running.controllers)} controllers, "
                 f"{len(running.minions)} minions"
             )
-            _operate(running, "config", "check", str(source))
+            _operate(running, "config", "check", str(source), asks=False)
             _operate(running, "config", "apply", str(source), "--first")
             running.wait_ready()
             click.echo("Requests on a calm fleet:")
-            report_load(load.run(_aimed(plan, running)))
+            report_load(_load(running, classes, seed=1))
             changed = place / "changed"
             changed.mkdir()
             _change(source, changed)
             _operate(running, "config", "diff", str(changed))
             _operate(running, "config", "apply", str(changed), "--from", "1")
             click.echo("Requests while a wave is running:")
-            loading = gevent.spawn(load.run, _aimed(plan, running))
+            loading = gevent.spawn(_load, running, classes, seed=2)
             _run_wave(running, _wave_name(config))
             report_load(loading.get())
             _operate(running, "fleet", "status")
@@ -133,12 +142,14 @@
             click.echo(f"Graceful stops of the entries: exit codes {codes}")
 
 
-def _aimed(
-    plan: load_plan.Plan, running: deployment.Deployment
-) -> load_plan.Plan:
-    """Returns the plan with the addresses of the entries that run."""
-    return load_plan.Plan(
-        plan.seed, plan.classes, running.callers_addresses, plan.callers
+def _load(
+    running: deployment.Deployment,
+    classes: tuple[load_plan.ClassPlan, ...],
+    seed: int,
+) -> load_plan.LoadReport:
+    """Sends requests to the entries; another seed makes other keys."""
+    return load.run(
+        load_plan.Plan(seed, classes, entries=running.callers_addresses)
     )
 
 
