Record the operators' sessions of waves and of the fleet

Cause: only `config` had a golden session; `wave` and `fleet` came later.

Ruled out: running the stand-in's daemons for it; the commands only need a platform, and one controller is stepped by hand between them.

Commands are run from the root, as they are typed. Dates of whole seconds get one placeholder: they come from the machine's clock, and two of them may or may not be equal.

--- a/tests/common/records.py
+++ b/tests/common/records.py
@@ -22,7 +22,8 @@
 )
 """What differs from run to run; equal values get equal placeholders."""
 
-_DATE = re.compile(r"(?m)^( *Date: ).*$")
+_DATE = re.compile(r"(?m)(?<=^    Date: ).*$|\b20\d\d-\d\d-\d\dT[\d:]+\+00:00")
+"""Whole seconds of the machine's clock: equal by chance, so not numbered."""
 
 
 class Record:
@@ -72,7 +73,7 @@
     def text(self) -> str:
         """Returns all of it with placeholders."""
         text = "\n".join(self._lines).strip() + "\n"
-        text = _DATE.sub(r"\1<date>", text)
+        text = _DATE.sub("<date>", text)
         for name, pattern in _NAMED:
             text = _numbered(name, pattern, text)
         return text
--- a/tests/golden/update.py
+++ b/tests/golden/update.py
@@ -19,7 +19,10 @@
     "wave-mare-dues.txt": functools.partial(
         waves.record, "mare-dues", "pilotage"
     ),
-    "operators-config.txt": operators.record,
+    "operators-config.txt": operators.record_config,
+    "operators-wave.txt": functools.partial(
+        operators.record_wave, "larkspur", "fitting-desk"
+    ),
 }
 """Golden file to what records the session anew."""
 
