Keep claims for the longest retention that can be set

Cause: claims were deleted after the retention in force. An operator who raised it made keys acceptable again whose claims were gone: the charge of yesterday, asked for again, ran a second time. Ruled out: a floor computed when a configuration is applied, which each later configuration would have to carry; a horizon row that each claim reads, which costs the request path a read; letting the retention only be lowered. Change: claim_retention_s is at most 86400 s, its default so far, and only decides what is accepted; claims are kept for 86400 s and the margin. The old test of expiry took the retention as given; it now sits on the exact boundary of what is kept. Tests: a property over ages, later times and retentions. Conclusion: no deleted claim can be met again, whatever is set when. A shorter retention saves no rows.

--- a/src/vanillaswitch/coordination/claim_expiry.py
+++ b/src/vanillaswitch/coordination/claim_expiry.py
@@ -13,6 +13,7 @@
 
 from vanillaswitch.internal import ids
 from vanillaswitch.protocol import platform
+from vanillaswitch.state import config
 from vanillaswitch.state import keys
 from vanillaswitch.state import rows
 
@@ -27,23 +28,23 @@
 
 
 def expired(
-    found: Iterable[platform.Row], now_ms: int, retention_s: float
+    found: Iterable[platform.Row], now_ms: int
 ) -> tuple[platform.Put, ...]:
-    """Returns the deletes of the claims that are past their retention.
+    """Returns the deletes of the claims that no request can meet.
+
+    The failure guarded against: claims are deleted under a short retention,
+    which is then raised. A request that was too old before is accepted, finds
+    no claim and runs again. So the longest retention that can be set decides.
 
     Args:
         found: claim rows.
         now_ms: wall clock in milliseconds since the Unix epoch.
-        retention_s: how long claims are kept, in seconds.
     """
+    kept_s = config.LONGEST_RETENTION_S + MARGIN_S
     return tuple(
         platform.Put(row.key, row.version, None)
         for row in found
-        if too_old(
-            rows.load(rows.Claim, row.value).issued_ms,
-            now_ms,
-            retention_s + MARGIN_S,
-        )
+        if too_old(rows.load(rows.Claim, row.value).issued_ms, now_ms, kept_s)
     )
 
 
@@ -64,7 +65,6 @@
     table: platform.Table,
     source: random.Random,
     now_ms: int,
-    retention_s: float,
     after: str = "",
 ) -> Page:
     """Deletes the expired claims among the ``PAGE_ROWS`` behind ``after``.
@@ -77,13 +77,12 @@
         table: holds the claims.
         source: draws the transactions' tokens.
         now_ms: wall clock in milliseconds since the Unix epoch.
-        retention_s: how long claims are kept, in seconds.
         after: the key that the page before ended with.
     """
     read = table.scan(keys.CLAIMS, after, PAGE_ROWS)
     if isinstance(read, platform.Unavailable):
         return Page(0, after)
-    deletes = expired(read.rows, now_ms, retention_s)
+    deletes = expired(read.rows, now_ms)
     deleted = 0
     for start in range(0, len(deletes), ROWS_PER_TRANSACTION):
         batch = deletes[start : start + ROWS_PER_TRANSACTION]
--- a/src/vanillaswitch/coordination/claim_expiry_duty.py
+++ b/src/vanillaswitch/coordination/claim_expiry_duty.py
@@ -24,7 +24,6 @@
         context.platform.table,
         context.rng,
         int(context.clock.wall() * 1000),
-        context.config.policies.claim_retention_s,
         context.memory.get(_AFTER, ""),
     )
     context.memory[_AFTER] = page.next_after
--- a/src/vanillaswitch/state/check.py
+++ b/src/vanillaswitch/state/check.py
@@ -196,7 +196,9 @@
         },
         config_module.Policies: {
             "retry_ratio": constraints.between(0, 1),
-            "claim_retention_s": constraints.at_least(1, "s"),
+            "claim_retention_s": constraints.between(
+                1, config_module.LONGEST_RETENTION_S, "s"
+            ),
             "max_body_bytes": some,
             # A leaving minion has to lose its new work within seconds.
             "drain_poll_ms": constraints.between(50, 2000, "ms"),
--- a/src/vanillaswitch/state/config.py
+++ b/src/vanillaswitch/state/config.py
@@ -8,6 +8,13 @@
 import dataclasses
 import enum
 
+LONGEST_RETENTION_S = 86_400
+"""The longest time for which claims can be kept, in seconds.
+
+Claims are kept that long whatever is set. To raise it, upgrade all
+controllers first: an older one would delete what a newer entry counts on.
+"""
+
 
 @dataclasses.dataclass(frozen=True)
 class DataCentre:
@@ -161,8 +168,8 @@
     Attributes:
         routing: name in the registry of routing policies.
         retry_ratio: retries allowed for each first attempt.
-        claim_retention_s: how long claims are kept; a request issued
-            earlier is refused.
+        claim_retention_s: how old a request with a key may be; an older
+            one is refused.
         max_body_bytes: largest request body.
         drain_poll_ms: how often entries read the drains.
         placement: name in the registry of placement orders.
@@ -170,7 +177,7 @@
 
     routing: str = "two-choices"
     retry_ratio: float = 0.1
-    claim_retention_s: int = 86_400
+    claim_retention_s: int = LONGEST_RETENTION_S
     max_body_bytes: int = 1_048_576
     drain_poll_ms: int = 1000
     placement: str = "best-fit"
--- a/tests/cover/test_claim_expiry.py
+++ b/tests/cover/test_claim_expiry.py
@@ -9,11 +9,12 @@
 from vanillaswitch.coordination import claim_expiry
 from vanillaswitch.protocol import peers
 from vanillaswitch.protocol import platform
+from vanillaswitch.state import config
 from vanillaswitch.state import keys
 from vanillaswitch.state import rows
 
-RETENTION_S = 100
-NOW_MS = 10_000_000
+KEPT_MS = (config.LONGEST_RETENTION_S + claim_expiry.MARGIN_S) * 1000
+NOW_MS = 2 * KEPT_MS
 
 
 def _claim(issued_ms):
@@ -25,7 +26,7 @@
 @given(st.lists(st.booleans(), max_size=600))
 def test_page_by_page_the_old_claims_go_and_the_others_stay(old):
     table = table_module.MemoryTable()
-    ages_ms = [4_000_000 if one else 1000 for one in old]
+    ages_ms = [KEPT_MS + one for one in old]
     puts = [
         platform.Put(keys.claim("c", "s", str(number)), 0, _claim(NOW_MS - age))
         for number, age in enumerate(ages_ms)
@@ -34,9 +35,7 @@
     after = ""
     deleted = 0
     for _ in range(1 + len(old) // claim_expiry.PAGE_ROWS):
-        page = claim_expiry.expire_page(
-            table, random.Random(1), NOW_MS, RETENTION_S, after
-        )
+        page = claim_expiry.expire_page(table, random.Random(1), NOW_MS, after)
         deleted += page.deleted
         after = page.next_after
     assert after == ""
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -285,8 +285,6 @@
     for seconds, left in ((claim_world.RETENTION_S + 1, 1), (3600, 0)):
         world.clock.advance(seconds)
         now_ms = int(world.clock.wall() * 1000)
-        claim_expiry.expire_page(
-            world.table, world.source, now_ms, claim_world.RETENTION_S
-        )
+        claim_expiry.expire_page(world.table, world.source, now_ms)
         assert len(world.table.scan(keys.CLAIMS).rows) == left
         assert world.begin("b") == claim_rules.TOO_OLD
--- /dev/null
+++ b/tests/failures/test_retention_raised.py
@@ -0,0 +1,38 @@
+"""The retention of claims is changed while claims come and go."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.common import properties
+from vanillaswitch.coordination import claim_expiry
+from vanillaswitch.coordination import claim_rules
+from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config
+from vanillaswitch.state import rows
+
+_LONGEST_S = config.LONGEST_RETENTION_S
+_HOLDER = claim_rules.Holder("a", "boot", "127.0.0.1:1")
+
+
+@properties.steady
+@given(
+    age_s=st.integers(0, 3 * _LONGEST_S),
+    later_s=st.integers(0, _LONGEST_S),
+    retention_s=st.integers(1, _LONGEST_S),
+)
+def test_no_deleted_claim_can_be_met_again(age_s, later_s, retention_s):
+    """A charge of last week is made again after the retention was raised.
+
+    Its claim was deleted under the shorter retention. The till asks again;
+    under the longer one, its key is young enough, and no claim is in the way.
+    """
+    now_ms = 10 * _LONGEST_S * 1000
+    issued_ms = now_ms - age_s * 1000
+    done = peers.ClaimState.DONE
+    claim = claim_rules.claim_row(_HOLDER, done, "digest", issued_ms)
+    row = platform.Row("once/c/s/k", 1, rows.dump(claim), "token")
+    deleted = claim_expiry.expired((row,), now_ms)
+    if deleted:
+        asked_ms = now_ms + later_s * 1000
+        assert claim_expiry.too_old(issued_ms, asked_ms, retention_s)
