Tell the bytes of the platform's calls apart by kind

Cause: one sum of bytes does not say which scan takes them.

Ruled out: counting rows; the limits are in bytes.

Change: measurements of running processes give bytes a second for each kind of call; a kind that did not come in one run counts as zero there.

Conclusion: needed for the slopes of docs/CAPACITY.md.

--- a/standins/measure_calls.py
+++ b/standins/measure_calls.py
@@ -85,7 +85,7 @@
         return used / seconds / max(1, len(names))
 
     calls = {k: n - before.calls.get(k, 0) for k, n in after.calls.items()}
-    size = sum(after.bytes.values()) - sum(before.bytes.values())
+    size = {k: n - before.bytes.get(k, 0) for k, n in after.bytes.items()}
     return {
         "core_percent": 100 * mean(after.cpu_s, before.cpu_s),
         "peer_bytes_per_s": mean(
@@ -97,7 +97,8 @@
         "reads_per_s": _sum(calls, "/table/read", "/table/scan") / seconds,
         "commits_per_s": _sum(calls, "/table/commit") / seconds,
         "all_calls_per_s": sum(calls.values()) / seconds,
-        "platform_bytes_per_s": size / seconds,
+        "platform_bytes_per_s": sum(size.values()) / seconds,
+        **{f"bytes_per_s {k}": n / seconds for k, n in size.items() if n},
     }
 
 
--- a/standins/measurements.py
+++ b/standins/measurements.py
@@ -77,8 +77,12 @@
 def spreads(
     runs: Sequence[dict[str, float]], digits: int = 3
 ) -> dict[str, dict[str, float]]:
-    """Returns the spread of each figure over runs that have the same ones."""
-    return {name: spread([r[name] for r in runs], digits) for name in runs[0]}
+    """Returns the spread of each figure; one that a run has not is zero."""
+    names = dict.fromkeys(name for run in runs for name in run)
+    return {
+        name: spread([run.get(name, 0) for run in runs], digits)
+        for name in names
+    }
 
 
 def write(
