Lend idle slots between entries, keep slots free for urgent work

Cause: loads of peers are a second old and requests take 20 ms. Change: routing policy lent-share: every slot has one owner among the entries, and an entry whose requests wait asks a peer for idle slots. Loans end by themselves. The reserve counts from the slots that a process may use, follows what urgent requests use, and binds long work only. A class pays for each start, also for those in slots nobody else wanted. The test that no policy sends more than slots less what peers reported is replaced: for shares that bound is wrong, since a report is old and the own share is exact. Its successors pin the exact room of each policy, that each slot has one owner, and that no slot counts for lender and borrower both.

--- a/src/vanillaswitch/coordination/admission.py
+++ b/src/vanillaswitch/coordination/admission.py
@@ -7,8 +7,8 @@
 with classes whose work times differ by orders of magnitude, and leaves no
 slot idle that somebody could use.
 
-A few slots are kept for the most urgent class, since work is not preempted:
-without them long work could hold all slots when an urgent request comes.
+Some slots are kept free of long work, since work is not preempted; see
+``reserve``.
 
 All of it is memory and arithmetic: time and slots are handed in with each
 call, which returns what is to be done.
@@ -18,11 +18,9 @@
 import dataclasses
 
 from vanillaswitch.coordination import lanes as lanes_lib
+from vanillaswitch.coordination import reserve as reserve_lib
 from vanillaswitch.protocol import requests
 
-URGENT_RESERVE = 8
-"""One slot of this many is kept for the most urgent class."""
-
 NO_MINIONS_RETRY_S = 1.0
 
 
@@ -33,10 +31,13 @@
     Attributes:
         total: of all minions that may get new work.
         free: how many more requests this process may send now.
+        usable: how many of ``total`` this process may use at once at most;
+            None for all of them.
     """
 
     total: int
     free: int
+    usable: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self._lanes = lanes_lib.Lanes()
         self._running: dict[int, _Running] = {}
+        self._reserve = reserve_lib.Reserve()
 
     @property
     def waiting(self) -> int:
@@ -80,6 +82,28 @@
         """How many requests hold a slot."""
         return len(self._running)
 
+    @property
+    def first_priority(self) -> int:
+        """Priority of the most urgent request that waits.
+
+        Raises:
+            IndexError: none waits.
+        """
+        return self._lanes.by_priority()[0].definition.priority
+
+    def may_use_reserve(self, priority: int) -> bool:
+        """Whether requests of a priority may use the reserved slots."""
+        return not any(
+            self._lanes.is_long(lane)
+            for lane in self._lanes
+            if lane.definition.priority == priority
+        )
+
+    def reserve(self, slots: Slots) -> int:
+        """Returns how many free slots long work may not take."""
+        usable = slots.total if slots.usable is None else slots.usable
+        return self._reserve.slots(usable)
+
     def arrive(
         self, arrival: lanes_lib.Arrival, slots: Slots, now: float
     ) -> tuple[Action, ...]:
@@ -121,14 +145,16 @@
             self._lanes.remove(ticket)
         elif measured:
             run.lane.measure(now - run.started)
+        self._observe(now)
 
     def poll(self, slots: Slots, now: float) -> tuple[Action, ...]:
         """Starts what can start and refuses what can't start in time."""
+        self._observe(now)
         if slots.total <= 0:
             return tuple(self._refuse_all())
         actions: list[Action] = []
         free = slots.free
-        while lane := self._lanes.next(free, slots.total // URGENT_RESERVE):
+        while lane := self._lanes.next(free, self.reserve(slots)):
             arrival = self._lanes.take(lane)
             if _is_late(arrival, lane, now):
                 wait = lane.work_s / self._capacity(slots)
@@ -136,12 +162,19 @@
                 continue
             self._lanes.charge(lane)
             self._running[arrival.ticket] = _Running(lane, now)
+            self._observe(now)
             actions.append(Start(arrival.ticket))
             free -= 1
         left = Slots(slots.total, free)
         actions.extend(self._sweep(left, now))
         return tuple(actions)
 
+    def _observe(self, now: float) -> None:
+        urgent = sum(
+            not self._lanes.is_long(run.lane) for run in self._running.values()
+        )
+        self._reserve.observe(urgent, now)
+
     def _capacity(self, slots: Slots) -> int:
         """Slots that this process works with: its own and the free ones."""
         return max(1, slots.free + len(self._running))
--- a/src/vanillaswitch/coordination/delivery.py
+++ b/src/vanillaswitch/coordination/delivery.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from vanillaswitch.coordination import dispatch
+from vanillaswitch.coordination import dispatch_messages
 from vanillaswitch.coordination import fleet_view
 from vanillaswitch.coordination import retry
 from vanillaswitch.coordination import slot_book
@@ -89,7 +89,7 @@
     def deliver(
         self,
         work: Work,
-        place: dispatch.Place,
+        place: dispatch_messages.Place,
         minion: minions_lib.Minion,
         record: Record,
     ) -> requests.Reply:
@@ -186,7 +186,7 @@
 
 
 def _elsewhere(
-    place: dispatch.Place,
+    place: dispatch_messages.Place,
     avoided: frozenset[str],
     minion: minions_lib.Minion,
     outcome: minions_lib.SendOutcome,
--- a/src/vanillaswitch/coordination/dispatch.py
+++ b/src/vanillaswitch/coordination/dispatch.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import itertools
+import random
 import sys
 from typing import Any
 
@@ -18,7 +19,9 @@
 
 from vanillaswitch import errors
 from vanillaswitch.coordination import admission
+from vanillaswitch.coordination import dispatch_messages
 from vanillaswitch.coordination import lanes
+from vanillaswitch.coordination import lending
 from vanillaswitch.coordination import slot_book
 from vanillaswitch.internal import clock as clock_lib
 from vanillaswitch.protocol import minions as minions_lib
@@ -29,37 +32,6 @@
 """How often waiting requests are looked at when nothing else happens."""
 
 
-@dataclasses.dataclass(frozen=True)
-class _Forecast:
-    arrival: lanes.Arrival
-    service: str
-    reply: Any
-
-
-@dataclasses.dataclass(frozen=True)
-class _Enter:
-    arrival: lanes.Arrival
-    service: str
-    reply: Any
-
-
-@dataclasses.dataclass(frozen=True)
-class _Move:
-    ticket: int
-    verdict: slot_book.Verdict
-    excluded: frozenset[str]
-    reply: Any
-
-
-@dataclasses.dataclass(frozen=True)
-class _Leave:
-    ticket: int
-    verdict: slot_book.Verdict
-
-
-_Message = _Forecast | _Enter | _Move | _Leave
-
-
 @dataclasses.dataclass(frozen=True)
 class _Placed:
     """A request that was let in; ``minion`` once it has a slot."""
@@ -69,39 +41,28 @@
     minion: minions_lib.Minion | None = None
 
 
-class Place:
-    """A request's slot, as its own task sees it."""
-
-    def __init__(self, post: Callable[[_Message], None], ticket: int):
-        self._post = post
-        self._ticket = ticket
-        self._verdict = slot_book.Verdict.UNUSED
-
-    @property
-    def verdict(self) -> slot_book.Verdict:
-        """What was learnt of the minion at hand."""
-        return self._verdict
-
-    def learn(self, verdict: slot_book.Verdict) -> None:
-        """Notes what an attempt says of the minion at hand."""
-        self._verdict = verdict
-
-    def move(self, excluded: frozenset[str]) -> minions_lib.Minion | None:
-        """Gives up the minion and returns another one with room, if any."""
-        reply = gevent.event.AsyncResult()
-        self._post(_Move(self._ticket, self._verdict, excluded, reply))
-        self._verdict = slot_book.Verdict.UNUSED
-        minion: minions_lib.Minion | None = reply.get()
-        return minion
-
-
 class Dispatcher:
     """Admits requests and counts what is in flight."""
 
-    def __init__(self, clock: clock_lib.Clock, slots: slot_book.SlotBook):
-        """Makes a dispatcher; it answers while ``running``."""
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        slots: slot_book.SlotBook,
+        send: Callable[[lending.Envelope], None],
+    ):
+        """Makes a dispatcher; it answers while ``running``.
+
+        Args:
+            clock: time.
+            rng: random source.
+            slots: owned by this dispatcher from now on.
+            send: sends a message about loans, without blocking.
+        """
         self._clock = clock
         self._slots = slots
+        self._send = send
+        self._lending = lending.Lending(rng, slots, self._queue)
         self._inbox = gevent.queue.Queue()
         self._tickets = itertools.count(1)
         self._queues: dict[str, admission.ServiceQueue] = {}
@@ -113,6 +74,10 @@
         """Own requests in flight by minion instance, for the peers."""
         return self._slots.loads
 
+    def told(self, message: lending.Message) -> None:
+        """Takes a peer's message about loans in; never blocks."""
+        self._inbox.put(dispatch_messages.Told(message))
+
     @contextlib.contextmanager
     def running(self) -> Iterator[None]:
         """Answers requests until the block is left."""
@@ -128,27 +93,35 @@
         """Returns the refusal that a request would get now, if any."""
         reply = gevent.event.AsyncResult()
         arrival = self._arrival(request, definition)
-        self._inbox.put(_Forecast(arrival, request.service, reply))
+        self._inbox.put(
+            dispatch_messages.Forecast(arrival, request.service, reply)
+        )
         refusal: requests.Refusal | None = reply.get()
         return refusal
 
     @contextlib.contextmanager
     def admitted(
         self, request: requests.Request, definition: config_lib.RequestClass
-    ) -> Iterator[tuple[Place, minions_lib.Minion | requests.Refusal]]:
+    ) -> Iterator[
+        tuple[dispatch_messages.Place, minions_lib.Minion | requests.Refusal]
+    ]:
         """Yields a minion once a slot is free, and frees the slot after.
 
         Yields:
             The request's place and either its minion or the refusal.
         """
         arrival = self._arrival(request, definition)
-        place = Place(self._inbox.put, arrival.ticket)
+        place = dispatch_messages.Place(self._inbox.put, arrival.ticket)
         reply = gevent.event.AsyncResult()
-        self._inbox.put(_Enter(arrival, request.service, reply))
+        self._inbox.put(
+            dispatch_messages.Enter(arrival, request.service, reply)
+        )
         try:
             yield place, reply.get()
         finally:
-            self._inbox.put(_Leave(arrival.ticket, place.verdict))
+            self._inbox.put(
+                dispatch_messages.Leave(arrival.ticket, place.verdict)
+            )
 
     def _arrival(
         self, request: requests.Request, definition: config_lib.RequestClass
@@ -184,35 +157,41 @@
                 for service in self._queues:
                     self._poll(service, now)
 
-    def _next(self) -> _Message | None:
+    def _next(self) -> dispatch_messages.Message | None:
         """Returns the next message, or None when it is time to poll.
 
         Peers free slots and deadlines come near without any message here.
         """
         waiting = any(queue.waiting for queue in self._queues.values())
         try:
-            message: _Message = self._inbox.get(
+            message: dispatch_messages.Message = self._inbox.get(
                 timeout=POLL_S if waiting else None
             )
         except gevent.queue.Empty:
             return None
         return message
 
-    def _handle(self, message: _Message, now: float) -> None:
+    def _handle(self, message: dispatch_messages.Message, now: float) -> None:
         match message:
-            case _Forecast(arrival, service, reply):
+            case dispatch_messages.Forecast(arrival, service, reply):
                 queue = self._queue(service)
                 slots = self._slots.count(service, now)
                 reply.set(queue.forecast(arrival, slots, now))
-            case _Enter(arrival, service, reply):
+            case dispatch_messages.Enter(arrival, service, reply):
                 self._placed[arrival.ticket] = _Placed(service, reply)
                 slots = self._slots.count(service, now)
                 actions = self._queue(service).arrive(arrival, slots, now)
                 self._act(actions, now)
-            case _Move(ticket, verdict, excluded, reply):
+                self._settle(service, now)
+            case dispatch_messages.Move(ticket, verdict, excluded, reply):
                 reply.set(self._move(ticket, verdict, excluded, now))
-            case _Leave(ticket, verdict):
+            case dispatch_messages.Leave(ticket, verdict):
                 self._leave(ticket, verdict, now)
+            case dispatch_messages.Told(told):
+                services, envelopes = self._lending.take(told, now)
+                self._post(envelopes)
+                for service in services:
+                    self._poll(service, now)
 
     def _queue(self, service: str) -> admission.ServiceQueue:
         if service not in self._queues:
@@ -220,9 +199,17 @@
         return self._queues[service]
 
     def _poll(self, service: str, now: float) -> None:
-        queue = self._queues[service]
+        queue = self._queue(service)
         if queue.waiting:
             self._act(queue.poll(self._slots.count(service, now), now), now)
+        self._settle(service, now)
+
+    def _settle(self, service: str, now: float) -> None:
+        self._post(self._lending.settle(service, now))
+
+    def _post(self, envelopes: tuple[lending.Envelope, ...]) -> None:
+        for envelope in envelopes:
+            self._send(envelope)
 
     def _act(self, actions: tuple[admission.Action, ...], now: float) -> None:
         for action in actions:
--- a/src/vanillaswitch/coordination/lanes.py
+++ b/src/vanillaswitch/coordination/lanes.py
@@ -6,6 +6,9 @@
 
 from vanillaswitch.state import config as config_lib
 
+LONG_FACTOR = 4.0
+"""Work this many times as long as that of a more urgent class is long."""
+
 _MEASURE_GAIN = 0.1
 _MIN_WORK_S = 0.0001
 
@@ -77,8 +80,14 @@
         self._credit_s += credit_s
 
     def spend(self) -> None:
-        """Pays for one request."""
-        self._credit_s -= self._work_s
+        """Pays for one request, on credit if need be.
+
+        A class that started in slots which nobody else wanted has had its
+        share: were these starts free, it would go before urgent requests
+        although it is served well. The debt is bounded to one request, so
+        that much idle time never costs a class its share afterwards.
+        """
+        self._credit_s = max(self._credit_s, 0.0) - self._work_s
 
     def drain(self) -> list[Arrival]:
         """Empties the queue and returns what was in it."""
@@ -133,8 +142,8 @@
 
         Args:
             free: slots that may be used now.
-            reserve: how many of them only the most urgent class may use,
-                unless a lower class is due by its credit.
+            reserve: how many of them long work may not use, unless its
+                class is due by its credit.
         """
         waiting = self.by_priority()
         if free <= 0 or not waiting:
@@ -143,12 +152,22 @@
             if lane.due:
                 return lane
         first = waiting[0]
-        top = min(lane.definition.priority for lane in self)
-        is_lower = first.definition.priority > top
-        if is_lower and free <= reserve and not first.due:
+        if free <= reserve and self.is_long(first) and not first.due:
             return None
         return first
 
+    def is_long(self, lane: Lane) -> bool:
+        """Whether a class would keep a more urgent one waiting for long.
+
+        Work is not preempted. A class whose work is short frees its slots
+        soon enough, whatever its priority.
+        """
+        return any(
+            other.definition.priority < lane.definition.priority
+            and other.work_s * LONG_FACTOR <= lane.work_s
+            for other in self
+        )
+
     def take(self, lane: Lane) -> Arrival:
         """Takes the oldest request out of a class's queue."""
         return lane.waiting.popleft()
@@ -159,8 +178,7 @@
         Each lower class that waits earns its weight's share of every start,
         its own ones included, so that over time it gets just that share.
         """
-        if started.due:
-            started.spend()
+        started.spend()
         rivals = [lane for lane in self if lane.waiting or lane is started]
         top = min(lane.definition.priority for lane in rivals)
         weights = sum(lane.definition.weight for lane in rivals)
--- a/src/vanillaswitch/coordination/request_path.py
+++ b/src/vanillaswitch/coordination/request_path.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import dispatch
 from vanillaswitch.coordination import fleet_view
 from vanillaswitch.coordination import intake
+from vanillaswitch.coordination import lending
 from vanillaswitch.coordination import slot_book
 from vanillaswitch.internal import clock as clock_lib
 from vanillaswitch.internal import metrics as metrics_lib
@@ -33,10 +34,12 @@
         fleet: fleet_view.FleetView,
         catch_up: Callable[[float], bool],
         peer_loads: Callable[[], Mapping[str, int]],
-        entries: Callable[[], int],
+        entries: Callable[[], tuple[str, ...]],
         client: minions.MinionClient,
         claims: claims_lib.ClaimService,
         metrics: metrics_lib.Metrics,
+        boot: str = "",
+        lend: Callable[[lending.Envelope], None] = lambda _: None,
     ):
         """Puts the parts together.
 
@@ -49,10 +52,12 @@
             catch_up: ``fleet_task.FleetTask.catch_up``.
             peer_loads: returns the requests that all other entries have in
                 flight, by minion instance.
-            entries: returns how many entries there are, this one included.
+            entries: returns the names of the living entries, this one first.
             client: sends requests to minions.
             claims: keeps non-idempotent requests with a key to one run.
             metrics: counts replies and records durations.
+            boot: random id of this start of the process.
+            lend: sends a message about slots to a peer, without blocking.
         """
         self._clock = clock
         self._config = config
@@ -61,9 +66,11 @@
         self._metrics = metrics
         self._dispatcher = dispatch.Dispatcher(
             clock,
+            rng,
             slot_book.SlotBook(
-                rng, data_centre, config, fleet, peer_loads, entries
+                rng, data_centre, config, fleet, peer_loads, entries, boot
             ),
+            lend,
         )
         self._sender = delivery.Sender(
             clock, fleet, catch_up, client, metrics.counters
@@ -80,6 +87,10 @@
         """How many requests have no reply yet."""
         return self._in_flight
 
+    def told(self, message: lending.Message) -> None:
+        """Takes a peer's message about loans of slots in; never blocks."""
+        self._dispatcher.told(message)
+
     @contextlib.contextmanager
     def running(self) -> Iterator[None]:
         """Runs the task behind ``handle`` until the block is left."""
--- a/src/vanillaswitch/coordination/routing.py
+++ b/src/vanillaswitch/coordination/routing.py
@@ -1,35 +1,40 @@
 """Chooses the minion that gets a request.
 
-A policy says how many more requests it would send to a minion (``room``) and
-which of the minions with room it prefers (``choose``).
+A policy says how many requests this process may have in flight at a minion
+(``limit``), how many more it would send now (``room``) and which of the
+minions with room it prefers (``choose``).
 """
 
 from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import functools
+import hashlib
 import random
 from typing import Protocol
 
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import minions as minions_lib
 
-DEFAULT_POLICY = "two-choices"
+DEFAULT_POLICY = "lent-share"
 
 
 @dataclasses.dataclass(frozen=True)
 class Loads:
-    """Requests in flight by minion instance; absent means zero.
+    """What is known of the minions' slots; absent instances mean zero.
 
     Attributes:
-        own: sent by this process.
-        peers: sent by all other entries, as last heard.
-        entries: how many entries share the minions, this one included.
+        own: requests in flight, sent by this process.
+        peers: requests in flight of all other entries, as last heard.
+        entries: the living entries, this process first.
+        loans: slots borrowed from peers, less those lent to them.
     """
 
     own: Mapping[str, int]
     peers: Mapping[str, int]
-    entries: int = 1
+    entries: tuple[str, ...] = ("",)
+    loans: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     def of(self, minion: minions_lib.Minion) -> int:
         """Returns all requests known to be in flight at a minion."""
@@ -40,8 +45,11 @@
 class Policy(Protocol):
     """One way to share the minions."""
 
+    def limit(self, minion: minions_lib.Minion, loads: Loads, /) -> int:
+        """Returns how many of a minion's slots this process may use."""
+
     def room(self, minion: minions_lib.Minion, loads: Loads) -> int:
-        """Returns how many more requests may be sent to a minion."""
+        """Returns how many more requests may be sent; none if negative."""
 
     def choose(
         self,
@@ -57,13 +65,8 @@
 
 
 def room(policy: Policy, minion: minions_lib.Minion, loads: Loads) -> int:
-    """Returns the free slots of a minion under a policy, 0 or more.
-
-    Whatever the policy says, no more than the minion's slots are known to be
-    in flight: beyond them, requests would wait where nothing sees them.
-    """
-    free = minion.slots - loads.of(minion)
-    return max(0, min(free, policy.room(minion, loads)))
+    """Returns the free slots of a minion under a policy, 0 or more."""
+    return max(0, policy.room(minion, loads))
 
 
 def pick(
@@ -94,14 +97,36 @@
     return policy.choose(candidates, loads, data_centre, rng)
 
 
+@functools.lru_cache(maxsize=4096)
+def share(instance: str, slots: int, entries: tuple[str, ...]) -> int:
+    """Returns the slots of a minion that belong to the first entry.
+
+    The slots are dealt out evenly; those left over go to the entries with the
+    highest rendezvous hashes, so that each slot has one owner wherever the
+    same entries are seen, and few slots change owners with the entries.
+    """
+    even, left = divmod(slots, len(entries))
+    if not left:
+        return even
+    ranked = sorted(entries, key=lambda name: _rank(name, instance))
+    return even + (ranked.index(entries[0]) < left)
+
+
+def _rank(entry: str, instance: str) -> bytes:
+    text = f"{entry}/{instance}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
 class _TwoChoices:
     """Of two random minions, the one with the least load.
 
-    Loads of peers are up to a heartbeat old. Always taking the least loaded
-    would send every entry to the same minion until the next heartbeat; two
-    random choices avoid that and still keep the load even.
+    Loads of peers are up to a heartbeat old, as long as dozens of requests
+    take: entries that see the same free slots fill them together.
     """
 
+    def limit(self, minion: minions_lib.Minion, _loads: Loads) -> int:
+        return minion.slots
+
     def room(self, minion: minions_lib.Minion, loads: Loads) -> int:
         return minion.slots - loads.of(minion)
 
@@ -125,13 +150,16 @@
 class _FixedShare:
     """Each entry uses its share of each minion's slots, and no more.
 
-    The share is at least one slot: with more entries than slots, the minions
-    may be over-subscribed within what loads of peers do not show yet.
+    What peers report is left out on purpose: it is old, and a slot of our own
+    share is free whatever they had in flight a second ago.
     """
 
+    def limit(self, minion: minions_lib.Minion, loads: Loads) -> int:
+        return share(minion.instance, minion.slots, loads.entries)
+
     def room(self, minion: minions_lib.Minion, loads: Loads) -> int:
-        share = max(1, minion.slots // max(1, loads.entries))
-        return share - loads.own.get(minion.instance, 0)
+        used = loads.own.get(minion.instance, 0)
+        return self.limit(minion, loads) - used
 
     def choose(
         self,
@@ -150,5 +178,15 @@
         )
 
 
-policies.register(DEFAULT_POLICY)(_TwoChoices())
+class _LentShare(_FixedShare):
+    """A fixed share, and whole slots lent between entries on demand."""
+
+    def limit(self, minion: minions_lib.Minion, loads: Loads) -> int:
+        lent = loads.loans.get(minion.instance, 0)
+        return super().limit(minion, loads) + lent
+
+
+LENT_SHARE = DEFAULT_POLICY
+policies.register("two-choices")(_TwoChoices())
 policies.register("fixed-share")(_FixedShare())
+policies.register(LENT_SHARE)(_LentShare())
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -118,6 +118,46 @@
     answer: requests.Answer | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class SlotAsk:
+    """Asks a peer to lend some of its idle slots.
+
+    Attributes:
+        process: who asks.
+        ask: id that no other ask ever has.
+        slots: how many at most.
+        priority: of the most urgent request that waits; lower goes first.
+    """
+
+    process: str
+    ask: str
+    service: str
+    slots: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SlotGrant:
+    """Lends one slot at each instance named; none when nothing is idle.
+
+    An instance that lends several slots is named several times. The loans are
+    called "<ask>/0", "<ask>/1" and so on, in the order of the instances.
+    """
+
+    process: str
+    ask: str
+    service: str
+    instances: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class SlotReturn:
+    """Gives loans back; one that is unknown or given back twice is nothing."""
+
+    process: str
+    loans: tuple[str, ...]
+
+
 Message = (
     Heartbeat
     | ConfigOffer
@@ -126,4 +166,7 @@
     | DrainNotice
     | ClaimQuery
     | ClaimReply
+    | SlotAsk
+    | SlotGrant
+    | SlotReturn
 )
--- a/src/vanillaswitch/wiring/entry.py
+++ b/src/vanillaswitch/wiring/entry.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import functools
 import random
 from typing import Any
 
@@ -12,6 +13,7 @@
 from vanillaswitch.coordination import claims
 from vanillaswitch.coordination import fleet_task
 from vanillaswitch.coordination import fleet_view
+from vanillaswitch.coordination import lending
 from vanillaswitch.coordination import peer_task
 from vanillaswitch.coordination import request_path
 from vanillaswitch.internal import clock as clocks
@@ -158,6 +160,26 @@
     network.subscribe(peers.DrainNotice, take)
 
 
+def _exchange_loans(
+    network: peer_task.PeerNetwork, path: request_path.RequestPath
+) -> None:
+    def take(_sender: Any, message: lending.Message, _reply: Any) -> None:
+        path.told(message)
+
+    kinds: tuple[type[Any], ...]
+    kinds = (peers.SlotAsk, peers.SlotGrant, peers.SlotReturn)
+    for kind in kinds:
+        network.subscribe(kind, take)
+
+
+def _send_loan(
+    network: peer_task.PeerNetwork, envelope: lending.Envelope
+) -> None:
+    for entry in network.alive(peers.Role.ENTRY):
+        if entry.process == envelope.process:
+            network.send(entry.address, envelope.message)
+
+
 @contextlib.contextmanager
 def run(settings: settings_lib.Settings) -> Iterator[Entry]:
     """Yields a running entry, and closes all of it afterwards.
@@ -211,12 +233,18 @@
             fleet,
             fleets.catch_up,
             network.peer_loads,
-            lambda: 1 + len(network.alive(peers.Role.ENTRY)),
+            lambda: (
+                settings.process,
+                *(one.process for one in network.alive(peers.Role.ENTRY)),
+            ),
             client,
             service,
             metrics,
+            network.boot,
+            functools.partial(_send_loan, network),
         )
         paths.append(path)
+        _exchange_loans(network, path)
         stack.enter_context(path.running())
         running = Entry(base, path, fleet, service, metrics, leaving)
         stack.enter_context(running._serving())
--- /dev/null
+++ b/standins/slots_entry.py
@@ -0,0 +1,296 @@
+"""One entry's decisions on the virtual clock of ``slots_world``.
+
+The slot book, the queues, the retry rules and the membership are the real
+ones; what the dispatcher's and sender's tasks do around them is done here by
+events.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+import functools
+import random
+
+from standins import slots_world
+from vanillaswitch.coordination import admission
+from vanillaswitch.coordination import dispatch
+from vanillaswitch.coordination import fleet_view
+from vanillaswitch.coordination import heartbeat_schedule
+from vanillaswitch.coordination import lanes
+from vanillaswitch.coordination import lending
+from vanillaswitch.coordination import peer_membership
+from vanillaswitch.coordination import retry
+from vanillaswitch.coordination import slot_book
+from vanillaswitch.protocol import minions as minions_lib
+from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import requests
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import config_view
+
+_LOST = minions_lib.Lost("no answer in time", silent=True)
+_REFUSED = minions_lib.NotSent("refused")
+_ANSWERED = minions_lib.Answered(requests.Answer(200, (), b""))
+ENDED = requests.Refusal(requests.Outcome.NOT_RUN, 503, "ended", "", 1.0)
+
+
+@dataclasses.dataclass
+class Run:
+    """A call in an entry, from its arrival to its reply."""
+
+    call: slots_world.Call
+    ticket: int
+    deadline: float
+    reply: Callable[[requests.Refusal | None], None]
+    attempts: retry.Attempts = dataclasses.field(default_factory=retry.Attempts)
+    minion: minions_lib.Minion | None = None
+
+
+class EntryModel:
+    """An entry; ``killed`` ends it without a word."""
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        events: slots_world.Events,
+        rng: random.Random,
+        config: config_lib.Config,
+        fleet: fleet_view.FleetView,
+        servers: Mapping[str, slots_world.MinionModel],
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.killed = False
+        self.first_attempts = 0
+        self.retries = 0
+        self.messages = 0
+        self.others: dict[str, EntryModel] = {}
+        self._events = events
+        self._rng = rng
+        self._service = config.services[slots_world.SERVICE]
+        self._ratio = config.policies.retry_ratio
+        self._servers = servers
+        self._members = peer_membership.MembershipState(name, name, (), 0.0)
+        self._peer_loads: Mapping[str, int] = {}
+        view = config_view.ConfigView()
+        view.offer(1, "digest", config)
+        self.book = slot_book.SlotBook(
+            rng,
+            data_centre,
+            view,
+            fleet,
+            lambda: self._peer_loads,
+            lambda: (name, *self.living),
+            name,
+        )
+        self.queue = admission.ServiceQueue()
+        self.lending = lending.Lending(rng, self.book, lambda _: self.queue)
+        self._budget = retry.RetryBudget()
+        self._runs: dict[int, Run] = {}
+        self._tickets = 0
+        self._polling = False
+        self._ticks = 0
+
+    @property
+    def living(self) -> tuple[str, ...]:
+        """The other entries that it believes alive."""
+        return tuple(
+            one.process for one in peer_membership.alive(self._members)
+        )
+
+    @property
+    def peer_loads(self) -> Mapping[str, int]:
+        """What the others were last heard to have in flight."""
+        return self._peer_loads
+
+    def take(
+        self,
+        call: slots_world.Call,
+        reply: Callable[[requests.Refusal | None], None],
+    ) -> None:
+        """Takes a call; ``reply`` gets its refusal, or None for an answer."""
+        self._tickets += 1
+        traffic, now = call.traffic, self._events.now
+        deadline = call.sent + slots_world.CALLER_S + traffic.timeout_s
+        run = Run(call, self._tickets, deadline, reply)
+        self._runs[run.ticket] = run
+        arrival = lanes.Arrival(
+            run.ticket, traffic.name, traffic.definition, now, deadline
+        )
+        self._act(self.queue.arrive(arrival, self._slots(), now))
+
+    def poll(self) -> None:
+        """Looks at the waiting requests again."""
+        if not self.killed:
+            self._act(self.queue.poll(self._slots(), self._events.now))
+
+    def told(self, message: lending.Message) -> None:
+        """Takes a message about loans in."""
+        if self.killed:
+            return
+        services, envelopes = self.lending.take(message, self._events.now)
+        self._post(envelopes)
+        if services:
+            self.poll()
+
+    def _post(self, envelopes: tuple[lending.Envelope, ...]) -> None:
+        for one in envelopes:
+            self.messages += 1
+            other = self.others[one.process]
+            way = slots_world.latency_s(self.data_centre, other.data_centre)
+            self._events.after(way, functools.partial(other.told, one.message))
+
+    def tick(self) -> None:
+        """Sends the heartbeats of one tick and plans the next."""
+        if self.killed:
+            return
+        now = self._events.now
+        self._members = peer_membership.tick(self._members, now)
+        self._peer_loads = peer_membership.loads(self._members, now)
+        self._ticks += 1
+        group = heartbeat_schedule.near(sorted(self.others))
+        for target in heartbeat_schedule.due(group, self._ticks):
+            self._send(self.others[target.address], target.interval_s)
+        self._events.after(heartbeat_schedule.TICK_S, self.tick)
+
+    def heard(self, heartbeat: peers.Heartbeat) -> None:
+        """Takes a heartbeat in."""
+        now = self._events.now
+        self._members = peer_membership.on_heartbeat(
+            self._members, heartbeat, now
+        )
+        self._peer_loads = peer_membership.loads(self._members, now)
+
+    def _send(self, other: "EntryModel", interval_s: float) -> None:
+        heartbeat = peers.Heartbeat(
+            process=self.name,
+            boot=self.name,
+            role=peers.Role.ENTRY,
+            address=self.name,
+            data_centre=self.data_centre,
+            sequence=self._ticks,
+            config_version=1,
+            view_version=1,
+            leaving=False,
+            loads=self.book.loads,
+            interval_s=interval_s,
+        )
+        way = slots_world.latency_s(self.data_centre, other.data_centre)
+        self._events.after(way, lambda: other.heard(heartbeat))
+
+    def _slots(self) -> admission.Slots:
+        return self.book.count(slots_world.SERVICE, self._events.now)
+
+    def _act(self, actions: tuple[admission.Action, ...]) -> None:
+        for action in actions:
+            match action:
+                case admission.Refuse(ticket, refusal):
+                    self._runs.pop(ticket).reply(refusal)
+                case admission.Start(ticket):
+                    run = self._runs[ticket]
+                    run.minion = self._pick(frozenset())
+                    self._attempt(run)
+        self._post(self.lending.settle(slots_world.SERVICE, self._events.now))
+        if self.queue.waiting and not self._polling:
+            self._polling = True
+            self._events.after(dispatch.POLL_S, self._poll_again)
+
+    def _poll_again(self) -> None:
+        self._polling = False
+        self.poll()
+
+    def _pick(self, excluded: frozenset[str]) -> minions_lib.Minion | None:
+        now = self._events.now
+        return self.book.take(slots_world.SERVICE, excluded, now)
+
+    def _attempt(self, run: Run) -> None:
+        """Does what ``delivery.Sender`` does for each attempt."""
+        minion = run.minion
+        if minion is None:
+            raise AssertionError("a request started without a slot")
+        before = run.attempts
+        if not before.count:
+            self._budget.first_attempt(self._ratio)
+            self.first_attempts += 1
+        run.attempts = before.begun()
+        kind = run.call.traffic.definition.kind
+        left = run.deadline - self._events.now
+        again = self._budget.available and retry.may_retry(
+            kind, run.attempts, left
+        )
+        timeout = retry.attempt_timeout_s(kind, self._service, left, again)
+        settled: list[bool] = []
+
+        def end(outcome: minions_lib.SendOutcome) -> None:
+            if not settled and not self.killed:
+                settled.append(True)
+                self._ended(run, before, outcome)
+
+        server = self._servers[minion.instance]
+        way = slots_world.latency_s(self.data_centre, minion.data_centre)
+        back = _delayed(self._events, way, end)
+        self._events.after(timeout, lambda: end(_LOST))
+        self._events.after(
+            way,
+            lambda: (
+                back(_REFUSED)
+                if server.dead
+                else server.receive(run.call.work_s, lambda: back(_ANSWERED))
+            ),
+        )
+
+    def _ended(
+        self,
+        run: Run,
+        before: retry.Attempts,
+        outcome: minions_lib.SendOutcome,
+    ) -> None:
+        run.attempts = run.attempts.ended(before, retry.effect(outcome, ()))
+        if isinstance(outcome, minions_lib.Answered):
+            self._leave(run, slot_book.Verdict.ANSWERED, None)
+            return
+        verdict = slot_book.Verdict.UNCLEAR
+        if retry.is_failure_of_minion(outcome):
+            verdict = slot_book.Verdict.FAILED
+        if self._may_retry(run) and run.minion is not None:
+            self.retries += 1
+            tried = run.minion.instance
+            self.book.release(run.minion, verdict, self._events.now)
+            run.minion = self._pick(frozenset({tried})) or self._pick(
+                frozenset()
+            )
+            if run.minion is not None:
+                self._attempt(run)
+                return
+        self._leave(run, verdict, ENDED)
+
+    def _may_retry(self, run: Run) -> bool:
+        kind = run.call.traffic.definition.kind
+        left = run.deadline - self._events.now
+        return retry.may_retry(kind, run.attempts, left) and self._budget.take()
+
+    def _leave(
+        self,
+        run: Run,
+        verdict: slot_book.Verdict,
+        refusal: requests.Refusal | None,
+    ) -> None:
+        now = self._events.now
+        if run.minion is not None:
+            self.book.release(run.minion, verdict, now)
+        del self._runs[run.ticket]
+        self.queue.finish(run.ticket, now, measured=True)
+        if refusal is not None and run.attempts.may_have_run:
+            refusal = dataclasses.replace(
+                refusal, outcome=requests.Outcome.UNKNOWN
+            )
+        run.reply(refusal)
+        self.poll()
+
+
+def _delayed(
+    events: slots_world.Events,
+    way: float,
+    end: Callable[[minions_lib.SendOutcome], None],
+) -> Callable[[minions_lib.SendOutcome], None]:
+    return lambda outcome: events.after(way, lambda: end(outcome))
--- a/tests/common/paths.py
+++ b/tests/common/paths.py
@@ -9,6 +9,7 @@
 
 from tests.common import clocks
 from vanillaswitch.coordination import fleet_view
+from vanillaswitch.coordination import lending
 from vanillaswitch.coordination import request_path
 from vanillaswitch.internal import metrics
 from vanillaswitch.protocol import claims
@@ -146,7 +147,14 @@
 class Rig:
     """A request path and all that a test may want to turn."""
 
-    def __init__(self, answering: Answering | None = None, minions_up: int = 3):
+    def __init__(
+        self,
+        answering: Answering | None = None,
+        minions_up: int = 3,
+        given: config.Config | None = None,
+        entries: tuple[str, ...] = ("entry",),
+        lend: Callable[[lending.Envelope], None] = lambda _: None,
+    ):
         self.clock = clocks.ManualClock()
         self.sends = Sends(answering)
         self.claims = FakeClaims()
@@ -157,7 +165,7 @@
         self.catch_up: Callable[[float], bool] = lambda _: self.refresh()
         names = (f"m{number}" for number in range(minions_up))
         self.fleet.take_list(listings(*names), 0)
-        self.config.offer(1, "digest", make_config())
+        self.config.offer(1, "digest", given or make_config())
         self.path = request_path.RequestPath(
             clock=self.clock,
             rng=random.Random(1),
@@ -166,7 +174,8 @@
             fleet=self.fleet,
             catch_up=lambda timeout_s: self.catch_up(timeout_s),
             peer_loads=lambda: self.peer_loads,
-            entries=lambda: 1,
+            entries=lambda: entries,
+            lend=lend,
             client=self.sends,
             claims=self.claims,
             metrics=self.metrics,
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -19,27 +19,55 @@
     return routing.pick(chosen, minions, loads, excluded, "recife", rng)
 
 
+_ENTRIES = st.lists(
+    st.sampled_from("abcdefghijkl"), min_size=1, max_size=12, unique=True
+).map(tuple)
+
+
 @hypothesis.given(
     policy=st.sampled_from(routing.policies.names),
     slots=st.integers(0, 9),
     own=_LOADS,
     peers=_LOADS,
-    entries=st.integers(1, 12),
+    entries=_ENTRIES,
+    loans=st.dictionaries(st.sampled_from(_NAMES), st.integers(-3, 3)),
     excluded=st.sets(st.sampled_from(_NAMES)),
     seed=st.integers(0, 99),
 )
-def test_no_policy_sends_more_than_a_minion_has_slots(
-    policy, slots, own, peers, entries, excluded, seed
+def test_a_policy_sends_where_it_has_room_and_only_there(
+    policy, slots, own, peers, entries, loans, excluded, seed
 ):
+    """Own counts are exact, those of peers are old: see the decision 0006."""
     minions = [paths.make_minion(name, slots) for name in _NAMES]
-    loads = routing.Loads(own, peers, entries)
+    loads = routing.Loads(own, peers, entries, loans)
+
+    def rest(minion):
+        used = own.get(minion.instance, 0)
+        if policy == "two-choices":
+            return minion.slots - used - peers.get(minion.instance, 0)
+        share = routing.share(minion.instance, minion.slots, entries)
+        lent = loans.get(minion.instance, 0) if policy == "lent-share" else 0
+        return share + lent - used
+
+    allowed = [each for each in minions if each.instance not in excluded]
     picked = _pick(policy, loads, minions, seed, excluded)
-    if picked is not None:
-        assert picked.instance not in excluded
-        assert loads.of(picked) < picked.slots
-    elif policy == "two-choices":
-        allowed = (each for each in minions if each.instance not in excluded)
-        assert all(loads.of(each) >= each.slots for each in allowed)
+    if picked is None:
+        assert all(rest(each) <= 0 for each in allowed)
+    else:
+        assert picked in allowed
+        assert rest(picked) > 0
+
+
+@hypothesis.given(_ENTRIES, st.integers(0, 20), st.sampled_from(_NAMES))
+def test_each_slot_belongs_to_one_entry_and_shares_are_even(
+    entries, slots, name
+):
+    shares = []
+    for first in entries:
+        others = tuple(each for each in entries if each != first)
+        shares.append(routing.share(name, slots, (first, *others)))
+    assert sum(shares) == slots
+    assert max(shares) - min(shares) <= 1
 
 
 def test_two_choices_count_the_load_of_peers_and_prefer_the_near_on_ties():
@@ -54,6 +82,10 @@
 
 def test_a_fixed_share_is_kept_to_while_other_slots_are_free():
     minion = paths.make_minion(slots=8)
-    assert _pick("fixed-share", routing.Loads({"m0": 1}, {}, 4), [minion])
-    full = routing.Loads({"m0": 2}, {}, 4)
+    four = ("a", "b", "c", "d")
+    assert _pick("fixed-share", routing.Loads({"m0": 1}, {}, four), [minion])
+    full = routing.Loads({"m0": 2}, {}, four)
     assert _pick("fixed-share", full, [minion]) is None
+    assert _pick("lent-share", full, [minion]) is None
+    borrowed = routing.Loads({"m0": 2}, {}, four, {"m0": 1})
+    assert _pick("lent-share", borrowed, [minion]) is minion
