--- a/src/vanillaswitch/internal/logs.py
+++ b/src/vanillaswitch/internal/logs.py
@@ -57,7 +57,11 @@
 @BACKENDS.register("silent")
 def _silent(process: str) -> Write:
     del process
-    return lambda level, line: None
+
+    def write(level: str, line: str) -> None:
+        del level, line
+
+    return write
 
 
 def _to_stderr(level: str, line: str) -> None:
--- a/src/vanillaswitch/protocol/platform.py
+++ b/src/vanillaswitch/protocol/platform.py
@@ -123,9 +123,7 @@
     def read(self, keys: Sequence[str]) -> ReadOutcome:
         """Reads rows by name, all as of one commit."""
 
-    def scan(
-        self, prefix: str, after: str = "", limit: int = 0
-    ) -> ReadOutcome:
+    def scan(self, prefix: str, after: str = "", limit: int = 0) -> ReadOutcome:
         """Reads each row whose key starts with ``prefix``, as of one commit.
 
         Args:
--- a/standins/measure_duties.py
+++ b/standins/measure_duties.py
@@ -9,11 +9,10 @@
 import random
 from typing import Any
 
-
 from standins import faults
 from standins import table as table_lib
-from vanillaswitch.internal import logs
 from vanillaswitch.coordination import controller
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import settings as settings_lib
--- a/standins/measure_membership.py
+++ b/standins/measure_membership.py
@@ -26,12 +26,12 @@
 import gevent
 import gevent.socket
 
-from vanillaswitch.internal import logs
 from vanillaswitch.coordination import announcer
 from vanillaswitch.coordination import heartbeat_schedule
 from vanillaswitch.coordination import peer_task
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import settings as settings_lib
 from vanillaswitch.transport import streams
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -110,7 +110,10 @@
 
 def _add_table(app: Any, table: platform.Table) -> None:
     read = _Resource(wire.ReadCall, lambda call: table.read(call.keys))
-    scan = _Resource(wire.ScanCall, lambda call: table.scan(call.prefix, call.after, call.limit))
+    scan = _Resource(
+        wire.ScanCall,
+        lambda call: table.scan(call.prefix, call.after, call.limit),
+    )
     commit = _Resource(platform.Transaction, table.commit)
     app.add_route("/table/read", read)
     app.add_route("/table/scan", scan)
--- a/standins/table.py
+++ b/standins/table.py
@@ -79,9 +79,7 @@
 
     def _scan(self, prefix: str, after: str, limit: int) -> platform.Rows:
         found = sorted(
-            key
-            for key in self._rows
-            if key.startswith(prefix) and key > after
+            key for key in self._rows if key.startswith(prefix) and key > after
         )
         return self._found(iter(found[:limit] if limit else found))
 
