Bound the memory of charges that were written

Cause: what an entry keeps to replay answers without the table was bounded by the bytes of their bodies. A charge answered without a body, or with an unknown outcome, weighed nothing and was kept for good; small answers were kept in far larger numbers than the bound suggests. Ruled out: a bound on their number, which says nothing of large answers. Change: each record weighs 1024 bytes more, about what it takes besides the body.

--- a/src/vanillaswitch/coordination/claim_ledger.py
+++ b/src/vanillaswitch/coordination/claim_ledger.py
@@ -23,6 +23,9 @@
 FIRST_WAIT_S = 0.05
 LONGEST_WAIT_S = 1.0
 
+RECORD_BYTES = 1024
+"""Memory that a record takes besides its answer's body, roughly."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
@@ -31,7 +34,7 @@
     Attributes:
         unwritten: how many records may wait to be written.
         unwritten_bytes: bytes of answers that may wait to be written.
-        recent_bytes: bytes of written answers kept to replay without the
+        recent_bytes: memory of written records kept to replay without the
             table.
         inline_bytes: largest body that is kept in the claim's row.
         write_s: how long one try to write may take, in seconds.
@@ -100,6 +103,11 @@
         """How many outcomes are not in the table yet."""
         return len(self._unwritten)
 
+    @property
+    def known(self) -> int:
+        """How many claims are known, held or written not long ago."""
+        return len(self._held) + len(self._recent)
+
     @property
     def full(self) -> bool:
         """No further claim may be taken until some outcomes are written."""
@@ -242,15 +250,20 @@
 
     def _written(self, name: str) -> None:
         record = self._held.pop(name)
-        size = self._unwritten.pop(name)
+        del self._unwritten[name]
         if record.state is peers.ClaimState.RELEASED:
             return
         self._recent[name] = record
-        self._recent_bytes += size
+        self._recent_bytes += _weight(record)
         while self._recent_bytes > self._limits.recent_bytes:
             _, dropped = self._recent.popitem(last=False)
-            self._recent_bytes -= _size(dropped)
+            self._recent_bytes -= _weight(dropped)
 
 
 def _size(record: Record) -> int:
     return len(record.answer.body) if record.answer else 0
+
+
+def _weight(record: Record) -> int:
+    """Returns bytes of memory; without its own, an empty answer is free."""
+    return RECORD_BYTES + _size(record)
