Name the measurement of one planning round apart from planning

Cause: another measurement is about to be called "planning".

Ruled out: the other way round; "planning" there is a quote's p99 beside planning, and longer known.

Change: "planning-round" for the plans alone.

Conclusion: names of measurements are unique again, as the registry demands.

--- a/standins/measure_parts.py
+++ b/standins/measure_parts.py
@@ -46,7 +46,7 @@
     ]
 
 
-@measurements.measurement("planning")
+@measurements.measurement("planning-round")
 def measure_plans() -> measurements.Figures:
     """Measures one round of each plan at shares of the target."""
     figures = []
