End the entry when a request meets a broken invariant

Cause: an InvariantError in a request became a 500 of the web server, and the process went on with state that must not be. Only the controller and the entry's own tasks ended by one. Ruled out: ending at once in the handler, which would cut off the answer to the request that met it. Change: the composition root hands the error on to the task of the process after the caller's 500 "unknown". Both daemons write one ERROR line and exit with 4; reading settings, which stood in both, moved to daemons/startup.py. Conclusion: only broken invariants stop a process, and each of them does.

--- a/src/vanillaswitch/daemons/controller.py
+++ b/src/vanillaswitch/daemons/controller.py
@@ -2,15 +2,12 @@
 
 import json
 import pathlib
-import sys
 
 import click
 
-from vanillaswitch import errors
-from vanillaswitch.cli import exits
+from vanillaswitch.daemons import startup
 from vanillaswitch.internal import lifecycle
 from vanillaswitch.internal import logs
-from vanillaswitch.state import settings as settings_lib
 from vanillaswitch.wiring import controller
 
 
@@ -21,14 +18,14 @@
 
     Prints its addresses as one line of JSON. SIGTERM stops it gracefully: it
     hands its duties to the other controllers.
+
+    Exit codes: 0 stopped, 2 wrong settings, 4 a broken invariant.
     """
-    try:
-        loaded = settings_lib.load(settings)
-    except errors.SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(exits.USAGE)
-    logs.configure(loaded.process, "logging")
-    with controller.run(loaded) as running:
+    loaded = startup.load(settings, "logging")
+    with (
+        startup.ending_when_broken("controller"),
+        controller.run(loaded) as running,
+    ):
         addresses = {"listen": running.address, "peer": running.peer_address}
         click.echo(json.dumps(addresses))
         logs.info("controller serves {}", running.address)
--- a/src/vanillaswitch/daemons/entry.py
+++ b/src/vanillaswitch/daemons/entry.py
@@ -6,11 +6,10 @@
 
 import click
 
-from vanillaswitch import errors
 from vanillaswitch.cli import exits
+from vanillaswitch.daemons import startup
 from vanillaswitch.internal import lifecycle
 from vanillaswitch.internal import logs
-from vanillaswitch.state import settings as settings_lib
 from vanillaswitch.wiring import entry
 
 
@@ -21,14 +20,12 @@
 
     Prints its addresses as one line of JSON. SIGTERM stops it gracefully:
     requests in flight are answered, new ones are refused as not run.
+
+    Exit codes: 0 stopped, 1 stopped with requests or outcomes of charges
+    left over, 2 wrong settings, 4 a broken invariant.
     """
-    try:
-        loaded = settings_lib.load(settings)
-    except errors.SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(exits.USAGE)
-    logs.configure(loaded.process, "loguru")
-    with entry.run(loaded) as running:
+    loaded = startup.load(settings, "loguru")
+    with startup.ending_when_broken("entry"), entry.run(loaded) as running:
         addresses = {"listen": running.address, "peer": running.peer_address}
         click.echo(json.dumps(addresses))
         logs.info("entry serves {}", running.address)
--- a/src/vanillaswitch/wiring/base.py
+++ b/src/vanillaswitch/wiring/base.py
@@ -6,9 +6,11 @@
 import dataclasses
 import functools
 import random
+from typing import TypeVar
 
 import gevent
 
+from vanillaswitch import errors
 from vanillaswitch.coordination import announcer
 from vanillaswitch.coordination import config_task
 from vanillaswitch.coordination import peer_task
@@ -21,6 +23,9 @@
 from vanillaswitch.state import settings as settings_lib
 from vanillaswitch.transport import streams
 
+A = TypeVar("A")
+R = TypeVar("R")
+
 _DEFAULTS = config_lib.Policies()
 _CONFIG_MESSAGES = (
     peers.ConfigOffer,
@@ -73,6 +78,31 @@
         gevent.killall(spawned)
 
 
+def ending_when_broken(act: Callable[[A], R]) -> Callable[[A], R]:
+    """Returns ``act`` such that a broken invariant ends the calling task.
+
+    The failure guarded against: a library runs ``act`` in a task of its own
+    and survives its errors, so that the process would go on with broken
+    state. The caller of ``act`` still gets the error; the calling task, which
+    is that of the whole process, gets it at the next turn of the loop. Once
+    is enough: a second error would disturb its clean-up.
+    """
+    opener = gevent.getcurrent()
+    told = False
+
+    def guarded(argument: A) -> R:
+        nonlocal told
+        try:
+            return act(argument)
+        except errors.InvariantError as error:
+            if not told:
+                told = True
+                gevent.kill(opener, error)
+            raise
+
+    return guarded
+
+
 @contextlib.contextmanager
 def network(
     settings: settings_lib.Settings,
--- a/src/vanillaswitch/wiring/entry.py
+++ b/src/vanillaswitch/wiring/entry.py
@@ -117,7 +117,7 @@
         )
         with caller_http.serve(
             self._base.settings.listen,
-            self._path.handle,
+            base_lib.ending_when_broken(self._path.handle),
             pages,
             self._base.clock,
             lambda: self._base.policies.max_body_bytes,
