Tell the minion the time that an attempt has left

Cause: Request-Timeout-Ms went on as the caller gave it; after two seconds of silence a retry still named the whole time, and a minion could work for a caller that had gone. Ruled out: dropping the field, since a minion may plan by it. Change: the field names the attempt's own time. The test failed before. Conclusion: minions go by what is left.

--- a/src/vanillaswitch/transport/minion_http.py
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -29,6 +29,7 @@
     requests.HEADER_REQUEST.lower(),
     requests.HEADER_CALLER.lower(),
     requests.HEADER_KEY.lower(),
+    requests.HEADER_TIMEOUT_MS.lower(),
 )
 
 
@@ -49,9 +50,15 @@
     idle_s: float = 30.0
 
 
-def encode(minion: minions.Minion, request: requests.Request) -> bytes:
+def encode(
+    minion: minions.Minion, request: requests.Request, timeout_s: float
+) -> bytes:
     """Returns the bytes of a request.
 
+    The minion is told the time that this attempt has, not the time that the
+    caller gave at first: of a retry after a silent connection only a part is
+    left, and a minion that went by the whole would work for nobody.
+
     Raises:
         errors.InvariantError: a field holds a line break.
     """
@@ -61,6 +68,9 @@
         f"{requests.HEADER_REQUEST}: {request.request_id}",
         f"{requests.HEADER_CALLER}: {request.caller}",
     ]
+    if headers.first(request.headers, requests.HEADER_TIMEOUT_MS):
+        left_ms = max(1, int(timeout_s * 1000))
+        lines.append(f"{requests.HEADER_TIMEOUT_MS}: {left_ms}")
     if request.key:
         lines.append(f"{requests.HEADER_KEY}: {request.key}")
     if request.body or request.method in _METHODS_WITH_BODY:
@@ -154,7 +164,7 @@
         """Sends one request once; see ``protocol.minions.MinionClient``."""
         if timeout_s <= 0:
             return minions.NotSent("no time left")
-        data = encode(minion, request)
+        data = encode(minion, request, timeout_s)
         exchange = _Exchange(self._settings.max_answer_bytes, request)
         timeout = gevent.Timeout.start_new(timeout_s)
         try:
--- a/tests/cover/test_minion_http.py
+++ b/tests/cover/test_minion_http.py
@@ -121,6 +121,20 @@
     assert script.requests == (expected.encode(),)
 
 
+def test_the_minion_is_told_the_time_that_this_attempt_has():
+    """A minion works on for a caller that has long gone.
+
+    The first attempt met a silent connection for two seconds; the retry told
+    the minion the whole of the caller's time, since the field was passed on.
+    """
+    given_ms = (requests.HEADER_TIMEOUT_MS, "30000")
+    request = wire.request_of(headers=(given_ms,))
+    minion = minions.Minion("m", "s", "127.0.0.1:1", "d", "r", 8, 64)
+    sent = minion_http.encode(minion, request, 1.5)
+    assert b"\r\nRequest-Timeout-Ms: 1500\r\n" in sent
+    assert sent.count(b"Request-Timeout-Ms") == 1
+
+
 @pytest.mark.parametrize("text", ["a\r\nb", "a\nb", "\r"])
 def test_a_line_break_in_a_field_breaks_an_invariant(client, text):
     request = wire.request_of(headers=(("X", text),))
