--- a/src/vanillaswitch/cli/console.py
+++ b/src/vanillaswitch/cli/console.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
+import dataclasses
 import ipaddress
 import json
 import sys
@@ -16,6 +18,7 @@
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import canonical
 from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import rows
 
 Connect = Callable[[str], contextlib.AbstractContextManager[platform.Platform]]
 
@@ -47,47 +50,110 @@
 
 
 @contextlib.contextmanager
-def connected(
-    ctx: click.Context, address: str, as_json: bool
-) -> Iterator[platform.Platform]:
-    """Yields the platform; a refusal becomes its message and exit code.
+def refusing(as_json: bool) -> Iterator[None]:
+    """Turns a refusal into its message and exit code.
 
     Args:
-        ctx: its ``obj`` is a ``Connect`` of the caller, or None for HTTP.
-        address: "ip:port" of the platform.
         as_json: print refusals as JSON.
     """
-    connect: Connect | None = ctx.obj
-    if connect is None:
-        from vanillaswitch.transport import platform_http
-
-        connect = platform_http.connect
     try:
-        with connect(address) as found:
-            yield found
+        yield
+    except errors.ConfigRejected as rejected:
+        mistakes = list(_flat(rejected))
+        told = [
+            {"file": e.file, "field": e.field, "message": e.message}
+            for e in mistakes
+        ]
+        text = "\n".join(map(str, mistakes))
+        _refuse(as_json, {"errors": told}, text, exits.REFUSED)
+    except errors.ApplyConflictError as conflict:
+        found = {"conflict": str(conflict), "changes": conflict.changes}
+        _refuse(as_json, found, str(conflict), exits.REFUSED)
     except errors.WaveRefusedError as refused:
-        tell(as_json, {"refused": str(refused)}, str(refused), refused=True)
-        sys.exit(exits.REFUSED)
+        _refuse(as_json, {"refused": str(refused)}, str(refused), exits.REFUSED)
     except errors.PlatformUnavailableError as error:
         text = f"the platform gave no answer: {error}"
-        tell(as_json, {"unavailable": str(error)}, text, refused=True)
-        sys.exit(exits.UNAVAILABLE)
+        found = {"unavailable": str(error)}
+        _refuse(as_json, found, text, exits.UNAVAILABLE)
 
 
-def in_force(source: platform.Platform) -> config_lib.Config:
-    """Returns the configuration in force.
+def connect(
+    ctx: click.Context, address: str
+) -> contextlib.AbstractContextManager[platform.Platform]:
+    """Connects by what the caller handed in, else by the HTTP adapter.
+
+    Args:
+        ctx: its ``obj`` is a ``Connect`` of the caller, or None for HTTP.
+        address: "ip:port" of the platform.
+    """
+    handed_in: Connect | None = ctx.obj
+    if handed_in is not None:
+        return handed_in(address)
+    # Imported here, so that commands without a platform need no HTTP client.
+    from vanillaswitch.transport import platform_http
+
+    return platform_http.connect(address)
+
+
+@contextlib.contextmanager
+def connected(
+    ctx: click.Context, address: str, as_json: bool
+) -> Iterator[platform.Platform]:
+    """Yields the platform; see ``connect`` and ``refusing``."""
+    with refusing(as_json), connect(ctx, address) as found:
+        yield found
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """The configuration in force; ``config`` is None before the first."""
+
+    head: rows.ConfigHead
+    config: config_lib.Config | None
+
+
+def look(source: platform.Platform) -> InForce:
+    """Returns the configuration in force, if there is any.
 
     Raises:
-        errors.PlatformUnavailableError: there is none, or it can't be read.
+        errors.PlatformUnavailableError: it can't be read now.
+        errors.ConfigRejected: this version of the program can't read it.
     """
     head = rollout.read_head(source.table)
     if isinstance(head, platform.Unavailable):
         raise errors.PlatformUnavailableError(head.reason)
+    if head.row.number == rollout.NONE_YET:
+        return InForce(head.row, None)
     body = rollout.load_body(source.objects, head.row.digest)
-    config = canonical.load(body) if body is not None else None
-    if config is None:
+    if body is None:
         raise errors.PlatformUnavailableError(
-            f"configuration number {head.row.number} can't be read"
+            f"the body of number {head.row.number} can't be fetched"
+        )
+    config = canonical.load(body)
+    if config is None:
+        raise errors.ConfigRejected(
+            "a newer version of this program wrote what is in force",
+            [errors.ConfigError("(in force)", "(all)", "can't be read")],
+        )
+    return InForce(head.row, config)
+
+
+def in_force(source: platform.Platform) -> config_lib.Config:
+    """Returns the configuration in force.
+
+    Raises:
+        errors.ConfigRejected: there is none yet, or see ``look``.
+        errors.PlatformUnavailableError: it can't be read now.
+    """
+    config = look(source).config
+    if config is None:
+        raise errors.ConfigRejected(
+            "there is no configuration in force",
+            [
+                errors.ConfigError(
+                    "(in force)", "(all)", "is missing: use `config apply`"
+                )
+            ],
         )
     return config
 
@@ -98,3 +164,20 @@
         click.echo(json.dumps(told, indent=2, ensure_ascii=False))
     else:
         click.echo(text, err=refused)
+
+
+def _refuse(
+    as_json: bool, told: Mapping[str, Any], text: str, code: int
+) -> None:
+    tell(as_json, told, text, refused=True)
+    sys.exit(code)
+
+
+def _flat(
+    group: BaseExceptionGroup[errors.ConfigError],
+) -> Iterator[errors.ConfigError]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _flat(error)
+        else:
+            yield error
--- a/tests/cover/test_config_command.py
+++ b/tests/cover/test_config_command.py
@@ -10,6 +10,7 @@
 from tests.common import config_stores as stores
 from tests.common import configs
 from vanillaswitch.cli import config as cli
+from vanillaswitch.cli import fleet
 from vanillaswitch.cli import main
 
 FOLDER = str(configs.EXAMPLES / "mare-dues" / "config")
@@ -98,3 +99,23 @@
     found = runner.invoke(main.main, ["config", "check", str(changed)])
     assert found.exit_code == 1
     assert "no routing policy called 'x'" in found.output
+
+
+@pytest.mark.parametrize("policy", ["routing", "placement"])
+def test_a_policy_that_no_registry_has_is_refused(run, tmp_path, policy):
+    shutil.copytree(FOLDER, tmp_path, dirs_exist_ok=True)
+    change = {"policies": {policy: "nonsense"}}
+    (tmp_path / "90-change.json").write_text(json.dumps(change))
+    code, output = run("check", tmp_path)
+    assert code == 1
+    assert f"90-change.json: policies.{policy}: " in output
+
+
+def test_what_needs_a_configuration_says_that_none_is_in_force(run):
+    found = click.testing.CliRunner().invoke(
+        fleet.command,
+        ["status", *ADDRESS],
+        obj=lambda _: contextlib.nullcontext(run.store.platform()),
+    )
+    assert found.exit_code == 1
+    assert "(in force)" in found.output and "config apply" in found.output
