Keep connections in use until their next request in a drain

Cause: a planned stop closed kept connections as soon as no request was in flight. A request on its way at that moment was cut, and its caller could not know that it was not run. Pages polled on a kept connection were not told to close it. Ruled out: half-closing idle connections, which leaves a request that crosses it unanswered as well; waiting until all callers have left, which lasts as long as the idlest of them likes. Change: a drain ends when no open connection was used for a second; each reply during it, to pages too, says "Connection: close". A stop takes up to a second longer. Conclusion: a request on a connection that was idle for a second can still cross its closing; HTTP/1.1 has no cure for that.

--- a/src/vanillaswitch/transport/caller_http.py
+++ b/src/vanillaswitch/transport/caller_http.py
@@ -19,6 +19,10 @@
 from vanillaswitch.transport import problems
 from vanillaswitch.transport import sockets
 
+QUIET_S = 1.0
+"""A kept connection unused for so long is closed by a drain."""
+
+_DRAIN_POLL_S = 0.05
 _RETRY_AFTER_DRAIN_S = 1.0
 _BODILESS_STATUSES = frozenset({204, 304})
 _FAILED = requests.Refusal(
@@ -110,7 +114,9 @@
         """Shuts down gracefully.
 
         No new connection is accepted, requests in flight finish, and a new
-        request on a kept connection is refused as not run.
+        request on a kept connection is refused as not run. Connections in use
+        are kept until their next request, or until they were not used for
+        ``QUIET_S``.
 
         Args:
             grace_s: longest wait for the requests in flight.
@@ -122,8 +128,7 @@
         self._server.accept_backlog()
         with gevent.Timeout(grace_s, False):
             while not self._is_quiet():
-                if self._server.in_flight:
-                    self._server.wait_for_change()
+                self._server.wait_for_change(_DRAIN_POLL_S)
             return True
         return False
 
@@ -142,11 +147,16 @@
         # whose requests are in the kernel's buffers: such a request was sent
         # in good time and is refused rather than reset.
         gevent.sleep(0)
-        return not self._server.in_flight and not self._server.has_unread
+        if self._server.in_flight or self._server.has_unread:
+            return False
+        # A request may be on its way on a connection that was used a moment
+        # ago. Closing that would reset it, and its caller could not know that
+        # it was not run; answered once more, the caller is told to leave.
+        return self._server.unused_s >= QUIET_S
 
 
 def _application(server: Server) -> falcon.App[Any, Any]:
-    app = falcon.App(media_type="")
+    app = falcon.App(media_type="", middleware=_CloseInDrain(server))
     app.add_error_handler(Exception, _on_failure)
     app.add_route("/_/ready", _Page(lambda: _ready(server)))
     app.add_route("/_/live", _Page(lambda: _live(server)))
@@ -160,15 +170,30 @@
     ) -> None:
         reply = server.reply(_incoming(req.env))
         _write(reply, resp, req.method)
-        # Asked after the answer is known: a drain may have begun meanwhile,
-        # and the caller's next request needs another connection.
-        if server.draining:
-            resp.set_header("Connection", "close")
 
     app.add_sink(sink, "/")
     return app
 
 
+class _CloseInDrain:
+    """Sends callers to another connection once a drain has begun."""
+
+    def __init__(self, server: Server):
+        self._server = server
+
+    def process_response(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        resource: object,
+        succeeded: bool,
+    ) -> None:
+        """Called after the answer is known: a drain may have begun since."""
+        del request, resource, succeeded
+        if self._server.draining:
+            response.set_header("Connection", "close")
+
+
 class _Page:
     """One resource that shows a JSON document."""
 
--- a/src/vanillaswitch/transport/checked_handler.py
+++ b/src/vanillaswitch/transport/checked_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import io
+import math
 import select
 import time
 from typing import Any
@@ -59,7 +60,7 @@
         self.monotonic = monotonic
         self.bad_requests = 0
         self._in_flight = 0
-        self._open: set[socket.socket] = set()
+        self._open: dict[socket.socket, float] = {}
         self._changed = gevent.event.Event()
 
     @property
@@ -83,26 +84,34 @@
 
     def handle(self, sock: socket.socket, address: Any) -> None:
         """Serves one connection."""
-        self._open.add(sock)
+        self._open[sock] = self.monotonic()
         try:
             super().handle(sock, address)
         finally:
-            self._open.discard(sock)
+            del self._open[sock]
             self._changed.set()
 
     def begin_request(self) -> None:
         """Counts a request whose first line came."""
         self._in_flight += 1
 
-    def end_request(self) -> None:
-        """Counts a request as answered."""
+    def end_request(self, sock: socket.socket | None) -> None:
+        """Counts a request as answered, on a connection unless it is gone."""
         self._in_flight -= 1
+        if sock in self._open:
+            self._open[sock] = self.monotonic()
         self._changed.set()
 
-    def wait_for_change(self) -> None:
-        """Waits until a request or a connection ends."""
+    @property
+    def unused_s(self) -> float:
+        """Time since any open connection was used; infinite without one."""
+        last = max(self._open.values(), default=-math.inf)
+        return self.monotonic() - last
+
+    def wait_for_change(self, timeout_s: float) -> None:
+        """Waits until a request or a connection ends, or for some time."""
         self._changed.clear()
-        self._changed.wait()
+        self._changed.wait(timeout_s)
 
     def accept_backlog(self) -> None:
         """Accepts what the kernel has accepted already, then no more.
@@ -135,7 +144,7 @@
             self._close_after(result)
             return None
         finally:
-            self.server.end_request()
+            self.server.end_request(self.socket)
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """Tells the caller that nothing certain is known of its request."""
