Show a controller's counters by the histograms command

Cause: `vanillaswitch histograms` given a controller's address ended with a traceback, since a controller has no histograms; a wrong address gave one too. `fleet explain` named one of its four kinds of subjects. Ruled out: histograms in the controller (21 KB each, of 32 MB in all). Change: a page that a process lacks is empty; the address is checked; help texts say which subjects and exit codes there are. Conclusion: the command does what its help says.

--- a/src/vanillaswitch/cli/console.py
+++ b/src/vanillaswitch/cli/console.py
@@ -23,7 +23,14 @@
 Connect = Callable[[str], contextlib.AbstractContextManager[platform.Platform]]
 
 
-def _address(_ctx: click.Context, _param: click.Parameter, value: str) -> str:
+def check_address(
+    _ctx: click.Context, _param: click.Parameter, value: str
+) -> str:
+    """Returns an "ip:port" of the command line.
+
+    Raises:
+        click.BadParameter: it is none.
+    """
     host, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
@@ -40,7 +47,7 @@
     "address",
     required=True,
     metavar="IP:PORT",
-    callback=_address,
+    callback=check_address,
     help="The platform's HTTP interface.",
 )
 
--- a/src/vanillaswitch/cli/fleet.py
+++ b/src/vanillaswitch/cli/fleet.py
@@ -66,7 +66,10 @@
 def explain_command(
     ctx: click.Context, subject: str, address: str, as_json: bool
 ) -> None:
-    """Prints the newest decisions about SUBJECT, such as wave/NAME."""
+    """Prints the newest decisions about SUBJECT, the oldest first.
+
+    SUBJECT is wave/NAME, pool/NAME, job/NAME or instance/NAME.
+    """
     with console.connected(ctx, address, as_json) as source:
         found = source.table.read([explain.key_of(subject)])
         if isinstance(found, platform.Unavailable):
--- a/src/vanillaswitch/cli/histograms.py
+++ b/src/vanillaswitch/cli/histograms.py
@@ -1,16 +1,19 @@
 """``vanillaswitch histograms``: what a process measured, for operators."""
 
 from collections.abc import Mapping
+import http
 import json
 import sys
 from typing import Any
 
 import click
 
+from vanillaswitch.cli import console
 from vanillaswitch.cli import exits
 
 
 def _fetch(address: str, page: str) -> Mapping[str, Any]:
+    """Returns a page; an empty one where the process has none such."""
     # Imported here, so that `--help` needs no HTTP client.
     import geventhttpclient
 
@@ -20,6 +23,8 @@
     )
     try:
         response = client.get(f"/_/{page}")
+        if response.status_code == http.HTTPStatus.NOT_FOUND:
+            return {}
         found: Mapping[str, Any] = json.loads(bytes(response.read()))
         return found
     finally:
@@ -35,11 +40,17 @@
 
 
 @click.command("histograms")
-@click.argument("address")
+@click.argument("address", metavar="IP:PORT", callback=console.check_address)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.option("--counters", is_flag=True, help="Print the counters too.")
 def command(address: str, as_json: bool, counters: bool) -> None:
-    """Prints the histograms of the process at ADDRESS (ip:port)."""
+    """Prints what the process at IP:PORT has measured since its start.
+
+    An entry has histograms for each class and caller; a controller has only
+    counters. IP:PORT is the "listen" address that the daemon printed.
+
+    Exit codes: 0 done, 2 wrong usage, 3 the process gave no answer.
+    """
     try:
         pages = {"histograms": _fetch(address, "histograms")}
         if counters:
--- a/src/vanillaswitch/cli/main.py
+++ b/src/vanillaswitch/cli/main.py
@@ -49,5 +49,5 @@
     Daemons: entry, controller. Operators: config, fleet, wave, histograms.
 
     Exit codes: 0 done, 1 refused (the message says what to do next), 2 wrong
-    usage, 3 the platform gave no answer.
+    usage, 3 the platform gave no answer, 4 a daemon found a broken invariant.
     """
