Show what a process counts of its configuration

Cause: failed polls and damaged, unreadable or late bodies were counted and shown nowhere, so that an operator could not see why a process stays behind. Ruled out: nothing to rule out. Change: the counters page of both daemons has config.polls_failed, taken, late, damaged and unreadable beside config.number. Conclusion: no counter is kept without being shown.

--- a/src/vanillaswitch/wiring/base.py
+++ b/src/vanillaswitch/wiring/base.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import functools
@@ -134,8 +135,12 @@
 
 
 @contextlib.contextmanager
-def configured(base: Base) -> Iterator[None]:
-    """Keeps the configuration the newest that can be heard of."""
+def configured(base: Base) -> Iterator[Callable[[], Mapping[str, int]]]:
+    """Keeps the configuration the newest that can be heard of.
+
+    Yields:
+        Returns the counters of "config...." by name.
+    """
     task = config_task.ConfigTask(
         base.config,
         base.platform.table,
@@ -145,5 +150,11 @@
     )
     for kind in _CONFIG_MESSAGES:
         base.network.subscribe(kind, task.on_message)
+
+    def counters() -> Mapping[str, int]:
+        counted = dataclasses.asdict(task.counters)
+        named = {f"config.{name}": count for name, count in counted.items()}
+        return {**named, "config.number": base.config.number}
+
     with tasks(task.run):
-        yield
+        yield counters
--- a/src/vanillaswitch/wiring/controller.py
+++ b/src/vanillaswitch/wiring/controller.py
@@ -1,5 +1,6 @@
 """Wires a controller: its share of capacity and maintenance."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -27,9 +28,15 @@
 class Controller:
     """A running controller; ``run`` makes it."""
 
-    def __init__(self, base: base_lib.Base, inner: controller_lib.Controller):
+    def __init__(
+        self,
+        base: base_lib.Base,
+        inner: controller_lib.Controller,
+        config_counters: Callable[[], Mapping[str, int]],
+    ):
         self._base = base
         self._inner = inner
+        self._config_counters = config_counters
         self._address = ""
 
     @property
@@ -57,7 +64,7 @@
         return 200, {
             **{f"peers.{k}": v for k, v in network.items()},
             **{f"duties.{k}": v for k, v in self._inner.counters.items()},
-            "config.number": self._base.config.number,
+            **self._config_counters(),
         }
 
     def duties(self) -> tuple[int, Mapping[str, Any]]:
@@ -102,7 +109,7 @@
             base_lib.network(settings, peers.Role.CONTROLLER, clock, rng, own)
         )
         base = base_lib.Base(settings, clock, rng, outside, view, network)
-        stack.enter_context(base_lib.configured(base))
+        config_counters = stack.enter_context(base_lib.configured(base))
         inner = controller_lib.Controller(
             settings,
             outside,
@@ -111,7 +118,7 @@
             lambda: view.config,
             network.broadcast,
         )
-        running = Controller(base, inner)
+        running = Controller(base, inner, config_counters)
         stack.enter_context(running._serving())
         with base_lib.tasks(inner.run) as (task,):
             yield running
--- a/src/vanillaswitch/wiring/entry.py
+++ b/src/vanillaswitch/wiring/entry.py
@@ -1,5 +1,6 @@
 """Wires an entry: the request path between callers and minions."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -38,6 +39,7 @@
         claim_service: claims.Claims,
         metrics: metrics_lib.Metrics,
         leaving: base_lib.Leaving,
+        config_counters: Callable[[], Mapping[str, int]],
     ):
         self._base = base
         self._path = path
@@ -45,6 +47,7 @@
         self._claims = claim_service
         self._metrics = metrics
         self._leaving = leaving
+        self._config_counters = config_counters
         self._server: caller_http.Server | None = None
 
     @property
@@ -84,7 +87,7 @@
             **{f"peers.{k}": v for k, v in self._base.network.counters.items()},
             **self._metrics.counters.snapshot(),
             "callers.bad_requests": self._running.bad_requests,
-            "config.number": self._base.config.number,
+            **self._config_counters(),
         }
 
     def histograms(self) -> Mapping[str, Any]:
@@ -208,7 +211,7 @@
             base_lib.network(settings, peers.Role.ENTRY, clock, rng, own)
         )
         base = base_lib.Base(settings, clock, rng, outside, view, network)
-        stack.enter_context(base_lib.configured(base))
+        config_counters = stack.enter_context(base_lib.configured(base))
         _take_drains(network, fleet)
         fleets = fleet_task.FleetTask(
             fleet,
@@ -246,6 +249,8 @@
         paths.append(path)
         _exchange_loans(network, path)
         stack.enter_context(path.running())
-        running = Entry(base, path, fleet, service, metrics, leaving)
+        running = Entry(
+            base, path, fleet, service, metrics, leaving, config_counters
+        )
         stack.enter_context(running._serving())
         yield running
