--- a/src/vanillaswitch/cli/wave.py
+++ b/src/vanillaswitch/cli/wave.py
@@ -178,11 +178,13 @@
 def _wave_text(name: str, wave: wave_state.Wave) -> str:
     total = sum(len(names) for names in wave.rounds)
     current = wave.current_round
-    place = "" if current is None else f", in round {current + 1}"
+    place = f"{len(wave.rounds)} rounds"
+    if current is not None:
+        place = f"in round {current + 1} of {len(wave.rounds)}"
     failed = "".join(
         f"\n  failed {one}: {why}" for one, why in wave.failed.items()
     )
     return (
-        f"{name}: {wave.state}{place} of {len(wave.rounds)}, "
+        f"{name}: {wave.state}, {place}, "
         f"{len(wave.done)} of {total} done ({wave.reason}){failed}"
     )
