--- a/src/vanillaswitch/internal/logs.py
+++ b/src/vanillaswitch/internal/logs.py
@@ -96,5 +96,5 @@
 
 
 def error(template: str, *arguments: object) -> None:
-    """Logs a failure that the process survives."""
+    """Logs a failure of this program, not of what is around it."""
     _write("ERROR", template.format(*arguments))
