End the process when a poll of the fleet ends by an error

Cause: the tasks that keep an entry's view fresh ran in a group that nobody watched. One error ended a task for good, and the entry went on with the view of that moment, sending to minions drained since. Ruled out: counting the error and going on, as the controller does for the steps of duties: the other tasks of both daemons treat any error as a broken invariant, and so does the poll for configurations. Change: internal/supervision.py runs tasks and hands their errors to the task that opened them; wiring, membership and the fleet's polls use it. The same lines stood in two places. Conclusion: no task of an entry ends unseen, but for single streams and connections, which are replaced.

--- a/src/vanillaswitch/coordination/fleet_task.py
+++ b/src/vanillaswitch/coordination/fleet_task.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import fleet_view
 from vanillaswitch.internal import clock as clock_lib
 from vanillaswitch.internal import logs
+from vanillaswitch.internal import supervision
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import keys
 
@@ -41,7 +42,7 @@
         self._table = table
         self._clock = clock
         self._poll_s = poll_s
-        self._tasks = gevent.pool.Group()
+        self._refreshes = gevent.pool.Group()
         self._catching_up: gevent.Greenlet | None = None
         self._catching_up_for = -1
         self._reachable = True
@@ -49,12 +50,11 @@
     @contextlib.contextmanager
     def running(self) -> Iterator[None]:
         """Polls and ticks until the block is left."""
-        self._tasks.spawn(self._tick_forever)
-        self._tasks.spawn(self._poll_forever)
-        try:
-            yield
-        finally:
-            self._tasks.kill()
+        with supervision.running(self._tick_forever, self._poll_forever):
+            try:
+                yield
+            finally:
+                self._refreshes.kill()
 
     def poll(self) -> bool:
         """Reads all once; returns whether the platform answered in whole."""
@@ -86,7 +86,7 @@
         """
         pauses = self._view.pauses
         if self._catching_up is None or self._catching_up_for != pauses:
-            self._catching_up = self._tasks.spawn(self.poll)
+            self._catching_up = self._refreshes.spawn(self.poll)
             self._catching_up_for = pauses
         self._catching_up.join(timeout_s)
         return self._view.current
--- a/src/vanillaswitch/coordination/peer_task.py
+++ b/src/vanillaswitch/coordination/peer_task.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 import contextlib
 import dataclasses
+import functools
 import random
 from typing import Any
 from typing import TypeVar
@@ -23,6 +24,7 @@
 from vanillaswitch.coordination import peer_membership
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
+from vanillaswitch.internal import supervision
 from vanillaswitch.protocol import peer_transport
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import settings as settings_lib
@@ -248,20 +250,8 @@
         settings.process, boot, role, settings.data_centre
     )
     network = PeerNetwork(identity, settings.seeds, clock, snapshot)
-    opener = gevent.getcurrent()
-
-    def stop_opener(task: gevent.Greenlet) -> None:
-        gevent.kill(opener, task.exception)
-
     with open_transport(settings.peer_listen, network._receive) as transport:
         network._start(transport)
-        tasks = [
-            gevent.spawn(network._work),
-            gevent.spawn(_keep_time, network._inbox, clock, rng),
-        ]
-        for task in tasks:
-            task.link_exception(stop_opener)
-        try:
+        keep_time = functools.partial(_keep_time, network._inbox, clock, rng)
+        with supervision.running(network._work, keep_time):
             yield network
-        finally:
-            gevent.killall(tasks)
--- a/src/vanillaswitch/wiring/base.py
+++ b/src/vanillaswitch/wiring/base.py
@@ -17,6 +17,7 @@
 from vanillaswitch.coordination import peer_task
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
+from vanillaswitch.internal import supervision
 from vanillaswitch.protocol import peers
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
@@ -61,24 +62,6 @@
         self.begun = False
 
 
-@contextlib.contextmanager
-def tasks(*runs: Callable[[], None]) -> Iterator[list[gevent.Greenlet]]:
-    """Runs tasks until the block is left.
-
-    A task that ends by an error is a broken invariant: it is raised in the
-    task that opened the block, so that the process stops instead of going on
-    without one of its parts.
-    """
-    opener = gevent.getcurrent()
-    spawned = [gevent.spawn(run) for run in runs]
-    for task in spawned:
-        task.link_exception(lambda task: gevent.kill(opener, task.exception))
-    try:
-        yield spawned
-    finally:
-        gevent.killall(spawned)
-
-
 def ending_when_broken(act: Callable[[A], R]) -> Callable[[A], R]:
     """Returns ``act`` such that a broken invariant ends the calling task.
 
@@ -156,5 +139,5 @@
         named = {f"config.{name}": count for name, count in counted.items()}
         return {**named, "config.number": base.config.number}
 
-    with tasks(task.run):
+    with supervision.running(task.run):
         yield counters
--- a/src/vanillaswitch/wiring/controller.py
+++ b/src/vanillaswitch/wiring/controller.py
@@ -14,6 +14,7 @@
 from vanillaswitch.coordination import placement_duty
 from vanillaswitch.coordination import wave_duty
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import supervision
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import config_view
 from vanillaswitch.state import settings as settings_lib
@@ -120,7 +121,7 @@
         )
         running = Controller(base, inner, config_counters)
         stack.enter_context(running._serving())
-        with base_lib.tasks(inner.run) as (task,):
+        with supervision.running(inner.run) as (task,):
             yield running
             leaving.begun = True
             inner.stop()
--- a/src/vanillaswitch/wiring/entry.py
+++ b/src/vanillaswitch/wiring/entry.py
@@ -19,6 +19,7 @@
 from vanillaswitch.coordination import request_path
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import metrics as metrics_lib
+from vanillaswitch.internal import supervision
 from vanillaswitch.protocol import peers
 from vanillaswitch.state import config_view
 from vanillaswitch.state import settings as settings_lib
@@ -225,7 +226,7 @@
         service = claims.Claims(parts)
         _answer_queries(network, service)
         stack.enter_context(
-            base_lib.tasks(parts.committer.run, parts.ledger.run)
+            supervision.running(parts.committer.run, parts.ledger.run)
         )
         client = stack.enter_context(minion_http.open_client(clock))
         path = request_path.RequestPath(
