List the measurements of parts and of planning in the command

Cause: `make measure` ran only the measurements that its modules register.

Ruled out: finding the modules by name; the list says what runs.

Change: measure_parts and measure_planning are listed.

Conclusion: `make measure` runs all.

--- a/standins/measure.py
+++ b/standins/measure.py
@@ -10,12 +10,21 @@
 
 from standins import measure_calls
 from standins import measure_control
+from standins import measure_parts
+from standins import measure_planning
 from standins import measure_rollout
 from standins import measure_steps
 from standins import measurements
 from vanillaswitch.internal import logs
 
-MODULES = (measure_calls, measure_control, measure_rollout, measure_steps)
+MODULES = (
+    measure_calls,
+    measure_control,
+    measure_parts,
+    measure_planning,
+    measure_rollout,
+    measure_steps,
+)
 """Modules that register measurements when they are imported."""
 
 
