Split the wiring of an entry into its parts, name modules alike

Cause: wiring/entry.run was one function of 65 lines, with a list of one element to pass the loads backwards. The same modules were imported under two kinds of names (config_module, config_lib). Ruled out: a file for each part: all of them are wired in one place only. Change: one context manager for each part (fleet, claims, path); state and cli say config_lib as the rest does; some docstrings name their attributes. Conclusion: each function wires one thing.

--- a/src/vanillaswitch/cli/config.py
+++ b/src/vanillaswitch/cli/config.py
@@ -15,10 +15,10 @@
 from vanillaswitch.coordination import routing
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.state import canonical
-from vanillaswitch.state import check as check_module
-from vanillaswitch.state import config as config_module
-from vanillaswitch.state import diff as diff_module
-from vanillaswitch.state import folder as folder_module
+from vanillaswitch.state import check as check_lib
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import diff as diff_lib
+from vanillaswitch.state import folder as folder_lib
 
 
 @click.group("config")
@@ -63,7 +63,7 @@
         config = _read(folder)
         with console.connect(ctx, address) as platform:
             found = console.look(platform)
-        changes = diff_module.diff(found.config, config)
+        changes = diff_lib.diff(found.config, config)
         told = {
             "number": found.head.number,
             "changes": [
@@ -155,13 +155,13 @@
         )
 
 
-def _read(folder: pathlib.Path) -> config_module.Config:
-    loaded = folder_module.read(folder)
+def _read(folder: pathlib.Path) -> config_lib.Config:
+    loaded = folder_lib.read(folder)
     variants = {
         "routing": routing.policies.names,
         "placement": rooms.ORDERS.names,
     }
-    return check_module.check(loaded, variants)
+    return check_lib.check(loaded, variants)
 
 
 def _accepted(outcome: rollout.ApplyOutcome) -> rollout.Applied:
@@ -183,7 +183,7 @@
             )
 
 
-def _line(change: diff_module.Change) -> str:
+def _line(change: diff_lib.Change) -> str:
     if change.before is None:
         return f"+ {change.path}: {json.dumps(change.after)}"
     if change.after is None:
--- a/src/vanillaswitch/protocol/platform.py
+++ b/src/vanillaswitch/protocol/platform.py
@@ -187,7 +187,8 @@
         address: "ip:port"; for an entry that of its callers' port, for a
             worker empty.
         service: the service whose program a minion runs; empty for others.
-        cores: processors; memory_mb: memory in mebibytes.
+        cores: processors.
+        memory_mb: memory in mebibytes.
     """
 
     instance: str
--- a/src/vanillaswitch/state/canonical.py
+++ b/src/vanillaswitch/state/canonical.py
@@ -11,7 +11,7 @@
 import cattrs
 from cattrs.preconf import json as json_preconf
 
-from vanillaswitch.state import config as config_module
+from vanillaswitch.state import config as config_lib
 
 
 @functools.cache
@@ -19,7 +19,7 @@
     return json_preconf.make_converter(forbid_extra_keys=False)
 
 
-def dump(config: config_module.Config) -> bytes:
+def dump(config: config_lib.Config) -> bytes:
     """Returns the canonical JSON of a configuration in UTF-8."""
     text = json.dumps(
         _converter().unstructure(config),
@@ -31,7 +31,7 @@
     return text.encode()
 
 
-def load(body: bytes) -> config_module.Config | None:
+def load(body: bytes) -> config_lib.Config | None:
     """Returns the configuration of canonical bytes.
 
     It was checked before it was accepted, so it is not checked again. Unknown
@@ -42,7 +42,7 @@
         None when this version of the program can't read it.
     """
     try:
-        return _converter().structure(json.loads(body), config_module.Config)
+        return _converter().structure(json.loads(body), config_lib.Config)
     except (cattrs.BaseValidationError, ValueError, AttributeError, TypeError):
         return None
 
--- a/src/vanillaswitch/state/check.py
+++ b/src/vanillaswitch/state/check.py
@@ -15,7 +15,7 @@
 import cattrs
 
 from vanillaswitch import errors
-from vanillaswitch.state import config as config_module
+from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import constraints
 from vanillaswitch.state import folder
 from vanillaswitch.state import structure
@@ -25,12 +25,12 @@
 
 _MAPPINGS = {
     field: typing.get_args(kind)[1]
-    for field, kind in typing.get_type_hints(config_module.Config).items()
+    for field, kind in typing.get_type_hints(config_lib.Config).items()
     if typing.get_origin(kind) is not None
 }
 """Section to the class of its items."""
 
-_OBJECTS = {"policies": config_module.Policies}
+_OBJECTS = {"policies": config_lib.Policies}
 """Section to its own class."""
 
 _NEEDED = ("data_centres", "classes", "services")
@@ -38,7 +38,7 @@
 
 def check(
     loaded: folder.Loaded, variants: Names | None = None
-) -> config_module.Config:
+) -> config_lib.Config:
     """Returns the typed configuration of a merged folder.
 
     Args:
@@ -80,7 +80,7 @@
         self._converter = structure.make_converter(_limits(names, variants))
         self.problems: list[folder.Problem] = []
 
-    def check(self) -> config_module.Config:
+    def check(self) -> config_lib.Config:
         """Returns the configuration without the things that are wrong."""
         self._check_sections()
         parts: dict[str, Any] = {
@@ -91,12 +91,12 @@
             raw = self._merged.get(section, {})
             item = self._structure(raw, kind, (section,))
             parts[section] = item or kind()
-        config = config_module.Config(**parts)
+        config = config_lib.Config(**parts)
         self.problems.extend(_rules(config))
         return config
 
     def _check_sections(self) -> None:
-        known = [f.name for f in dataclasses.fields(config_module.Config)]
+        known = [f.name for f in dataclasses.fields(config_lib.Config)]
         for section, value in self._merged.items():
             if section not in known:
                 message = f"is unknown; known sections: {', '.join(known)}"
@@ -148,23 +148,23 @@
         for field, known in variants.items()
     }
     return {
-        config_module.DataCentre: {"region": constraints.not_empty},
-        config_module.RequestClass: {
+        config_lib.DataCentre: {"region": constraints.not_empty},
+        config_lib.RequestClass: {
             "priority": count,
             "weight": some,
             "queue_limit": some,
             "expected_ms": constraints.above(0, "ms"),
         },
-        config_module.Route: {
+        config_lib.Route: {
             "method": constraints.one_of("method", constraints.METHODS),
             "path": constraints.route_path,
             "request_class": constraints.one_of("class", names["classes"]),
         },
-        config_module.AvailabilityBudget: {
+        config_lib.AvailabilityBudget: {
             "minions_down": count,
             "workers_down": count,
         },
-        config_module.Service: {
+        config_lib.Service: {
             "routes": constraints.not_empty,
             "minions": some,
             "slots_per_minion": some,
@@ -172,13 +172,13 @@
             "not_run_statuses": constraints.each(constraints.between(400, 599)),
             "attempt_timeout_ms": constraints.at_least(1, "ms"),
         },
-        config_module.Pool: {"service": pool_service, "workers": count},
-        config_module.Team: {
+        config_lib.Pool: {"service": pool_service, "workers": count},
+        config_lib.Team: {
             "cores": count,
             "memory_mb": count,
             "accelerators": count,
         },
-        config_module.Job: {
+        config_lib.Job: {
             "pool": constraints.one_of("pool", names["pools"]),
             "team": constraints.one_of("team", names["teams"]),
             "tasks": some,
@@ -186,7 +186,7 @@
             "memory_mb": constraints.at_least(1, "MiB"),
             "accelerators": count,
         },
-        config_module.Wave: {
+        config_lib.Wave: {
             "services": constraints.both(
                 constraints.not_empty, constraints.each(pool_service)
             ),
@@ -194,10 +194,10 @@
             "growth": some,
             "background_failures_per_day": count,
         },
-        config_module.Policies: {
+        config_lib.Policies: {
             "retry_ratio": constraints.between(0, 1),
             "claim_retention_s": constraints.between(
-                1, config_module.LONGEST_RETENTION_S, "s"
+                1, config_lib.LONGEST_RETENTION_S, "s"
             ),
             "max_body_bytes": some,
             # A leaving minion has to lose its new work within seconds.
@@ -207,7 +207,7 @@
     }
 
 
-def _rules(config: config_module.Config) -> Iterator[folder.Problem]:
+def _rules(config: config_lib.Config) -> Iterator[folder.Problem]:
     """Yields breaches of the rules over several fields."""
     for name, service in config.services.items():
         path: folder.Path = ("services", name)
@@ -221,14 +221,14 @@
             )
 
 
-def _workers(config: config_module.Config, service: str) -> int | None:
+def _workers(config: config_lib.Config, service: str) -> int | None:
     """Returns how many workers a service has; None without any pool."""
     sizes = [p.workers for p in config.pools.values() if p.service == service]
     return sum(sizes) if sizes else None
 
 
 def _budget_rules(
-    path: folder.Path, service: config_module.Service, workers: int | None
+    path: folder.Path, service: config_lib.Service, workers: int | None
 ) -> Iterator[folder.Problem]:
     budget = service.availability_budget
     limits = (
@@ -244,7 +244,7 @@
 
 
 def _route_rules(
-    path: folder.Path, routes: tuple[config_module.Route, ...]
+    path: folder.Path, routes: tuple[config_lib.Route, ...]
 ) -> Iterator[folder.Problem]:
     first: dict[tuple[str, str], int] = {}
     for index, route in enumerate(routes):
--- a/src/vanillaswitch/state/config_view.py
+++ b/src/vanillaswitch/state/config_view.py
@@ -3,7 +3,7 @@
 import gevent
 import gevent.event
 
-from vanillaswitch.state import config as config_module
+from vanillaswitch.state import config as config_lib
 
 
 class ConfigView:
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self._number = 0
         self._digest = ""
-        self._config: config_module.Config | None = None
+        self._config: config_lib.Config | None = None
         self._changed = gevent.event.Event()
 
     @property
@@ -30,12 +30,12 @@
         return self._digest
 
     @property
-    def config(self) -> config_module.Config | None:
+    def config(self) -> config_lib.Config | None:
         """The configuration in force; None before the first."""
         return self._config
 
     def offer(
-        self, number: int, digest: str, config: config_module.Config
+        self, number: int, digest: str, config: config_lib.Config
     ) -> bool:
         """Takes a configuration if its number is higher than that in force.
 
--- a/src/vanillaswitch/state/diff.py
+++ b/src/vanillaswitch/state/diff.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from vanillaswitch.state import canonical
-from vanillaswitch.state import config as config_module
+from vanillaswitch.state import config as config_lib
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,7 +26,7 @@
 
 
 def diff(
-    before: config_module.Config | None, after: config_module.Config
+    before: config_lib.Config | None, after: config_lib.Config
 ) -> tuple[Change, ...]:
     """Returns the changes in the order of their paths.
 
@@ -39,7 +39,7 @@
     return tuple(_changes("", _plain(before), _plain(after)))
 
 
-def _plain(config: config_module.Config | None) -> dict[str, Any]:
+def _plain(config: config_lib.Config | None) -> dict[str, Any]:
     if config is None:
         return {}
     mapping: dict[str, Any] = json.loads(canonical.dump(config))
--- a/src/vanillaswitch/state/keys.py
+++ b/src/vanillaswitch/state/keys.py
@@ -1,4 +1,7 @@
-"""Names of rows in the platform's table."""
+"""Names of rows in the platform's table.
+
+A constant that ends with a slash is the prefix of all rows of one kind.
+"""
 
 import urllib.parse
 
--- a/src/vanillaswitch/wiring/base.py
+++ b/src/vanillaswitch/wiring/base.py
@@ -39,7 +39,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Base:
-    """What both daemons stand on."""
+    """What both daemons stand on.
+
+    Attributes:
+        settings: who this process is.
+        config: the configuration in force; ``configured`` keeps it fresh.
+        network: this process's place among its peers.
+    """
 
     settings: settings_lib.Settings
     clock: clocks.Clock
@@ -56,7 +62,11 @@
 
 
 class Leaving:
-    """Whether this process is shutting down."""
+    """Whether this process is shutting down.
+
+    Attributes:
+        begun: set once by whoever stops the process; peers are told.
+    """
 
     def __init__(self) -> None:
         self.begun = False
--- a/src/vanillaswitch/wiring/entry.py
+++ b/src/vanillaswitch/wiring/entry.py
@@ -130,11 +130,63 @@
             yield
 
 
-def _claim_parts(base: base_lib.Base) -> claims.Parts:
+class _Announced:
+    """What heartbeats tell of an entry, also while it is being wired."""
+
+    def __init__(
+        self,
+        config: config_view.ConfigView,
+        fleet: fleet_view.FleetView,
+        leaving: base_lib.Leaving,
+    ):
+        self._config = config
+        self._fleet = fleet
+        self._leaving = leaving
+        self._loads: Callable[[], Mapping[str, int]] = dict
+
+    def count_loads(self, loads: Callable[[], Mapping[str, int]]) -> None:
+        """Tells from now on what ``loads`` returns."""
+        self._loads = loads
+
+    def own(self) -> announcer.Own:
+        """Returns what the next heartbeat tells."""
+        return announcer.Own(
+            self._config.number,
+            self._fleet.version,
+            self._leaving.begun,
+            self._loads(),
+        )
+
+
+@contextlib.contextmanager
+def _fleet_kept(
+    base: base_lib.Base, fleet: fleet_view.FleetView
+) -> Iterator[fleet_task.FleetTask]:
+    """Keeps the view of the fleet fresh, by the platform and by peers."""
+
+    def take(_sender: Any, notice: peers.DrainNotice, _reply: Any) -> None:
+        if fleet.take_drain(notice):
+            base.network.broadcast(notice)
+
+    base.network.subscribe(peers.DrainNotice, take)
+    task = fleet_task.FleetTask(
+        fleet,
+        base.platform.instances,
+        base.platform.table,
+        base.clock,
+        lambda: base.policies.drain_poll_ms / 1000,
+    )
+    with task.running():
+        yield task
+
+
+@contextlib.contextmanager
+def _claims_kept(base: base_lib.Base) -> Iterator[claims.Claims]:
+    """Yields the claims of this boot, and answers its peers' queries."""
     holder = claim_rules.Holder(
         base.settings.process, base.network.boot, base.network.address
     )
-    return claims.make_parts(
+    parts = claims.make_parts(
         holder,
         base.platform.table,
         base.platform.objects,
@@ -143,37 +195,56 @@
         base.rng,
         lambda: base.policies.claim_retention_s,
     )
+    service = claims.Claims(parts)
 
-
-def _answer_queries(
-    network: peer_task.PeerNetwork, service: claims.Claims
-) -> None:
     def answer(_sender: Any, query: peers.ClaimQuery, reply: Any) -> None:
         reply(service.answer_query(query))
 
-    network.subscribe(peers.ClaimQuery, answer)
-
-
-def _take_drains(
-    network: peer_task.PeerNetwork, fleet: fleet_view.FleetView
-) -> None:
-    def take(_sender: Any, notice: peers.DrainNotice, _reply: Any) -> None:
-        if fleet.take_drain(notice):
-            network.broadcast(notice)
+    base.network.subscribe(peers.ClaimQuery, answer)
+    with supervision.running(parts.committer.run, parts.ledger.run):
+        yield service
 
-    network.subscribe(peers.DrainNotice, take)
 
+@contextlib.contextmanager
+def _path_open(
+    base: base_lib.Base,
+    fleet: fleet_view.FleetView,
+    fleets: fleet_task.FleetTask,
+    service: claims.Claims,
+    metrics: metrics_lib.Metrics,
+) -> Iterator[request_path.RequestPath]:
+    """Yields the way of requests, which lends slots to its peers."""
+    network = base.network
+
+    def entries() -> tuple[str, ...]:
+        others = network.alive(peers.Role.ENTRY)
+        return (base.settings.process, *(one.process for one in others))
 
-def _exchange_loans(
-    network: peer_task.PeerNetwork, path: request_path.RequestPath
-) -> None:
     def take(_sender: Any, message: lending.Message, _reply: Any) -> None:
         path.told(message)
 
-    kinds: tuple[type[Any], ...]
-    kinds = (peers.SlotAsk, peers.SlotGrant, peers.SlotReturn)
-    for kind in kinds:
-        network.subscribe(kind, take)
+    with minion_http.open_client(base.clock) as client:
+        path = request_path.RequestPath(
+            base.clock,
+            base.rng,
+            base.settings.data_centre,
+            base.config,
+            fleet,
+            fleets.catch_up,
+            network.peer_loads,
+            entries,
+            client,
+            service,
+            metrics,
+            network.boot,
+            functools.partial(_send_loan, network),
+        )
+        kinds: tuple[type[Any], ...]
+        kinds = (peers.SlotAsk, peers.SlotGrant, peers.SlotReturn)
+        for kind in kinds:
+            network.subscribe(kind, take)
+        with path.running():
+            yield path
 
 
 def _send_loan(
@@ -200,58 +271,21 @@
     view = config_view.ConfigView()
     fleet = fleet_view.FleetView()
     leaving = base_lib.Leaving()
-    paths: list[request_path.RequestPath] = []
-
-    def own() -> announcer.Own:
-        loads = paths[0].loads if paths else {}
-        return announcer.Own(view.number, fleet.version, leaving.begun, loads)
-
+    told = _Announced(view, fleet, leaving)
     with contextlib.ExitStack() as stack:
-        outside = stack.enter_context(platform_http.connect(settings.platform))
-        network = stack.enter_context(
-            base_lib.network(settings, peers.Role.ENTRY, clock, rng, own)
+        enter = stack.enter_context
+        outside = enter(platform_http.connect(settings.platform))
+        network = enter(
+            base_lib.network(settings, peers.Role.ENTRY, clock, rng, told.own)
         )
         base = base_lib.Base(settings, clock, rng, outside, view, network)
-        config_counters = stack.enter_context(base_lib.configured(base))
-        _take_drains(network, fleet)
-        fleets = fleet_task.FleetTask(
-            fleet,
-            outside.instances,
-            outside.table,
-            clock,
-            lambda: base.policies.drain_poll_ms / 1000,
-        )
-        stack.enter_context(fleets.running())
-        parts = _claim_parts(base)
-        service = claims.Claims(parts)
-        _answer_queries(network, service)
-        stack.enter_context(
-            supervision.running(parts.committer.run, parts.ledger.run)
-        )
-        client = stack.enter_context(minion_http.open_client(clock))
-        path = request_path.RequestPath(
-            clock,
-            rng,
-            settings.data_centre,
-            view,
-            fleet,
-            fleets.catch_up,
-            network.peer_loads,
-            lambda: (
-                settings.process,
-                *(one.process for one in network.alive(peers.Role.ENTRY)),
-            ),
-            client,
-            service,
-            metrics,
-            network.boot,
-            functools.partial(_send_loan, network),
-        )
-        paths.append(path)
-        _exchange_loans(network, path)
-        stack.enter_context(path.running())
+        config_counters = enter(base_lib.configured(base))
+        fleets = enter(_fleet_kept(base, fleet))
+        service = enter(_claims_kept(base))
+        path = enter(_path_open(base, fleet, fleets, service, metrics))
+        told.count_loads(lambda: path.loads)
         running = Entry(
             base, path, fleet, service, metrics, leaving, config_counters
         )
-        stack.enter_context(running._serving())
+        enter(running._serving())
         yield running
