Plan a step's moves once, and count the pools of services once

Cause: a step of a service's pools planned the moves twice, to know whom to ask and to begin them, and counted each service's pools by a walk through all of them.

Ruled out: planning only for the service's own pools; a worker may come from any pool.

Change: the view keeps its wanted moves; pools are counted in one pass.

--- a/src/vanillaswitch/coordination/pool_needs.py
+++ b/src/vanillaswitch/coordination/pool_needs.py
@@ -1,5 +1,6 @@
 """What pools have and need, as the planners of moves and spare take it."""
 
+import collections
 from collections.abc import Collection
 
 from vanillaswitch.coordination import buffer
@@ -63,11 +64,11 @@
         by_rack = racks[service]
         by_rack[member.domain] = by_rack.get(member.domain, 0) + 1
         planned[service] += bool(member.row.wave)
-    pools = [pool.service for pool in config.pools.values()]
+    pools = collections.Counter(p.service for p in config.pools.values())
     return [
         buffer.Demand(
             name,
-            pools.count(name),
+            pools[name],
             racks[name],
             service.availability_budget.workers_down,
             planned[name],
--- a/src/vanillaswitch/coordination/pool_step.py
+++ b/src/vanillaswitch/coordination/pool_step.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import functools
 
 from vanillaswitch.coordination import budgets
 from vanillaswitch.coordination import buffer
@@ -46,6 +47,14 @@
     wall_s: float
     new_operation: Callable[[], str]
 
+    @functools.cached_property
+    def wanted_moves(self) -> tuple[moves.Move, ...]:
+        """The moves that this service's duty has to begin."""
+        held = pool_needs.held(self.fleet, self.lost)
+        needs = pool_needs.needs(self.fleet, self.config)
+        planned = moves.PLANNERS.get(moves.DEFAULT_PLANNER)(held, needs)
+        return tuple(move for move in planned if _begins(self, move))
+
     @property
     def keeps_spare(self) -> bool:
         """This service's duty also looks after what is no service's."""
@@ -96,19 +105,11 @@
 def sources(view: View) -> frozenset[str]:
     """Returns the services whose workers this step moves or may begin to."""
     members = view.fleet.members
-    names = [move.worker for move in _wanted_moves(view)]
+    names = [move.worker for move in view.wanted_moves]
     begun = [member.name for member in _under_way(view)]
     return frozenset(members[name].row.service for name in begun + names)
 
 
-def _wanted_moves(view: View) -> tuple[moves.Move, ...]:
-    """Returns the moves that this service's duty has to begin."""
-    held = pool_needs.held(view.fleet, view.lost)
-    needs = pool_needs.needs(view.fleet, view.config)
-    planned = moves.PLANNERS.get(moves.DEFAULT_PLANNER)(held, needs)
-    return tuple(move for move in planned if _begins(view, move))
-
-
 def _begins(view: View, move: moves.Move) -> bool:
     if move.target == buffer.SPARE_POOL:
         return view.keeps_spare
@@ -231,7 +232,7 @@
 def _begin_moves(view: View, draft: changes.Draft) -> None:
     room: dict[str, int] = {}
     worker = platform.InstanceKind.WORKER
-    for move in _wanted_moves(view):
+    for move in view.wanted_moves:
         member = view.fleet.members[move.worker]
         service = member.row.service
         if service in view.config.services and service not in room:
