Measure the time from an urgent wish to its starts

Cause: urgent work has to start within 2.5 s, and nothing measured it among real processes.

Ruled out: timing the plan alone; the wish comes by a configuration, and each of the steps in between has its own pace.

--- a/standins/measure.py
+++ b/standins/measure.py
@@ -14,6 +14,7 @@
 from standins import measure_planning
 from standins import measure_rollout
 from standins import measure_steps
+from standins import measure_urgent
 from standins import measurements
 from vanillaswitch.internal import logs
 
@@ -24,6 +25,7 @@
     measure_planning,
     measure_rollout,
     measure_steps,
+    measure_urgent,
 )
 """Modules that register measurements when they are imported."""
 
