Say why a running wave stands still, test waves of real processes

Cause: after a rack was lost in the middle of a wave the budget was kept and nothing more was taken down, but `wave status` went on to say "running" and `fleet explain` had no decision about it. The stand-in minions also never told what they had in flight, and answered while they rebooted, so that a request sent to a rebooting minion went unseen.

Ruled out: keeping the cause in `reason`, which says who brought the wave into its state and would be lost; writing it in each step.

Change: a wave's row gets `waits` (empty by default), set and explained when the wave has nothing under way and begins nothing, and only when it changes. Stand-in minions tell their requests in flight, reset requests while they reboot and count them; the platform counts drains, reboots and the most that was down at once.

--- a/src/vanillaswitch/cli/wave.py
+++ b/src/vanillaswitch/cli/wave.py
@@ -184,7 +184,8 @@
     failed = "".join(
         f"\n  failed {one}: {why}" for one, why in wave.failed.items()
     )
+    waits = f"\n  waits: {wave.waits}" if wave.waits else ""
     return (
         f"{name}: {wave.state}, {place}, "
-        f"{len(wave.done)} of {total} done ({wave.reason}){failed}"
+        f"{len(wave.done)} of {total} done ({wave.reason}){waits}{failed}"
     )
--- a/src/vanillaswitch/coordination/wave_state.py
+++ b/src/vanillaswitch/coordination/wave_state.py
@@ -37,6 +37,8 @@
         operator: who brought it there last; empty for the system itself.
         started_wall_s: when the run began, seconds since the Unix epoch.
         expected_s: how long the plan said that it takes.
+        waits: why it begins nothing although nothing of it is under way;
+            empty while it goes on.
     """
 
     state: WaveState
@@ -49,6 +51,7 @@
     acknowledged: tuple[str, ...] = ()
     reason: str = ""
     operator: str = ""
+    waits: str = ""
 
     @property
     def over(self) -> frozenset[str]:
--- a/src/vanillaswitch/coordination/wave_step.py
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -13,6 +13,7 @@
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
 from vanillaswitch.coordination import wave_verdict
+from vanillaswitch.coordination import wave_wait
 from vanillaswitch.protocol import platform
 
 
@@ -27,6 +28,7 @@
     began = False
     if wave.state is wave_state.WaveState.RUNNING:
         began = _begin(view, wave, draft)
+    wave = wave_wait.note(view, wave, began, draft)
     # The row is written with each take-down even when it stays as it is: an
     # operator's pause that was committed a moment ago then refuses it.
     if began or wave != view.wave:
@@ -87,12 +89,7 @@
     current = wave.current_round
     if current is None:
         return False
-    waiting = [
-        member
-        for name in wave.rounds[current]
-        if name not in wave.over
-        and (member := view.fleet.members.get(name)) is not None
-    ]
+    waiting = wave_wait.waiting(view, wave)
     kind = wave_plan.KINDS[view.config.waves[view.name].targets]
     began = False
     for service in sorted({member.row.service for member in waiting}):
--- a/standins/control.py
+++ b/standins/control.py
@@ -13,6 +13,7 @@
 from vanillaswitch.transport import sockets
 
 _TIMEOUT_S = 1.0
+_OFF = (platform.Phase.REBOOTING, platform.Phase.DOWN)
 _GONE = (OSError, http.client.HTTPException)
 
 
@@ -32,8 +33,11 @@
 
     def on_phase(self, instance: str, phase: platform.Phase) -> None:
         """Makes a minion show that it leaves, or that it serves again."""
-        leaving = phase is not platform.Phase.SERVING
-        body = json.dumps({"leaving": leaving})
+        switches = {
+            "leaving": phase is not platform.Phase.SERVING,
+            "rebooting": phase in _OFF,
+        }
+        body = json.dumps(switches)
         with self._client(instance) as client:
             if client is not None:
                 client.post(minion_http.SWITCH_PATH, body=body).read()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -97,6 +97,7 @@
         example: folder with ``config`` and ``fleet.json``.
         work_ms: how long a minion works on a request.
         reboot_s: how long a reboot takes.
+        lease_s: term of a controller's session lease.
     """
 
     example: pathlib.Path
@@ -105,6 +106,7 @@
     work_ms: float = 5.0
     reboot_s: float = 0.5
     lag_s: float = 0.5
+    lease_s: float = 3.0
 
 
 class Deployment:
@@ -221,6 +223,7 @@
             peer_listen="127.0.0.1:0",
             listen="127.0.0.1:0",
             seeds=seeds[:4],
+            lease_s=self.shape.lease_s,
         )
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(cattrs.unstructure(settings)))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 from standins import faults as faults_module
 from standins import instances
 from standins import objects
+from standins import phase_log
 from standins import table
 from standins import workers
 from vanillaswitch.internal import clock as clock_module
@@ -53,6 +54,7 @@
         objects: the object store.
         instances: the instances.
         workers: the workers.
+        phases: what the instances went through.
     """
 
     def __init__(
@@ -72,6 +74,10 @@
             faults=faults_module.Faults(clock),
             on_phase=on_phase,
         )
+        self.phases = phase_log.PhaseLog(
+            member.listing for member in fleet.members
+        )
+        self.instances.add_listener(self.phases.on_phase)
         self.workers = workers.MemoryWorkers(
             self.instances,
             clock,
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -40,6 +40,8 @@
         self._by_request: collections.Counter[str] = collections.Counter()
         self._by_key: collections.Counter[str] = collections.Counter()
         self._received = 0
+        self._received_rebooting = 0
+        self._in_flight = 0
         self._over_subscribed = 0
         self._address = ""
         self._server: sockets.HttpServer | None = None
@@ -66,6 +68,11 @@
         """How many requests came, run or not."""
         return self._received
 
+    @property
+    def received_rebooting(self) -> int:
+        """How many requests came while it rebooted or was down."""
+        return self._received_rebooting
+
     @property
     def over_subscribed(self) -> int:
         """How many requests had to wait for a slot."""
@@ -81,6 +88,7 @@
         return {
             "service": self.service,
             "received": self._received,
+            "in_flight": self._in_flight,
             "over_subscribed": self._over_subscribed,
             "by_request": dict(self._by_request),
             "by_key": dict(self._by_key),
@@ -120,8 +128,18 @@
     def note_received(self) -> None:
         """Counts a request that came."""
         self._received += 1
+        self._received_rebooting += self.switches.now.rebooting
         self._seen.set()
 
+    @contextlib.contextmanager
+    def working(self) -> Iterator[None]:
+        """Counts a request as in flight until the block is left."""
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+
     def do(self, work: minion_work.Work) -> None:
         """Runs a request: waits for a slot, counts it, works."""
         if self._slots.locked():
--- a/standins/minion_http.py
+++ b/standins/minion_http.py
@@ -1,6 +1,7 @@
 """The HTTP of a stand-in minion, with the faults that its switches ask for."""
 
 from collections.abc import Mapping
+import contextlib
 import json
 import struct
 from typing import Any
@@ -41,6 +42,9 @@
     def note_run(self, work: minion_work.Work) -> None:
         """Counts a run of a request."""
 
+    def working(self) -> contextlib.AbstractContextManager[None]:
+        """Counts a request as in flight until the block is left."""
+
 
 class Handler(pywsgi.WSGIHandler):  # type: ignore[misc]
     """Answers one request after another on a connection."""
@@ -66,6 +70,13 @@
 
     def _work(self, minion: Worker, body: bytes) -> None:
         minion.note_received()
+        if minion.switches.now.rebooting:
+            self._reset()
+            return
+        with minion.working():
+            self._work_on(minion, body)
+
+    def _work_on(self, minion: Worker, body: bytes) -> None:
         work = minion_work.work_of(self.path, tuple(self.headers.items()), body)
         board = minion.switches
         if board.take("silent_next"):
--- a/standins/minion_switches.py
+++ b/standins/minion_switches.py
@@ -22,6 +22,7 @@
         doubled_next: so many answers are sent twice.
         unlucky_run: whether requests that go silent or are reset do run.
         leaving: every request is declared "not run" with status 503.
+        rebooting: every request is reset, as on a machine that is off.
         refuse: new connections are refused.
         hold: requests run, and are answered once this is switched off.
     """
@@ -36,6 +37,7 @@
     doubled_next: int = 0
     unlucky_run: bool = True
     leaving: bool = False
+    rebooting: bool = False
     refuse: bool = False
     hold: bool = False
 
