Test configurations of real processes through cuts and outages

Cause: that a change reaches every process by peers, and never goes back, was proved with tasks in one process only.

Ruled out: a switch of the stand-in platform for single processes; a relay in front of it cuts exactly the processes that go through it and needs nothing in the platform.

Change: tests with processes. A change is accepted while two processes are cut from the platform, and the table goes down behind it; two operators apply at once; urgent tasks start before all others of the same change. The stand-in workers keep the order of starts, a deployment can give a process another address of the platform.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -131,15 +131,23 @@
             if entry.running
         )
 
-    def start_entry(self, name: str) -> Process:
-        """Starts one more entry, or one in place of an ended one."""
-        self.entries[name] = self._start("entry", name, len(self.entries))
+    def start_entry(self, name: str, platform: str = "") -> Process:
+        """Starts one more entry, or one in place of an ended one.
+
+        Args:
+            name: of the process.
+            platform: "ip:port" that it asks in place of the platform's own.
+        """
+        number = len(self.entries)
+        self.entries[name] = self._start("entry", name, number, platform)
         return self.entries[name]
 
-    def start_controller(self, name: str) -> Process:
-        """Starts one more controller, or one in place of an ended one."""
+    def start_controller(self, name: str, platform: str = "") -> Process:
+        """Starts one more controller; see ``start_entry``."""
         number = len(self.controllers)
-        self.controllers[name] = self._start("controller", name, number)
+        self.controllers[name] = self._start(
+            "controller", name, number, platform
+        )
         return self.controllers[name]
 
     def command(self, *arguments: str) -> tuple[int, str]:
@@ -213,13 +221,15 @@
             minion.address,
         )
 
-    def _start(self, daemon: str, name: str, number: int) -> Process:
+    def _start(
+        self, daemon: str, name: str, number: int, platform: str
+    ) -> Process:
         peers = [*self.entries.values(), *self.controllers.values()]
         seeds = tuple(p.addresses["peer"] for p in peers if p.running)
         settings = settings_lib.Settings(
             process=name,
             data_centre=self._data_centres[number % len(self._data_centres)],
-            platform=self.platform,
+            platform=platform or self.platform,
             peer_listen="127.0.0.1:0",
             listen="127.0.0.1:0",
             seeds=seeds[:4],
--- a/standins/switches.py
+++ b/standins/switches.py
@@ -103,6 +103,7 @@
             "reads": table.reads,
             "rows_written": table.rows_written,
             "reboots_in_use": self._standin.instances.reboots_in_use,
+            "task_starts": self._standin.workers.starts,
             **self._standin.phases.document(),
         }
 
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -54,6 +54,7 @@
         run_time_s: by job, when its tasks finish; never if absent.
         failing_workers: workers on which every start fails.
         failing_jobs: jobs whose tasks fail everywhere.
+        starts: the job of each task that was started, in order.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.run_time_s: dict[str, float] = {}
         self.failing_workers: set[str] = set()
         self.failing_jobs: set[str] = set()
+        self.starts: list[str] = []
         self._instances = instances
         self._clock = clock
         self._lag_s = lag_s
@@ -151,6 +153,7 @@
             checkpoint=spec.checkpoint,
         )
         self._tasks[spec.operation] = task
+        self.starts.append(spec.job)
         if worker in self.failing_workers or spec.job in self.failing_jobs:
             task.end(now, platform.TaskState.FAILED)
         return platform.Done()
--- a/tests/common/control_deployments.py
+++ b/tests/common/control_deployments.py
@@ -64,6 +64,16 @@
         found = self._platform.table.read([key]).rows
         return rows.load(kind, found[0].value) if found else None
 
+    @property
+    def config_number(self):
+        """The number of the configuration in force."""
+        return self.row(keys.CONFIG_HEAD, rows.ConfigHead).number
+
+    def started(self, job):
+        """Returns the places of a job's tasks in the order of all starts."""
+        starts = self.counters["task_starts"]
+        return [place for place, name in enumerate(starts) if name == job]
+
     def minions(self, *services):
         """Returns the names of the minions of services."""
         return {
@@ -127,11 +137,13 @@
         """Takes the table away, until each process saw it, or longer."""
         before = {p.name: _failed(p) for p in processes}
         self.faults(down=True)
-        deployments.wait_until(
-            lambda: all(_failed(p) >= before[p.name] + 2 for p in processes)
-        )
-        yield
-        self.faults(down=False)
+        try:
+            deployments.wait_until(
+                lambda: all(_failed(p) >= before[p.name] + 2 for p in processes)
+            )
+            yield
+        finally:
+            self.faults(down=False)
 
     def start_controller(self):
         """Starts a controller under a new name."""
