--- a/src/vanillaswitch/state/config.py
+++ b/src/vanillaswitch/state/config.py
@@ -175,7 +175,7 @@
         placement: name in the registry of placement orders.
     """
 
-    routing: str = "two-choices"
+    routing: str = "lent-share"
     retry_ratio: float = 0.1
     claim_retention_s: int = LONGEST_RETENTION_S
     max_body_bytes: int = 1_048_576
--- a/tests/common/paths.py
+++ b/tests/common/paths.py
@@ -14,6 +14,7 @@
 from vanillaswitch.internal import metrics
 from vanillaswitch.protocol import claims
 from vanillaswitch.protocol import minions
+from vanillaswitch.protocol import peers
 from vanillaswitch.protocol import platform
 from vanillaswitch.protocol import requests
 from vanillaswitch.state import config
@@ -181,6 +182,20 @@
             metrics=self.metrics,
         )
 
+    def peers_take(self, **slots: int) -> None:
+        """Has peers use slots, whatever the routing policy counts."""
+        self.peer_loads.update(slots)
+        loans = self.path._dispatcher._slots.loans
+        for name, count in slots.items():
+            for number in range(count):
+                ask = peers.SlotAsk("peer", f"{name}-{number}", "", 1, 0)
+                loans.lend(ask, (name,), self.clock.monotonic())
+
+    def peers_free(self, name: str) -> None:
+        """Has peers free the first slot that they took at a minion."""
+        self.peer_loads[name] -= 1
+        self.path.told(peers.SlotReturn("peer", (f"{name}-0/0",)))
+
     def refresh(self) -> bool:
         """Refreshes the view at once."""
         now = self.clock.monotonic()
@@ -198,9 +213,13 @@
 
 @contextlib.contextmanager
 def running(
-    answering: Answering | None = None, minions_up: int = 3
+    answering: Answering | None = None, minions_up: int = 3, routing: str = ""
 ) -> Iterator[Rig]:
-    """Yields a running request path."""
-    rig = Rig(answering, minions_up)
+    """Yields a running request path, under the default policy if not told."""
+    given = make_config()
+    if routing:
+        policies = config.Policies(routing=routing)
+        given = dataclasses.replace(given, policies=policies)
+    rig = Rig(answering, minions_up, given)
     with rig.path.running():
         yield rig
--- a/tests/cover/test_request_path.py
+++ b/tests/cover/test_request_path.py
@@ -13,6 +13,8 @@
 _NOT_RUN = requests.Outcome.NOT_RUN
 _UNKNOWN = requests.Outcome.UNKNOWN
 
+_COUNTING = pytest.mark.parametrize("routing", ("lent-share", "two-choices"))
+
 
 def _refused(reply: requests.Reply) -> tuple[requests.Outcome, str]:
     assert isinstance(reply, requests.Refusal)
@@ -102,15 +104,16 @@
     assert len(rig.sends.minions) <= 2 + 50 + 10 + 5
 
 
-def test_no_minion_is_sent_more_than_its_slots_and_the_rest_waits():
+@_COUNTING
+def test_no_minion_is_sent_more_than_its_slots_and_the_rest_waits(routing):
     end = gevent.event.Event()
 
     def hold(_, request, __):
         end.wait()
         return paths.answer_to(request)
 
-    with paths.running(hold) as rig:
-        rig.peer_loads["m0"] = 6
+    with paths.running(hold, routing=routing) as rig:
+        rig.peers_take(m0=6)
         tasks = [
             gevent.spawn(rig.handle, timeout_ms=60_000, request_id=str(number))
             for number in range(2 + 8 + 8 + 3)
@@ -122,9 +125,12 @@
     assert bodies == [str(number).encode() for number in range(21)]
 
 
-def test_a_request_that_cannot_start_in_time_is_refused_and_not_claimed():
-    with paths.running() as rig:
-        rig.peer_loads.update(m0=8, m1=8, m2=8)
+@_COUNTING
+def test_a_request_that_cannot_start_in_time_is_refused_and_not_claimed(
+    routing,
+):
+    with paths.running(routing=routing) as rig:
+        rig.peers_take(m0=8, m1=8, m2=8)
         reply = rig.handle(timeout_ms=10)
         assert _refused(reply) == (_NOT_RUN, "cannot-start-in-time")
         assert 0 < reply.retry_after_s < 1
@@ -133,10 +139,11 @@
         assert not rig.claims.begun
 
 
-def test_a_waiting_request_is_answered_when_it_is_given_up():
+@_COUNTING
+def test_a_waiting_request_is_answered_when_it_is_given_up(routing):
     """It is not kept until its deadline, of which 19 ms are left."""
-    with paths.running() as rig:
-        rig.peer_loads.update(m0=8, m1=8, m2=8)
+    with paths.running(routing=routing) as rig:
+        rig.peers_take(m0=8, m1=8, m2=8)
         task = gevent.spawn(rig.handle, timeout_ms=1000)
         gevent.idle()
         assert not task.ready()
@@ -144,11 +151,12 @@
         assert _refused(task.get()) == (_NOT_RUN, "cannot-start-in-time")
 
 
-def test_a_slot_that_a_peer_frees_is_used():
-    with paths.running() as rig:
-        rig.peer_loads.update(m0=8, m1=8, m2=8)
+@_COUNTING
+def test_a_slot_that_a_peer_frees_is_used(routing):
+    with paths.running(routing=routing) as rig:
+        rig.peers_take(m0=8, m1=8, m2=8)
         task = gevent.spawn(rig.handle)
         gevent.idle()
-        rig.peer_loads["m1"] = 7
+        rig.peers_free("m1")
         assert isinstance(task.get(), requests.Answer)
     assert rig.sends.minions == ["m1"]
--- a/tests/failures/test_not_run_is_true.py
+++ b/tests/failures/test_not_run_is_true.py
@@ -152,7 +152,7 @@
     surely never ran; a claim left open would be answered "unknown" for good.
     """
     with paths.running() as rig:
-        rig.peer_loads.update(m0=8, m1=8, m2=8)
+        rig.peers_take(m0=8, m1=8, m2=8)
         task = gevent.spawn(rig.charge, "k")
         while not rig.claims.begun:
             gevent.sleep(0)
