Read a bounded part of the fleet in each step of maintenance

Cause: a running wave read every row and asked every instance twice a second, idle duties of pools asked theirs as often, and a wave's row with all its names was written with each instance that was done.

Ruled out: only a longer pause, which makes waves slow; checks of every member's row in a take-down (a kilobyte each); reading the list by name, which the platform's interface does not offer.

Change: one knowledge of the fleet for each process. Who writes an instance's row writes its service's budget row too, so that its version tells whether any row of the service has changed and refuses a take-down that was decided on older ones. A process that does not know an instance reads its row before it counts it as gone.

Tests: two processes with old knowledge pass a wave between them; a process that read the fleet before its instances had pools; what others wrote is known once settled; a step's reads do not grow with the fleet. The test of tasks that leave a draining worker wrote an instance row without the budget row, as no writer does; it writes both now.

--- a/src/vanillaswitch/cli/wave.py
+++ b/src/vanillaswitch/cli/wave.py
@@ -116,9 +116,10 @@
 ) -> None:
     """Prints where each wave stands and why; of one wave when named."""
     with console.connected(ctx, address, as_json) as source:
+        fleet = _read(source)
         waves = {
-            key: found.row
-            for key, found in sorted(_read(source).waves.items())
+            key: fleet.joined(key)
+            for key in sorted(fleet.waves)
             if name in (None, key)
         }
         if name and not waves:
--- a/src/vanillaswitch/coordination/budgets.py
+++ b/src/vanillaswitch/coordination/budgets.py
@@ -111,6 +111,20 @@
     return standing(fleet, config, service, kind).headroom
 
 
+def may_have_room(
+    fleet: fleet_state.Fleet,
+    config: config_lib.Config,
+    service: str,
+    kind: platform.InstanceKind,
+) -> bool:
+    """Tells whether rows alone leave room; needs no word of any instance."""
+    if service not in config.services:
+        return False
+    planned = fleet.budget(service).row.down
+    down = [m for m in members_of(fleet, service, kind) if m.name in planned]
+    return len(down) < _allowed(config, service, kind)
+
+
 def planned_domains(
     members: Iterable[fleet_state.Member], planned: Mapping[str, str]
 ) -> frozenset[str]:
--- a/src/vanillaswitch/coordination/changes.py
+++ b/src/vanillaswitch/coordination/changes.py
@@ -7,6 +7,7 @@
 from vanillaswitch.coordination import controller
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import explain
+from vanillaswitch.coordination import fleet_cache
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import instance_steps
 from vanillaswitch.coordination import wave_state
@@ -29,6 +30,7 @@
         budgets: what each service has down on purpose from now on.
         waves: wave rows.
         decisions: why.
+        checked: waves whose rows have to be as they were.
     """
 
     instances: Mapping[str, rows.Instance | None] = dataclasses.field(
@@ -39,6 +41,7 @@
         default_factory=dict
     )
     decisions: tuple[explain.Decision, ...] = ()
+    checked: tuple[str, ...] = ()
 
     @property
     def empty(self) -> bool:
@@ -64,12 +67,14 @@
         self._down: dict[str, dict[str, str]] = {}
         self._waves: dict[str, wave_state.Wave] = {}
         self._decisions: list[explain.Decision] = []
+        self._checked: set[str] = set()
 
     def put_instance(self, name: str, row: rows.Instance) -> None:
         """Writes an instance's row, and its service's budget accordingly.
 
         An instance is in the budget row of the service that its row names
-        for as long as its phase is not SERVING, and in no other.
+        for as long as its phase is not SERVING, and in no other. The budget
+        row is written also where it stays as it is, see ``rows.Budget``.
         """
         before = self._fleet.members.get(name)
         if before and before.row.service != row.service:
@@ -89,6 +94,10 @@
         """Writes a wave's row."""
         self._waves[name] = wave
 
+    def check_wave(self, name: str) -> None:
+        """Writes nothing unless a wave's row is as it was."""
+        self._checked.add(name)
+
     def explain(self, decision: explain.Decision) -> None:
         """Adds a decision to the record."""
         self._decisions.append(decision)
@@ -99,7 +108,11 @@
             service: rows.Budget(down) for service, down in self._down.items()
         }
         return Changes(
-            self._instances, budgets, self._waves, tuple(self._decisions)
+            self._instances,
+            budgets,
+            self._waves,
+            tuple(self._decisions),
+            tuple(sorted(self._checked - self._waves.keys())),
         )
 
     def _copy_of(self, service: str) -> dict[str, str]:
@@ -108,11 +121,11 @@
         return self._down[service]
 
     def _put_in(self, service: str, name: str, operation: str) -> None:
-        if service and name not in self._fleet.budget(service).row.down:
-            self._copy_of(service)[name] = operation
+        if service:
+            self._copy_of(service).setdefault(name, operation)
 
     def _take_out(self, service: str, name: str) -> None:
-        if service and name in self._fleet.budget(service).row.down:
+        if service:
             self._copy_of(service).pop(name, None)
 
 
@@ -122,17 +135,28 @@
     fleet: fleet_state.Fleet,
     decided: Decided,
 ) -> None:
-    """Writes what was decided, and asks for what was written before.
+    """Writes what was decided, then asks the platform for what is written.
 
-    What is written now is asked for in the next step, when it is read back:
-    only then is its intent surely in the table.
+    What is written now is asked for only where its commit is certain: an
+    operation without its intent in the table would be nobody's.
     """
+    calls = list(decided.calls)
     if not decided.changes.empty:
-        commit(context, fence, fleet, decided.changes)
-    for call in decided.calls:
+        outcome = commit(context, fence, fleet, decided.changes)
+        if isinstance(outcome, platform.Committed):
+            calls += _written_calls(decided.changes)
+    for call in calls:
         instance_steps.perform(context.platform.instances, call)
 
 
+def _written_calls(changes: Changes) -> list[instance_steps.Call]:
+    return [
+        instance_steps.call_of(name, row)
+        for name, row in sorted(changes.instances.items())
+        if row is not None and instance_steps.is_under_way(row)
+    ]
+
+
 def puts(
     fleet: fleet_state.Fleet, changes: Changes
 ) -> tuple[platform.Put, ...]:
@@ -171,26 +195,41 @@
         The outcome; a conflict means that the step has to look again.
     """
     table = context.platform.table
-    found = table.read(explain.keys_of(changes.decisions))
+    subjects = explain.keys_of(changes.decisions)
+    found = table.read(subjects) if subjects else platform.Rows(())
     if isinstance(found, platform.Unavailable):
         return found
     transaction = platform.Transaction(
         ids.new_id(context.rng),
         puts(fleet, changes) + explain.puts(changes.decisions, found.rows),
-        (fence.check,),
+        (fence.check, *_checks(fleet, changes)),
     )
     deadline = context.clock.monotonic() + COMMIT_S
     outcome = commits.settle(table, transaction, context.clock, deadline)
+    fleet_cache.of(context).learn(transaction.puts, outcome)
     if fence.broken_by(outcome):
         context.drop(fence)
     if isinstance(outcome, platform.Committed):
-        _notify(context, changes, outcome.version)
+        _notify(context, fleet, changes, outcome.version)
     return outcome
 
 
+def _checks(
+    fleet: fleet_state.Fleet, changes: Changes
+) -> tuple[platform.Check, ...]:
+    return tuple(
+        platform.Check(keys.wave(name), fleet.waves[name].version)
+        for name in changes.checked
+    )
+
+
 def _notify(
-    context: controller.Context, changes: Changes, version: int
+    context: controller.Context,
+    fleet: fleet_state.Fleet,
+    changes: Changes,
+    version: int,
 ) -> None:
     for service, budget in sorted(changes.budgets.items()):
-        down = tuple(sorted(budget.down))
-        context.broadcast(peers.DrainNotice(service, version, down))
+        if budget != fleet.budget(service).row:
+            down = tuple(sorted(budget.down))
+            context.broadcast(peers.DrainNotice(service, version, down))
--- a/src/vanillaswitch/coordination/controller.py
+++ b/src/vanillaswitch/coordination/controller.py
@@ -71,9 +71,16 @@
     drop: Callable[[duties.Fence], None] = _keep
     leased: Callable[[], bool] = _always
 
-    def rest(self, nothing_to_do: bool) -> None:
-        """Says whether the next step may come after ``IDLE_S``."""
-        self.memory[_RESTS] = nothing_to_do
+    def rest(self, nothing_to_do: bool, least_s: float = 0.0) -> None:
+        """Says how soon the next step is due.
+
+        Args:
+            nothing_to_do: it may come after ``IDLE_S``.
+            least_s: it must not come before so many seconds, for what it
+                reads would be too much.
+        """
+        least = IDLE_S if nothing_to_do else STEP_S
+        self.memory[_RESTS] = max(least, least_s)
 
 
 Broadcast = Callable[[peers.Message], None]
@@ -104,7 +111,8 @@
 
 def pause_after(memory: Mapping[str, Any]) -> float:
     """Returns the seconds until the next step of a duty with this memory."""
-    return IDLE_S if memory.get(_RESTS) else STEP_S
+    pause_s: float = memory.get(_RESTS, STEP_S)
+    return pause_s
 
 
 class Controller:
--- a/src/vanillaswitch/coordination/fleet_state.py
+++ b/src/vanillaswitch/coordination/fleet_state.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection
 from collections.abc import Container
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import functools
@@ -81,21 +82,53 @@
         empty = Versioned(platform.ABSENT, rows.Budget({}))
         return self.budgets.get(service, empty)
 
-
-def read(
-    source: platform.Platform, asked: Container[str] | None = None
-) -> Fleet | platform.Unavailable:
-    """Reads the fleet.
-
-    Args:
-        source: the platform.
-        asked: services whose instances are asked for their status; None asks
-            all. Members that are not asked have no status.
-    """
+    def part(
+        self,
+        names: Iterable[str],
+        statuses: Mapping[str, platform.InstanceStatus],
+    ) -> "Fleet":
+        """Returns the fleet with these members only, and what they say."""
+        kept = {n: self.members[n] for n in names if n in self.members}
+        said = {n: one for n, one in statuses.items() if n in kept}
+        return dataclasses.replace(self, members=kept).hearing(said)
+
+    def hearing(
+        self, statuses: Mapping[str, platform.InstanceStatus]
+    ) -> "Fleet":
+        """Returns the fleet with what some of its members say."""
+        said = {
+            name: dataclasses.replace(self.members[name], status=status)
+            for name, status in statuses.items()
+        }
+        return dataclasses.replace(self, members={**self.members, **said})
+
+    def joined(self, wave: str) -> wave_state.Wave:
+        """Returns a wave's row with all instances that are done by now.
+
+        Raises:
+            KeyError: the wave was never started.
+        """
+        row = self.waves[wave].row
+        mark = row.mark(wave)
+        done = {
+            name
+            for names in row.rounds
+            for name in names
+            if name in self.members
+            and self.members[name].row.maintained == mark
+        }
+        return dataclasses.replace(row, done=tuple(sorted({*row.done, *done})))
+
+
+def read(source: platform.Platform) -> Fleet | platform.Unavailable:
+    """Reads the whole fleet and asks each instance, for operators."""
     recorded = read_recorded(source)
     if isinstance(recorded, platform.Unavailable):
         return recorded
-    return ask(source, recorded, asked)
+    statuses = source.instances.status(list(recorded.members))
+    if isinstance(statuses, platform.Unavailable):
+        return statuses
+    return recorded.hearing({one.instance: one for one in statuses})
 
 
 def read_recorded(source: platform.Platform) -> Fleet | platform.Unavailable:
@@ -112,28 +145,6 @@
     return assemble(found[1], found[0], found[2], listed.instances)
 
 
-def ask(
-    source: platform.Platform,
-    recorded: Fleet,
-    asked: Container[str] | None = None,
-) -> Fleet | platform.Unavailable:
-    """Returns a fleet with what the asked services' instances say."""
-    names = [
-        name
-        for name, member in recorded.members.items()
-        if asked is None or member.row.service in asked
-    ]
-    statuses = source.instances.status(names)
-    if isinstance(statuses, platform.Unavailable):
-        return statuses
-    members = dict(recorded.members)
-    for status in statuses:
-        members[status.instance] = dataclasses.replace(
-            members[status.instance], status=status
-        )
-    return dataclasses.replace(recorded, members=members)
-
-
 def assemble(
     instance_rows: Mapping[str, platform.Row],
     budget_rows: Mapping[str, platform.Row],
@@ -152,21 +163,29 @@
         )
         for name, row in instance_rows.items()
     }
-    strangers = tuple(
-        listing
-        for name, listing in sorted(listings.items())
-        if name not in members
-        and listing.kind is not platform.InstanceKind.ENTRY
-    )
     return Fleet(
         members,
-        {name: _load(rows.Budget, row) for name, row in budget_rows.items()},
-        {name: _load(wave_state.Wave, row) for name, row in wave_rows.items()},
-        strangers,
+        {n: versioned(rows.Budget, row) for n, row in budget_rows.items()},
+        {n: versioned(wave_state.Wave, row) for n, row in wave_rows.items()},
+        strangers(members, listed),
+    )
+
+
+def strangers(
+    members: Container[str], listed: Iterable[platform.Listing]
+) -> tuple[platform.Listing, ...]:
+    """Returns listed minions and workers that belong to no pool, by name."""
+    found = (
+        listing
+        for listing in listed
+        if listing.instance not in members
+        and listing.kind is not platform.InstanceKind.ENTRY
     )
+    return tuple(sorted(found, key=lambda listing: listing.instance))
 
 
-def _load(kind: type[T], row: platform.Row) -> Versioned[T]:
+def versioned(kind: type[T], row: platform.Row) -> Versioned[T]:
+    """Returns a typed row with its version."""
     return Versioned(row.version, rows.load(kind, row.value))
 
 
--- a/src/vanillaswitch/coordination/instance_steps.py
+++ b/src/vanillaswitch/coordination/instance_steps.py
@@ -79,7 +79,7 @@
         new_operation: makes the id of the next intent.
     """
     if status is None or status.operation != row.operation:
-        return Call(_VERBS[row.phase], name, row.operation)
+        return call_of(name, row)
     if row.phase is platform.Phase.DRAINING:
         return _after_drain(row, status, undo, target_service, new_operation)
     if row.phase is platform.Phase.REBOOTING:
@@ -87,6 +87,11 @@
     return _after_resume(row, status, new_operation)
 
 
+def call_of(name: str, row: rows.Instance) -> Call:
+    """Returns what to ask of the platform for an instance under way."""
+    return Call(_VERBS[row.phase], name, row.operation)
+
+
 def take_down(
     row: rows.Instance, status: platform.InstanceStatus, operation: str
 ) -> rows.Instance:
--- a/src/vanillaswitch/coordination/placement_duty.py
+++ b/src/vanillaswitch/coordination/placement_duty.py
@@ -55,7 +55,7 @@
         if placement_view.owns(pool, duty_names.subject(name), config)
     )
     services = {config.pools[p].service for p in owned if p in config.pools}
-    reading = placement_view.read(context.platform, services, memory.reading)
+    reading = placement_view.read(context, services, memory.reading)
     if isinstance(reading, platform.Unavailable):
         return
     memory.reading, memory.config, memory.turned = reading, config, now
--- a/src/vanillaswitch/coordination/placement_view.py
+++ b/src/vanillaswitch/coordination/placement_view.py
@@ -10,7 +10,9 @@
 from collections.abc import Mapping
 import dataclasses
 
+from vanillaswitch.coordination import controller
 from vanillaswitch.coordination import duties
+from vanillaswitch.coordination import fleet_cache
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement
@@ -51,7 +53,7 @@
 
 
 def read(
-    outside: platform.Platform,
+    context: controller.Context,
     services: Collection[str],
     known: Reading | None = None,
 ) -> Reading | platform.Unavailable:
@@ -61,17 +63,18 @@
     changes one of them, so that a plan which did not count it conflicts.
 
     Args:
-        outside: the platform.
-        services: those whose instances are asked for their status.
+        context: of the step.
+        services: those whose workers are asked for their status.
         known: an earlier reading, whose unchanged rows are not parsed again.
     """
+    outside = context.platform
     found = []
     for prefix in (keys.QUOTAS, keys.TASKS, keys.JOBS):
         outcome = outside.table.scan(prefix)
         if isinstance(outcome, platform.Unavailable):
             return outcome
         found.append(outcome.rows)
-    fleet = fleet_state.read(outside, services)
+    fleet = _fleet(context, services)
     if isinstance(fleet, platform.Unavailable):
         return fleet
     reports = outside.workers.reports()
@@ -87,6 +90,29 @@
     )
 
 
+def _fleet(
+    context: controller.Context, services: Collection[str]
+) -> fleet_state.Fleet | platform.Unavailable:
+    """Returns all members; the workers of some services have a status."""
+    cache = fleet_cache.of(context)
+    outside = context.platform
+    now = context.clock.monotonic()
+    if not cache.refresh(outside, now):
+        return platform.Unavailable("the fleet can't be read")
+    if not cache.settle(outside, services, now):
+        return platform.Unavailable("budgets can't be read")
+    asked = {
+        name
+        for name, member in cache.fleet.members.items()
+        if member.row.service in services
+        and member.row.kind is platform.InstanceKind.WORKER
+    }
+    said = cache.ask(outside, asked, now)
+    if isinstance(said, platform.Unavailable):
+        return said
+    return cache.fleet.hearing(said)
+
+
 def _parsed_tasks(
     found: Iterable[platform.Row],
     known: Mapping[str, fleet_state.Versioned[tasks.Task]],
--- a/src/vanillaswitch/coordination/pool_step.py
+++ b/src/vanillaswitch/coordination/pool_step.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
-import functools
 
 from vanillaswitch.coordination import budgets
 from vanillaswitch.coordination import buffer
@@ -33,6 +33,9 @@
 
     Attributes:
         service: whose pools these are.
+        fleet: the members that this step may judge, with what they say.
+        whole: rows of all members, without what they say.
+        wanted: moves to begin, by ``wanted_moves``.
         lost: workers that are down for so long that their pool has to be
             given another one.
         gone: instances to forget.
@@ -41,37 +44,32 @@
 
     service: str
     fleet: fleet_state.Fleet
+    whole: fleet_state.Fleet
     config: config_lib.Config
+    wanted: tuple[moves.Move, ...]
     lost: frozenset[str]
     gone: frozenset[str]
     wall_s: float
     new_operation: Callable[[], str]
 
-    @functools.cached_property
-    def wanted_moves(self) -> tuple[moves.Move, ...]:
-        """The moves that this service's duty has to begin."""
-        held = pool_needs.held(self.fleet, self.lost)
-        needs = pool_needs.needs(self.fleet, self.config)
-        planned = moves.PLANNERS.get(moves.DEFAULT_PLANNER)(held, needs)
-        return tuple(move for move in planned if _begins(self, move))
+    def is_mine(self, row: rows.Instance) -> bool:
+        """Tells whether this service's duty has an instance to look after."""
+        return is_mine(self.config, self.service, row)
 
-    @property
-    def keeps_spare(self) -> bool:
-        """This service's duty also looks after what is no service's."""
-        return keeps_spare(self.config, self.service)
 
-    def is_mine(self, row: rows.Instance) -> bool:
-        """Tells whether this service's duty has an instance to look after.
+def is_mine(
+    config: config_lib.Config, service: str, row: rows.Instance
+) -> bool:
+    """Tells whether a service's duty has an instance to look after.
 
-        A begun move is the target's: that pool is short of a worker.
-        """
-        if row.target_pool:
-            service = service_of(self.config, row.target_pool)
-        else:
-            service = row.service
-        if service not in self.config.services:
-            return self.keeps_spare
-        return service == self.service
+    A begun move is the target's: that pool is short of a worker.
+    """
+    owner = row.service
+    if row.target_pool:
+        owner = service_of(config, row.target_pool)
+    if owner not in config.services:
+        return keeps_spare(config, service)
+    return owner == service
 
 
 def keeps_spare(config: config_lib.Config, service: str) -> bool:
@@ -102,18 +100,46 @@
     return changes.Decided(draft.build(), tuple(calls))
 
 
-def sources(view: View) -> frozenset[str]:
-    """Returns the services whose workers this step moves or may begin to."""
-    members = view.fleet.members
-    names = [move.worker for move in view.wanted_moves]
-    begun = [member.name for member in _under_way(view)]
-    return frozenset(members[name].row.service for name in begun + names)
+def wanted_moves(
+    whole: fleet_state.Fleet,
+    config: config_lib.Config,
+    service: str,
+    lost: Collection[str],
+) -> tuple[moves.Move, ...]:
+    """Returns the moves that a service's duty has to begin.
+
+    Args:
+        whole: all members; what they say is used as far as it is there.
+        config: the configuration in force.
+        service: whose duty it is.
+        lost: workers that no pool has any more.
+    """
+    held = pool_needs.held(whole, lost)
+    if not _is_short(held, config, service):
+        return ()
+    needs = pool_needs.needs(whole, config)
+    planned = moves.PLANNERS.get(moves.DEFAULT_PLANNER)(held, needs)
+    return tuple(
+        move for move in planned if _begins(config, service, move.target)
+    )
+
+
+def _is_short(
+    held: moves.Held, config: config_lib.Config, service: str
+) -> bool:
+    """Tells whether it is worth planning for this service at all."""
+    if keeps_spare(config, service):
+        return True
+    return any(
+        pool.service == service and len(held.get(name, ())) < pool.workers
+        for name, pool in config.pools.items()
+    )
 
 
-def _begins(view: View, move: moves.Move) -> bool:
-    if move.target == buffer.SPARE_POOL:
-        return view.keeps_spare
-    return service_of(view.config, move.target) == view.service
+def _begins(config: config_lib.Config, service: str, target: str) -> bool:
+    if target == buffer.SPARE_POOL:
+        return keeps_spare(config, service)
+    return service_of(config, target) == service
 
 
 def _under_way(view: View) -> Iterator[fleet_state.Member]:
@@ -190,7 +216,7 @@
         draft.put_instance(
             listing.instance, _adopted(listing, view.service, view.service)
         )
-    if view.keeps_spare:
+    if keeps_spare(view.config, view.service):
         _adopt_workers(view, draft)
 
 
@@ -200,7 +226,7 @@
         for listing in view.fleet.strangers
         if listing.kind is platform.InstanceKind.WORKER
     ][:ADOPTED_AT_ONCE]
-    held = dict(pool_needs.held(view.fleet, view.lost))
+    held = dict(pool_needs.held(view.whole, view.lost))
     new = [moves.Worker(one.instance, _rack(one)) for one in workers]
     # Only the new ones may go anywhere: what pools have now stays put.
     fixed = {
@@ -208,7 +234,7 @@
         for pool, group in held.items()
         if pool != buffer.SPARE_POOL
     }
-    needs = pool_needs.needs(view.fleet, view.config)
+    needs = pool_needs.needs(view.whole, view.config)
     planned = moves.fewest({**fixed, buffer.SPARE_POOL: new}, needs)
     pools = {move.worker: move.target for move in planned}
     for listing in workers:
@@ -232,7 +258,7 @@
 def _begin_moves(view: View, draft: changes.Draft) -> None:
     room: dict[str, int] = {}
     worker = platform.InstanceKind.WORKER
-    for move in view.wanted_moves:
+    for move in view.wanted:
         member = view.fleet.members[move.worker]
         service = member.row.service
         if service in view.config.services and service not in room:
--- a/src/vanillaswitch/coordination/wave_control.py
+++ b/src/vanillaswitch/coordination/wave_control.py
@@ -60,13 +60,14 @@
         return _changes(request, wave, "wave started")
     if found.row.state is State.RUNNING:
         raise errors.WaveRefusedError(f"{request.name} is running already")
+    standing = fleet.joined(request.name)
     wave = dataclasses.replace(
-        found.row,
+        standing,
         state=State.RUNNING,
         reason=f"resumed by {request.operator}",
         operator=request.operator,
         # The operator has seen these; only new failures stop it again.
-        acknowledged=tuple(sorted(found.row.failed)),
+        acknowledged=tuple(sorted(standing.failed)),
     )
     return _changes(request, wave, "wave resumed")
 
@@ -84,7 +85,7 @@
         state = found.row.state if found else "not started"
         raise errors.WaveRefusedError(f"{request.name} is {state}")
     wave = dataclasses.replace(
-        found.row,
+        fleet.joined(request.name),
         state=State.PAUSED,
         reason=f"paused by {request.operator}",
         operator=request.operator,
--- a/src/vanillaswitch/coordination/wave_state.py
+++ b/src/vanillaswitch/coordination/wave_state.py
@@ -23,13 +23,15 @@
 class Wave:
     """``wave/<name>``: one run of a maintenance wave.
 
-    The progress of an instance that is down now is in its own row; this row
-    keeps what is behind it.
+    The progress of an instance is in its own row, and so is that it is done:
+    this row holds the names of the whole wave and would be written anew for
+    each of them.
 
     Attributes:
         run: random id of this run; a new start of the wave is a new run.
         rounds: instances by round, in the order planned at the start.
-        done: instances that were rebooted and serve again.
+        done: instances that were rebooted and serve again, as of the last
+            write of this row; see ``fleet_state.Fleet.joined``.
         failed: instance to the reason why it did not come back.
         acknowledged: failures that an operator knew of when resuming; they
             no longer count against the wave.
@@ -53,6 +55,18 @@
     operator: str = ""
     waits: str = ""
 
+    def mark(self, name: str) -> str:
+        """Returns what an instance's row says once this run is done with it.
+
+        Args:
+            name: the wave's.
+        """
+        return f"{name}/{self.run}"
+
+    def same_but_done(self, other: "Wave") -> bool:
+        """Tells whether two states of a run differ in ``done`` at most."""
+        return dataclasses.replace(self, done=other.done) == other
+
     @property
     def over(self) -> frozenset[str]:
         """Instances that this run takes down no more."""
@@ -61,7 +75,8 @@
     @property
     def current_round(self) -> int | None:
         """Index of the first round that is not over; None after the last."""
+        over = self.over
         for index, names in enumerate(self.rounds):
-            if not self.over.issuperset(names):
+            if not over.issuperset(names):
                 return index
         return None
--- a/src/vanillaswitch/coordination/wave_step.py
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import changes
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import instance_steps
+from vanillaswitch.coordination import wave_front
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
 from vanillaswitch.coordination import wave_verdict
@@ -29,10 +30,11 @@
     if wave.state is wave_state.WaveState.RUNNING:
         began = _begin(view, wave, draft)
     wave = wave_wait.note(view, wave, began, draft)
-    # The row is written with each take-down even when it stays as it is: an
-    # operator's pause that was committed a moment ago then refuses it.
-    if began or wave != view.wave:
+    if not wave.same_but_done(view.wave):
         draft.put_wave(view.name, wave)
+    # An operator's pause that was committed a moment ago refuses a take-down.
+    if began:
+        draft.check_wave(view.name)
     return changes.Decided(draft.build(), tuple(calls))
 
 
@@ -44,6 +46,8 @@
     calls = []
     done = []
     for member in view.under_way:
+        if member.name in view.booting:
+            continue
         step = instance_steps.step(
             member.name,
             member.row,
@@ -56,9 +60,11 @@
             calls.append(step)
         if not isinstance(step, instance_steps.Advance):
             continue
-        draft.put_instance(member.name, step.row)
-        if not instance_steps.is_under_way(step.row) and _rebooted(member):
+        row = step.row
+        if not instance_steps.is_under_way(row) and _rebooted(member):
+            row = dataclasses.replace(row, maintained=wave.mark(view.name))
             done.append(member.name)
+        draft.put_instance(member.name, row)
     return calls, done
 
 
@@ -77,31 +83,33 @@
         for member in view.under_way
         if member.row.phase is platform.Phase.DRAINING
     ]
+    judged = [m for m in draining if m.row.service in view.judged]
     if wave.state is wave_state.WaveState.STOPPED:
         return frozenset(member.name for member in draining)
-    return budgets.to_return(view.fleet, view.config, draining)
+    return budgets.to_return(view.fleet, view.config, judged)
 
 
 def _begin(
     view: wave_verdict.View, wave: wave_state.Wave, draft: changes.Draft
 ) -> bool:
     """Takes the next instances of the round down; tells whether any."""
-    current = wave.current_round
-    if current is None:
-        return False
-    waiting = wave_wait.waiting(view, wave)
+    waiting = [
+        member
+        for member in wave_front.waiting(wave, view.fleet)
+        if member.row.service in view.judged
+    ]
     kind = wave_plan.KINDS[view.config.waves[view.name].targets]
     began = False
     for service in sorted({member.row.service for member in waiting}):
         group = [m for m in waiting if m.row.service == service]
-        began |= _begin_service(view, draft, current, service, kind, group)
+        began |= _begin_service(view, wave, draft, service, kind, group)
     return began
 
 
 def _begin_service(
     view: wave_verdict.View,
+    wave: wave_state.Wave,
     draft: changes.Draft,
-    current: int,
     service: str,
     kind: platform.InstanceKind,
     waiting: list[fleet_state.Member],
@@ -112,9 +120,7 @@
     if room <= 0 or not ready:
         return False
     members = budgets.members_of(view.fleet, service, kind)
-    busy = budgets.planned_domains(members, planned)
-    domain = min(busy, default=ready[0].domain)
-    chosen = [m for m in ready if busy <= {domain} and m.domain == domain]
+    chosen = wave_front.of_one_domain(members, planned, ready)
     for member in chosen[:room]:
         assert member.status is not None  # it is up, so that it answered
         row = instance_steps.take_down(
@@ -125,12 +131,12 @@
         )
     if chosen:
         figures = {
-            "round": float(current + 1),
+            "round": float(wave_front.round_of(wave, chosen[0].name) + 1),
             "headroom": float(room),
             "taken": float(len(chosen[:room])),
         }
         names = ", ".join(member.name for member in chosen[:room])
-        cause = f"{service}: {names} are next in {domain}"
+        cause = f"{service}: {names} are next in {chosen[0].domain}"
         draft.explain(
             wave_verdict.decision(view, cause, "headroom of budget", figures)
         )
--- a/src/vanillaswitch/coordination/wave_verdict.py
+++ b/src/vanillaswitch/coordination/wave_verdict.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import functools
 
 from vanillaswitch.coordination import changes
 from vanillaswitch.coordination import correlation
@@ -23,21 +24,29 @@
 
     Attributes:
         name: the wave.
+        fleet: what the wave has under way and the members of the judged
+            services, with what they say.
+        whole: rows of all members, without what they say.
+        judged: services whose budgets this step may draw on.
+        booting: instances that reboot and were not asked for that.
         broken: instance to the reason why it counts as failed by now.
         wall_s: wall-clock time.
     """
 
     name: str
     fleet: fleet_state.Fleet
+    whole: fleet_state.Fleet
+    judged: frozenset[str]
+    booting: frozenset[str]
     config: config_lib.Config
     broken: Mapping[str, str]
     wall_s: float
     new_operation: Callable[[], str]
 
-    @property
+    @functools.cached_property
     def wave(self) -> wave_state.Wave:
-        """The wave's row."""
-        return self.fleet.waves[self.name].row
+        """The wave's row, with what is done by now."""
+        return self.whole.joined(self.name)
 
     @property
     def under_way(self) -> tuple[fleet_state.Member, ...]:
@@ -86,7 +95,7 @@
 
 
 def _failure(view: View, name: str) -> str | None:
-    if name not in view.fleet.members:
+    if name not in view.whole.members:
         return "belongs to no pool any more"
     return view.broken.get(name)
 
--- a/src/vanillaswitch/coordination/wave_wait.py
+++ b/src/vanillaswitch/coordination/wave_wait.py
@@ -9,26 +9,12 @@
 
 from vanillaswitch.coordination import budgets
 from vanillaswitch.coordination import changes
-from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import wave_front
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
 from vanillaswitch.coordination import wave_verdict
 
 
-def waiting(
-    view: wave_verdict.View, wave: wave_state.Wave
-) -> list[fleet_state.Member]:
-    """Returns the instances of the current round that are not over."""
-    current = wave.current_round
-    names = () if current is None else wave.rounds[current]
-    return [
-        member
-        for name in names
-        if name not in wave.over
-        and (member := view.fleet.members.get(name)) is not None
-    ]
-
-
 def note(
     view: wave_verdict.View,
     wave: wave_state.Wave,
@@ -50,13 +36,13 @@
     if waits == wave.waits:
         return wave
     if waits:
-        figures = {"waiting": float(len(waiting(view, wave)))}
+        figures = {"waiting": float(len(wave_front.waiting(wave, view.fleet)))}
         draft.explain(wave_verdict.decision(view, waits, "wave waits", figures))
     return dataclasses.replace(wave, waits=waits)
 
 
 def _causes(view: wave_verdict.View, wave: wave_state.Wave) -> Iterator[str]:
-    members = waiting(view, wave)
+    members = wave_front.waiting(wave, view.fleet)
     kind = wave_plan.KINDS[view.config.waves[view.name].targets]
     for service in sorted({member.row.service for member in members}):
         if service not in view.config.services:
--- a/src/vanillaswitch/state/rows.py
+++ b/src/vanillaswitch/state/rows.py
@@ -93,6 +93,7 @@
         wave: the wave that has it down; empty for none.
         cordoned: takes no new tasks; ``reason`` says why.
         boots: boots seen before the reboot under way was asked for.
+        maintained: wave and run that rebooted it last; empty for none.
     """
 
     pool: str
@@ -107,15 +108,20 @@
     cordoned: bool = False
     reason: str = ""
     boots: int = 0
+    maintained: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
 class Budget:
     """``budget/<service>``: what is taken down on purpose now.
 
+    Whoever writes the row of an instance of the service writes this row too,
+    changed or not. Its version therefore stands for the rows of all of them:
+    two takers of one service conflict, and who finds the version unchanged
+    knows that the rows are.
+
     Attributes:
-        down: instance name to the operation id that has it down. All waves
-            and moves of a service write this row, so two of them conflict.
+        down: instance name to the operation id that has it down.
     """
 
     down: Mapping[str, str]
--- a/tests/common/benches.py
+++ b/tests/common/benches.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
-import functools
 import random
 from typing import Any
 
@@ -129,6 +128,8 @@
         self.kill_at: int | None = None
         self.kill_when = "before"
         self._calls = 0
+        self._interfaces: dict[int, platform.Platform] = {}
+        self.process_of: dict[str, int] = {}
         for listing in self.listings:
             pool, service = self.pool_of(listing)
             row = rows.Instance(
@@ -140,17 +141,27 @@
             )
             self.put(keys.instance(listing.instance), row)
 
-    @functools.cached_property
-    def interface(self) -> platform.Platform:
-        """The platform as a mortal controller sees it."""
+    def interface(self, process: int = 0) -> platform.Platform:
+        """Returns the platform as a mortal controller's process sees it.
+
+        Each process has a knowledge of the fleet of its own.
+        """
         real = self.platform.interface
-        return platform.Platform(
-            Mortal(real.table, self._tick),
-            real.objects,
-            Mortal(real.instances, self._tick),
-            real.workers,
+        return self._interfaces.setdefault(
+            process,
+            platform.Platform(
+                Mortal(real.table, self._tick),
+                real.objects,
+                Mortal(real.instances, self._tick),
+                real.workers,
+            ),
         )
 
+    def hand_over(self, duty: str, process: int) -> None:
+        """A controller in another process takes the duty."""
+        self.process_of[duty] = process
+        self.take_over(duty)
+
     def put(self, key: str, row: object) -> int:
         """Writes a row whatever its version; returns the new version."""
         table = self.platform.table
@@ -173,7 +184,7 @@
         if duty not in self.fences:
             self.take_over(duty)
         context = controller.Context(
-            self.interface,
+            self.interface(self.process_of.get(duty, 0)),
             self.clock,
             self.rng,
             self.config,
--- /dev/null
+++ b/tests/cover/test_fleet_cache.py
@@ -0,0 +1,136 @@
+"""What a process knows of the fleet, and what it costs to keep it fresh."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.common import benches
+from vanillaswitch.coordination import byte_meter
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import commits
+from vanillaswitch.coordination import fleet_cache
+from vanillaswitch.coordination import wave_duty  # noqa: F401
+from vanillaswitch.coordination import wave_plan
+from vanillaswitch.coordination import wave_state
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import keys
+
+SERVICES = ("a", "b")
+WAVE = config_lib.Wave(SERVICES, config_lib.WaveTarget.MINIONS)
+
+
+def many(services: int) -> benches.Bench:
+    names = [f"s{number:02}" for number in range(services)]
+    listings = [one for n in names for one in benches.minion_listings(n, 6)]
+    wave = dataclasses.replace(WAVE, services=tuple(names))
+    return benches.Bench(listings, benches.config_of(names, waves={"w": wave}))
+
+
+def write(bench, name, **fields):
+    """Another process changes an instance, as all of them have to."""
+    fleet = bench.fleet()
+    draft = changes.Draft(fleet)
+    row = dataclasses.replace(fleet.members[name].row, **fields)
+    draft.put_instance(name, row)
+    puts = changes.puts(fleet, draft.build())
+    transaction = platform.Transaction(f"t{bench.rng.random()}", puts)
+    commits.settle(bench.platform.table, transaction, bench.clock, 0.0)
+
+
+phases = st.sampled_from([platform.Phase.SERVING, platform.Phase.DRAINING])
+writes = st.tuples(
+    st.sampled_from(["a-0", "a-1", "b-0", "b-1"]),
+    st.sampled_from(SERVICES),
+    phases,
+)
+
+
+@given(st.lists(st.lists(writes, max_size=3), max_size=5))
+def test_what_others_wrote_of_a_service_is_known_once_it_is_settled(turns):
+    listings = [o for s in SERVICES for o in benches.minion_listings(s, 2)]
+    bench = benches.Bench(listings, benches.config_of(SERVICES))
+    cache = fleet_cache.Cache()
+    source = bench.platform.interface
+    cache.refresh(source, 0.0)
+    for turn in turns:
+        for name, service, phase in turn:
+            write(bench, name, service=service, phase=phase)
+        assert cache.settle(source, ("a", "b"), 0.0)
+        truth = bench.fleet()
+        assert cache.fleet.budgets == truth.budgets
+        assert {n: m.row for n, m in cache.fleet.members.items()} == {
+            n: m.row for n, m in truth.members.items()
+        }
+
+
+def test_an_instance_that_is_new_or_gone_is_found_by_the_sweep():
+    bench = many(30)
+    cache = fleet_cache.Cache()
+    source = bench.platform.interface
+    cache.refresh(source, 0.0)
+    [row] = bench.platform.table.read([keys.instance("s29-5")]).rows
+    gone = platform.Put(row.key, row.version, None)
+    new = platform.Put(keys.instance("s00-new"), platform.ABSENT, row.value)
+    bench.platform.table.commit(platform.Transaction("t", (gone, new)))
+    now = 0.0
+    while cache.fleet.members.keys() != bench.fleet().members.keys():
+        now += 10.0
+        cache.refresh(source, now)
+        assert now < 600.0
+
+
+def test_an_older_answer_does_not_replace_a_newer_one():
+    bench = many(1)
+    cache = fleet_cache.Cache()
+    source = bench.platform.interface
+    cache.refresh(source, 0.0)
+    [old] = bench.platform.table.read([keys.instance("s00-0")]).rows
+    write(bench, "s00-0", phase=platform.Phase.DRAINING)
+    cache.settle(source, ("s00",), 0.0)
+    cache.learn((), platform.Conflict((old,)))
+    assert cache.fleet.members["s00-0"].row.phase is platform.Phase.DRAINING
+
+
+def test_a_step_of_a_wave_reads_no_more_of_a_larger_fleet():
+    """Counted in rows and names, by the calls of the platform."""
+
+    def most_read(services: int) -> int:
+        bench = many(services)
+        plan = wave_plan.plan(
+            bench.fleet(), bench.config, bench.config.waves["w"]
+        )
+        row = wave_state.Wave(
+            wave_state.WaveState.RUNNING, "run", plan.rounds, 0.0, 1.0
+        )
+        bench.put(keys.wave("w"), row)
+        bench.step("wave/w")
+        named: list[str] = []
+        for part, call in ((bench.platform.table, "read"),
+                           (bench.platform.instances, "status")):  # fmt: skip
+            inner = getattr(part, call)
+            setattr(part, call, counting(inner, named))
+        bench.platform.table.scan = None
+        return max(read_in_step(bench, named) for _ in range(8))
+
+    def counting(inner, named):
+        return lambda names: (named.extend(names), inner(names))[1]
+
+    def read_in_step(bench, named):
+        named.clear()
+        bench.step("wave/w")
+        return len(named)
+
+    assert most_read(40) <= most_read(8)
+
+
+@given(st.lists(st.floats(0.0, 1e5), min_size=1), st.booleans())
+def test_who_pauses_as_told_reads_at_the_allowed_rate(sizes, busy):
+    meter = byte_meter.Meter()
+    now = 0.0
+    for size in sizes:
+        now += meter.pause_s(now, busy)
+        meter.charge(size, now)
+    allowed = byte_meter.BUSY_BURST_BYTES + now * byte_meter.BYTES_PER_S
+    assert sum(sizes) - sizes[-1] <= allowed * (1 + 1e-9)
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -95,6 +95,7 @@
     row = rows.load(rows.Instance, drained.rows[0].value)
     phase = platform.Phase.DRAINING
     place.put(keys.instance("w0"), dataclasses.replace(row, phase=phase))
+    place.put(keys.budget("backoffice"), rows.Budget({"w0": "op"}))
     place.platform.instances.drain("w0", "op")
     place.step(8)
     assert set(place.running().values()) == {"w1"}
--- a/tests/failures/test_jobs_failures.py
+++ b/tests/failures/test_jobs_failures.py
@@ -198,7 +198,7 @@
     quota's row lets only one of them commit.
     """
     place = placing.Placing(2, {"a": placing.job()})
-    reading = placement_view.read(place.platform.interface, {"backoffice"})
+    reading = placement_view.read(place.context(), {"backoffice"})
     assert isinstance(reading, placement_view.Reading)
     place.step()
     put = platform.Put("quota/billing", reading.quotas.get("billing", 0), {})
--- a/tests/failures/test_one_pool.py
+++ b/tests/failures/test_one_pool.py
@@ -103,6 +103,11 @@
         self.bench.kill_when = when
         self.bench.step(duty)
 
+    @stateful.rule(duty=st.sampled_from(DUTIES), process=st.integers(0, 1))
+    def hand_over(self, duty, process):
+        """A process whose knowledge may be old takes a duty."""
+        self.bench.hand_over(duty, process)
+
     @stateful.rule(duty=st.permutations(DUTIES))
     def race(self, duty):
         """One duty commits between decision and commit of another."""
--- a/tests/failures/test_wave_failures.py
+++ b/tests/failures/test_wave_failures.py
@@ -14,6 +14,7 @@
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import keys
+from vanillaswitch.state import rows
 
 WAVE = config_lib.Wave(("quotes",), config_lib.WaveTarget.MINIONS)
 RUNNING = wave_state.WaveState.RUNNING
@@ -87,6 +88,49 @@
         assert subject.most_down <= 2
 
 
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 9), min_size=1, max_size=12))
+def test_a_wave_passes_between_processes_that_know_it_from_long_ago(turns):
+    """A minion is rebooted twice, or two too many are down.
+
+    A process held the wave, lost it, and takes it again: it knows the fleet
+    as it was. Budget rows tell it whose rows have changed, and what it still
+    has wrong makes its transaction conflict.
+    """
+    subject = bench().begin("kernel")
+    for number, steps in enumerate(turns):
+        subject.hand_over("wave/kernel", number % 2)
+        for _ in range(steps):
+            subject.step("wave/kernel")
+    assert subject.run().state is wave_state.WaveState.FINISHED
+    assert_each_rebooted_once(subject)
+    assert subject.most_down <= 2
+
+
+def test_a_process_that_read_the_fleet_too_early_maintains_all_of_it():
+    """A wave finishes, and one minion still has the old kernel.
+
+    A controller has read the fleet before its minions got their pools. It
+    takes the wave and finds instances that it does not know.
+    """
+    subject = bench()
+    listings, subject.listings = subject.listings, []
+    rows_of = {}
+    for one in listings:
+        [row] = subject.platform.table.read([keys.instance(one.instance)]).rows
+        rows_of[row.key] = rows.load(rows.Instance, row.value)
+        gone = platform.Put(row.key, row.version, None)
+        subject.platform.table.commit(platform.Transaction(row.key, (gone,)))
+    subject.config = dataclasses.replace(subject.config, waves={"kernel": WAVE})
+    subject.step("wave/kernel")
+    for key, row in rows_of.items():
+        subject.put(key, row)
+    subject.listings = listings
+    subject.begin("kernel")
+    assert subject.run().state is wave_state.WaveState.FINISHED
+    assert_each_rebooted_once(subject)
+
+
 @settings(max_examples=25, deadline=None, derandomize=True)
 @given(
     st.lists(
@@ -221,7 +265,7 @@
     subject.before_next_commit(lambda: subject.put(keys.wave("kernel"), paused))
     for _ in range(5):
         subject.step("wave/kernel")
-    assert not subject.not_serving()
+        assert not subject.not_serving()
 
 
 def test_a_holder_that_lost_the_duty_takes_nothing_down():
