Count cordoned workers as down, and let operators lift a cordon

Cause: a cordoned worker carries nothing new, yet counted as up: a wave or a move could take workers down beside it, one more than the budget allows. Nothing took a cordon back but a new instance.

Ruled out: leaving cordoned workers out of a wave, which would never end for one that is cordoned in the middle; a cordon by hand that may overdraw the budget.

Change: a cordon counts as down. A wave maintains cordoned workers too, which costs no headroom, and leaves them cordoned. What operators commit is in a module of its own.

Conclusion: every way of being down counts once.

--- a/src/vanillaswitch/cli/console.py
+++ b/src/vanillaswitch/cli/console.py
@@ -7,6 +7,7 @@
 import dataclasses
 import ipaddress
 import json
+import random
 import sys
 from typing import Any
 
@@ -14,7 +15,11 @@
 
 from vanillaswitch import errors
 from vanillaswitch.cli import exits
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.coordination import operator_commits
 from vanillaswitch.coordination import rollout
+from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import canonical
 from vanillaswitch.state import config as config_lib
@@ -51,6 +56,10 @@
     help="The platform's HTTP interface.",
 )
 
+operator_option = click.option(
+    "--operator", help="Who does it; by default the login name."
+)
+
 json_option = click.option(
     "--json", "as_json", is_flag=True, help="Print JSON, also for refusals."
 )
@@ -76,7 +85,7 @@
     except errors.ApplyConflictError as conflict:
         found = {"conflict": str(conflict), "changes": conflict.changes}
         _refuse(as_json, found, str(conflict), exits.REFUSED)
-    except errors.WaveRefusedError as refused:
+    except (errors.WaveRefusedError, errors.CordonRefusedError) as refused:
         _refuse(as_json, {"refused": str(refused)}, str(refused), exits.REFUSED)
     except errors.PlatformUnavailableError as error:
         text = f"the platform gave no answer: {error}"
@@ -188,3 +197,30 @@
             yield from _flat(error)
         else:
             yield error
+
+
+def commit(
+    source: platform.Platform,
+    fleet: fleet_state.Fleet,
+    changed: changes.Changes,
+) -> bool:
+    """Writes an operator's changes; returns False when others were faster."""
+    return operator_commits.commit(
+        source.table,
+        clocks.SystemClock(),
+        random.SystemRandom(),
+        fleet,
+        changed,
+    )
+
+
+def read_fleet(source: platform.Platform) -> fleet_state.Fleet:
+    """Returns the whole fleet.
+
+    Raises:
+        errors.PlatformUnavailableError: the platform gave no answer.
+    """
+    fleet = fleet_state.read(source)
+    if isinstance(fleet, platform.Unavailable):
+        raise errors.PlatformUnavailableError(fleet.reason)
+    return fleet
--- a/src/vanillaswitch/cli/fleet.py
+++ b/src/vanillaswitch/cli/fleet.py
@@ -1,6 +1,7 @@
 """``vanillaswitch fleet``: how the fleet stands, and why it was decided so."""
 
 import datetime
+import getpass
 from typing import Any
 
 import click
@@ -8,9 +9,12 @@
 from vanillaswitch import errors
 from vanillaswitch.cli import console
 from vanillaswitch.coordination import budgets
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import cordon_control
 from vanillaswitch.coordination import explain
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import pool_needs
+from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import rows
@@ -18,7 +22,7 @@
 
 @click.group("fleet")
 def command() -> None:
-    """Shows budgets and pools, and explains decisions.
+    """Shows budgets and pools, explains decisions, cordons workers.
 
     Exit codes: 0 done, 1 refused, 2 wrong usage, 3 the platform gave no
     answer.
@@ -33,9 +37,7 @@
     """Prints each service's budget and each pool's workers."""
     with console.connected(ctx, address, as_json) as source:
         config = console.in_force(source)
-        fleet = fleet_state.read(source)
-        if isinstance(fleet, platform.Unavailable):
-            raise errors.PlatformUnavailableError(fleet.reason)
+        fleet = console.read_fleet(source)
     standings = _standings(fleet, config)
     held = {
         pool: len(workers) for pool, workers in pool_needs.held(fleet).items()
@@ -83,6 +85,77 @@
     )
 
 
+_worker = click.argument("worker")
+_reason = click.option("--reason", required=True, help="Why; it is kept.")
+
+
+@command.command()
+@_worker
+@_reason
+@console.platform_option
+@console.operator_option
+@console.json_option
+@click.pass_context
+def cordon(
+    ctx: click.Context,
+    worker: str,
+    reason: str,
+    address: str,
+    operator: str | None,
+    as_json: bool,
+) -> None:
+    """Keeps new tasks from WORKER, as far as its service's budget allows."""
+    with console.connected(ctx, address, as_json) as source:
+        config = console.in_force(source)
+        fleet = console.read_fleet(source)
+        request = _request(worker, reason, operator)
+        _commit(source, fleet, cordon_control.cordon(fleet, config, request))
+    console.tell(as_json, {"cordoned": worker}, f"{worker} is cordoned")
+
+
+@command.command()
+@_worker
+@_reason
+@console.platform_option
+@console.operator_option
+@console.json_option
+@click.pass_context
+def uncordon(
+    ctx: click.Context,
+    worker: str,
+    reason: str,
+    address: str,
+    operator: str | None,
+    as_json: bool,
+) -> None:
+    """Opens a cordoned WORKER to new tasks again."""
+    with console.connected(ctx, address, as_json) as source:
+        fleet = console.read_fleet(source)
+        request = _request(worker, reason, operator)
+        _commit(source, fleet, cordon_control.uncordon(fleet, request))
+    console.tell(as_json, {"uncordoned": worker}, f"{worker} takes new tasks")
+
+
+def _request(
+    worker: str, reason: str, operator: str | None
+) -> cordon_control.Request:
+    who = operator or getpass.getuser()
+    wall_s = clocks.SystemClock().wall()
+    return cordon_control.Request(worker, reason, who, wall_s)
+
+
+def _commit(
+    source: platform.Platform,
+    fleet: fleet_state.Fleet,
+    changed: changes.Changes,
+) -> None:
+    if not console.commit(source, fleet, changed):
+        raise errors.CordonRefusedError(
+            "the service has changed meanwhile, nothing was written: look at "
+            "`fleet status`, then try again"
+        )
+
+
 def _standings(
     fleet: fleet_state.Fleet, config: config_lib.Config
 ) -> list[budgets.Standing]:
--- a/src/vanillaswitch/cli/wave.py
+++ b/src/vanillaswitch/cli/wave.py
@@ -30,9 +30,6 @@
 
 
 _name = click.argument("name")
-_operator = click.option(
-    "--operator", help="Who does it; by default the login name."
-)
 
 
 @command.command()
@@ -56,7 +53,9 @@
         spec = config.waves.get(name)
         if spec is None:
             raise errors.WaveRefusedError(f"there is no wave {name!r}")
-        planned = wave_plan.plan(_read(source), config, spec, order)
+        planned = wave_plan.plan(
+            console.read_fleet(source), config, spec, order
+        )
     console.tell(as_json, rows.dump(planned), _plan_text(planned))
     if planned.cannot:
         sys.exit(exits.REFUSED)
@@ -65,7 +64,7 @@
 @command.command()
 @_name
 @console.platform_option
-@_operator
+@console.operator_option
 @console.json_option
 @click.pass_context
 def start(
@@ -78,7 +77,7 @@
     """Starts a wave, or resumes one that is paused or was stopped."""
     with console.connected(ctx, address, as_json) as source:
         config = console.in_force(source)
-        fleet = _read(source)
+        fleet = console.read_fleet(source)
         request = _request(name, operator)
         changed = wave_control.start(fleet, config, request)
         _commit(source, fleet, changed)
@@ -88,7 +87,7 @@
 @command.command()
 @_name
 @console.platform_option
-@_operator
+@console.operator_option
 @console.json_option
 @click.pass_context
 def pause(
@@ -100,7 +99,7 @@
 ) -> None:
     """Pauses a wave: what it has begun is finished, nothing more begins."""
     with console.connected(ctx, address, as_json) as source:
-        fleet = _read(source)
+        fleet = console.read_fleet(source)
         changed = wave_control.pause(fleet, _request(name, operator))
         _commit(source, fleet, changed)
     _tell_wave(as_json, name, changed.waves[name])
@@ -116,7 +115,7 @@
 ) -> None:
     """Prints where each wave stands and why; of one wave when named."""
     with console.connected(ctx, address, as_json) as source:
-        fleet = _read(source)
+        fleet = console.read_fleet(source)
         waves = {
             key: fleet.joined(key)
             for key in sorted(fleet.waves)
@@ -129,13 +128,6 @@
     console.tell(as_json, told, "\n".join(lines) or "no wave was started")
 
 
-def _read(source: platform.Platform) -> fleet_state.Fleet:
-    fleet = fleet_state.read(source)
-    if isinstance(fleet, platform.Unavailable):
-        raise errors.PlatformUnavailableError(fleet.reason)
-    return fleet
-
-
 def _request(name: str, operator: str | None) -> wave_control.Request:
     return wave_control.Request(
         name,
@@ -150,13 +142,11 @@
     fleet: fleet_state.Fleet,
     changed: changes.Changes,
 ) -> None:
-    wave_control.commit(
-        source.table,
-        clocks.SystemClock(),
-        random.SystemRandom(),
-        fleet,
-        changed,
-    )
+    if not console.commit(source, fleet, changed):
+        raise errors.WaveRefusedError(
+            "the wave has changed meanwhile, nothing was written: look at "
+            "`wave status`, then try again"
+        )
 
 
 def _plan_text(planned: wave_plan.WavePlan) -> str:
--- a/src/vanillaswitch/coordination/budgets.py
+++ b/src/vanillaswitch/coordination/budgets.py
@@ -2,7 +2,8 @@
 
 Everything that is down counts, on purpose or not: what the budget row has
 down, what is in maintenance or a move, what the list does not show or shows
-as leaving, and what does not say of itself that it serves.
+as leaving, what does not say of itself that it serves, and what is cordoned
+and carries nothing new.
 """
 
 from collections.abc import Iterable
@@ -66,9 +67,26 @@
         return "does not answer"
     if member.status.phase is not platform.Phase.SERVING:
         return f"says that it is {member.status.phase}"
+    if member.row.cordoned:
+        return f"cordoned: {member.row.reason}"
     return None
 
 
+def only_cordoned(
+    member: fleet_state.Member, planned: Mapping[str, str]
+) -> bool:
+    """Tells whether a cordon alone makes an instance count as down.
+
+    It can be taken down without one more being down.
+    """
+    if not member.row.cordoned:
+        return False
+    open_row = dataclasses.replace(member.row, cordoned=False)
+    return (
+        down_reason(dataclasses.replace(member, row=open_row), planned) is None
+    )
+
+
 def members_of(
     fleet: fleet_state.Fleet, service: str, kind: platform.InstanceKind
 ) -> tuple[fleet_state.Member, ...]:
--- /dev/null
+++ b/src/vanillaswitch/coordination/cordon_control.py
@@ -0,0 +1,100 @@
+"""What operators do to a worker: cordon it, and open it again."""
+
+import dataclasses
+
+from vanillaswitch import errors
+from vanillaswitch.coordination import budgets
+from vanillaswitch.coordination import changes
+from vanillaswitch.coordination import explain
+from vanillaswitch.coordination import fleet_state
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import config as config_lib
+from vanillaswitch.state import rows
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """An operator's wish for one worker."""
+
+    worker: str
+    reason: str
+    operator: str
+    wall_s: float
+
+
+def cordon(
+    fleet: fleet_state.Fleet, config: config_lib.Config, request: Request
+) -> changes.Changes:
+    """Returns the changes that keep new tasks from a worker.
+
+    Raises:
+        errors.CordonRefusedError: there is no such worker, it is cordoned
+            already, or its service's budget allows no more.
+    """
+    member = _worker(fleet, request.worker)
+    if member.row.cordoned:
+        raise errors.CordonRefusedError(
+            f"{request.worker} is cordoned already: {member.row.reason}"
+        )
+    _check_budget(fleet, config, member)
+    row = dataclasses.replace(member.row, cordoned=True, reason=request.reason)
+    return _changes(fleet, request, row, "cordoned by an operator")
+
+
+def uncordon(fleet: fleet_state.Fleet, request: Request) -> changes.Changes:
+    """Returns the changes that open a cordoned worker to new tasks.
+
+    Raises:
+        errors.CordonRefusedError: there is no such worker, or it is open.
+    """
+    member = _worker(fleet, request.worker)
+    if not member.row.cordoned:
+        raise errors.CordonRefusedError(f"{request.worker} is not cordoned")
+    row = dataclasses.replace(member.row, cordoned=False, reason="")
+    return _changes(fleet, request, row, "cordon lifted by an operator")
+
+
+def _worker(fleet: fleet_state.Fleet, name: str) -> fleet_state.Member:
+    member = fleet.members.get(name)
+    if member is None or member.row.kind is not platform.InstanceKind.WORKER:
+        raise errors.CordonRefusedError(f"there is no worker {name!r}")
+    return member
+
+
+def _check_budget(
+    fleet: fleet_state.Fleet,
+    config: config_lib.Config,
+    member: fleet_state.Member,
+) -> None:
+    service = member.row.service
+    planned = fleet.budget(service).row.down
+    # A spare worker carries nothing, and what is down can't be more so.
+    if not service or budgets.down_reason(member, planned):
+        return
+    room = budgets.headroom(fleet, config, service, member.row.kind)
+    if room > 0:
+        return
+    if service not in config.services:
+        told = "the configuration has no such service"
+    else:
+        found = budgets.standing(fleet, config, service, member.row.kind)
+        told = f"{found.down_count} of {found.allowed} allowed workers are down"
+    raise errors.CordonRefusedError(f"{service}: {told}")
+
+
+def _changes(
+    fleet: fleet_state.Fleet, request: Request, row: rows.Instance, rule: str
+) -> changes.Changes:
+    draft = changes.Draft(fleet)
+    draft.put_instance(request.worker, row)
+    draft.explain(
+        explain.Decision(
+            explain.instance_subject(request.worker),
+            request.reason,
+            rule,
+            {},
+            request.operator,
+            request.wall_s,
+        )
+    )
+    return draft.build()
--- a/src/vanillaswitch/coordination/cordons.py
+++ b/src/vanillaswitch/coordination/cordons.py
@@ -12,32 +12,12 @@
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.protocol import platform
-from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import keys
 
 Failed = Mapping[str, tuple[str, ...]]
 """Names of the jobs that failed, by worker."""
 
 
-def allowed(
-    fleet: fleet_state.Fleet, config: config_lib.Config, service: str
-) -> int:
-    """Returns how many more workers of a service may be cordoned.
-
-    A cordoned worker takes no tasks, so that it counts as down here.
-    """
-    if service not in config.services:
-        return 0
-    kind = platform.InstanceKind.WORKER
-    standing = budgets.standing(fleet, config, service, kind)
-    cordoned = [
-        member
-        for member in budgets.members_of(fleet, service, kind)
-        if member.row.cordoned and member.name not in standing.down
-    ]
-    return standing.headroom - len(cordoned)
-
-
 def cordon(
     context: controller.Context,
     fence: duties.Fence,
@@ -53,7 +33,9 @@
             found = by_service.setdefault(member.row.service, {})
             found[worker] = failed
     for service, found in sorted(by_service.items()):
-        allowance = allowed(reading.fleet, context.config, service)
+        allowance = budgets.headroom(
+            reading.fleet, context.config, service, platform.InstanceKind.WORKER
+        )
         chosen = jobs.to_cordon(found, allowance)
         if chosen:
             decided = _decided(
@@ -85,7 +67,7 @@
         },
         decisions=tuple(
             explain.Decision(
-                subject=f"instance/{worker}",
+                subject=explain.instance_subject(worker),
                 cause=reason,
                 rule="a worker that fails several jobs is cordoned",
                 figures={"jobs": len(chosen[worker])},
--- a/src/vanillaswitch/coordination/explain.py
+++ b/src/vanillaswitch/coordination/explain.py
@@ -55,6 +55,16 @@
     return f"pool/{name}"
 
 
+def instance_subject(name: str) -> str:
+    """Returns the subject of decisions about an instance."""
+    return f"instance/{name}"
+
+
+def job_subject(name: str) -> str:
+    """Returns the subject of decisions about a job."""
+    return f"job/{name}"
+
+
 def key_of(subject: str) -> str:
     """Returns the row of one subject's decisions."""
     return keys.decisions(subject)
--- a/src/vanillaswitch/coordination/job_records.py
+++ b/src/vanillaswitch/coordination/job_records.py
@@ -40,7 +40,7 @@
     state: jobs.JobState,
 ) -> explain.Decision:
     return explain.Decision(
-        subject=f"job/{name}",
+        subject=explain.job_subject(name),
         cause=state.aside,
         rule="a job that can never run is put aside",
         figures={"failures": sum(state.failed_on.values())},
--- a/src/vanillaswitch/coordination/wave_control.py
+++ b/src/vanillaswitch/coordination/wave_control.py
@@ -6,23 +6,15 @@
 
 from collections.abc import Mapping
 import dataclasses
-import random
 
 from vanillaswitch import errors
 from vanillaswitch.coordination import changes
-from vanillaswitch.coordination import commits
 from vanillaswitch.coordination import explain
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
-from vanillaswitch.internal import clock as clocks
-from vanillaswitch.internal import ids
-from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 
-SETTLE_S = 10.0
-"""How long a lost answer is asked for again."""
-
 State = wave_state.WaveState
 
 
@@ -93,39 +85,6 @@
     return _changes(request, wave, "wave paused")
 
 
-def commit(
-    table: platform.Table,
-    clock: clocks.Clock,
-    rng: random.Random,
-    fleet: fleet_state.Fleet,
-    changed: changes.Changes,
-) -> None:
-    """Writes an operator's changes.
-
-    Raises:
-        errors.WaveRefusedError: another operator or the wave itself was
-            faster; nothing was written.
-        errors.PlatformUnavailableError: it is not known to be written.
-    """
-    found = table.read(explain.keys_of(changed.decisions))
-    if isinstance(found, platform.Unavailable):
-        raise errors.PlatformUnavailableError(found.reason)
-    puts = changes.puts(fleet, changed)
-    puts += explain.puts(changed.decisions, found.rows)
-    transaction = platform.Transaction(ids.new_id(rng), puts)
-    deadline = clock.monotonic() + SETTLE_S
-    outcome = commits.settle(table, transaction, clock, deadline)
-    if isinstance(outcome, platform.Conflict):
-        raise errors.WaveRefusedError(
-            "the wave has changed meanwhile, nothing was written: look at "
-            "`wave status`, then try again"
-        )
-    if isinstance(outcome, platform.Unavailable | platform.OutcomeUnknown):
-        raise errors.PlatformUnavailableError(
-            f"{outcome.reason}; look at `wave status` before trying again"
-        )
-
-
 def _new_run(
     fleet: fleet_state.Fleet,
     config: config_lib.Config,
--- a/src/vanillaswitch/coordination/wave_plan.py
+++ b/src/vanillaswitch/coordination/wave_plan.py
@@ -95,7 +95,7 @@
         allowance[service] = budgets.headroom(fleet, config, service, kind)
         for member in members:
             down = budgets.down_reason(member, planned)
-            if down:
+            if down and not budgets.only_cordoned(member, planned):
                 skipped[member.name] = down
             else:
                 targets.append(Target(member.name, service, member.domain))
--- a/src/vanillaswitch/coordination/wave_step.py
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -114,14 +114,8 @@
     kind: platform.InstanceKind,
     waiting: list[fleet_state.Member],
 ) -> bool:
-    planned = view.fleet.budget(service).row.down
-    ready = [m for m in waiting if budgets.down_reason(m, planned) is None]
-    room = budgets.headroom(view.fleet, view.config, service, kind)
-    if room <= 0 or not ready:
-        return False
-    members = budgets.members_of(view.fleet, service, kind)
-    chosen = wave_front.of_one_domain(members, planned, ready)
-    for member in chosen[:room]:
+    chosen, room = _next(view, service, kind, waiting)
+    for member in chosen:
         assert member.status is not None  # it is up, so that it answered
         row = instance_steps.take_down(
             member.row, member.status, view.new_operation()
@@ -133,11 +127,38 @@
         figures = {
             "round": float(wave_front.round_of(wave, chosen[0].name) + 1),
             "headroom": float(room),
-            "taken": float(len(chosen[:room])),
+            "taken": float(len(chosen)),
         }
-        names = ", ".join(member.name for member in chosen[:room])
+        names = ", ".join(member.name for member in chosen)
         cause = f"{service}: {names} are next in {chosen[0].domain}"
         draft.explain(
             wave_verdict.decision(view, cause, "headroom of budget", figures)
         )
     return bool(chosen)
+
+
+def _next(
+    view: wave_verdict.View,
+    service: str,
+    kind: platform.InstanceKind,
+    waiting: list[fleet_state.Member],
+) -> tuple[list[fleet_state.Member], int]:
+    """Returns whom to take down of a service, and the headroom before.
+
+    Cordoned instances count as down already; they cost no headroom.
+    """
+    planned = view.fleet.budget(service).row.down
+    room = budgets.headroom(view.fleet, view.config, service, kind)
+    ready = [
+        member
+        for member in waiting
+        if budgets.down_reason(member, planned) is None
+        or budgets.only_cordoned(member, planned)
+    ]
+    if room < 0:
+        return [], room
+    members = budgets.members_of(view.fleet, service, kind)
+    going = wave_front.of_one_domain(members, planned, ready)
+    cordoned = [member for member in going if member.row.cordoned]
+    others = [member for member in going if not member.row.cordoned]
+    return cordoned + others[:room], room
--- a/src/vanillaswitch/errors.py
+++ b/src/vanillaswitch/errors.py
@@ -60,6 +60,10 @@
     """A wave can't be started or paused now; the message says why."""
 
 
+class CordonRefusedError(VanillaswitchError):
+    """An instance can't be cordoned or opened now; the message says why."""
+
+
 class ApplyConflictError(VanillaswitchError):
     """Another operator applied a configuration first.
 
--- a/standins/measure_maintenance.py
+++ b/standins/measure_maintenance.py
@@ -21,6 +21,7 @@
 from vanillaswitch.coordination import duty_names
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import move_duty  # noqa: F401
+from vanillaswitch.coordination import operator_commits
 from vanillaswitch.coordination import wave_control
 from vanillaswitch.coordination import wave_duty  # noqa: F401
 from vanillaswitch.coordination import wave_plan
@@ -116,7 +117,7 @@
         assert isinstance(fleet, fleet_state.Fleet)
         request = wave_control.Request(WAVE, "measure", 0.0, "run")
         changed = wave_control.start(fleet, self.config, request)
-        wave_control.commit(
+        operator_commits.commit(
             outside.table, self.clock, self._rng, fleet, changed
         )
 
--- a/tests/cover/test_budgets.py
+++ b/tests/cover/test_budgets.py
@@ -40,7 +40,12 @@
     return dataclasses.replace(member, status=status)
 
 
-WAYS = [_planned, _unlisted, _leaving, _silent, _broken]
+def _cordoned(member: fleet_state.Member) -> fleet_state.Member:
+    row = dataclasses.replace(member.row, cordoned=True)
+    return dataclasses.replace(member, row=row)
+
+
+WAYS = [_planned, _unlisted, _leaving, _silent, _broken, _cordoned]
 
 
 @given(st.dictionaries(st.integers(0, 5), st.sampled_from(WAYS)), st.data())
--- a/tests/cover/test_wave_command.py
+++ b/tests/cover/test_wave_command.py
@@ -89,3 +89,49 @@
     operator.bench.platform.table.faults.down = True
     assert operator.run("wave", "start", "kernel")[0] == 3
     assert operator.run("fleet", "status")[0] == 3
+
+
+def worker_operator():
+    """An operator of three workers, of which one may be down."""
+    pools = {"batch": config_lib.Pool("quotes", 3)}
+    config = benches.config_of(minions=0, pools=pools, workers_down=1)
+    operator = Operator()
+    operator.bench = benches.Bench(
+        benches.worker_listings(3), config, lambda _: ("batch", "quotes")
+    )
+    rollout.apply(
+        operator.bench.platform.interface,
+        operator.bench.clock,
+        operator.bench.rng,
+        config,
+        "op",
+        0,
+    )
+    return operator
+
+
+def test_a_cordon_is_set_within_the_budget_and_taken_back():
+    operator = worker_operator()
+    why = ["--reason", "disk"]
+    assert operator.run("fleet", "cordon", "worker-000", *why)[0] == 0
+    assert operator.run("fleet", "cordon", "worker-000", *why)[0] == 1
+    code, text = operator.run("fleet", "cordon", "worker-001", *why)
+    assert (code, "1 of 1 allowed" in text) == (1, True)
+    assert operator.run("fleet", "uncordon", "worker-001", *why)[0] == 1
+    assert operator.run("fleet", "uncordon", "unknown", *why)[0] == 1
+    assert operator.run("fleet", "uncordon", "worker-000")[0] == 2
+    assert operator.run("fleet", "uncordon", "worker-000", *why)[0] == 0
+    row = operator.bench.fleet().members["worker-000"].row
+    assert (row.cordoned, row.reason) == (False, "")
+    code, text = operator.run("fleet", "explain", "instance/worker-000")
+    assert [text.count(w) for w in ("cordon lifted", "disk")] == [1, 2]
+
+
+def test_of_two_operators_at_one_cordon_the_second_is_told():
+    operator = worker_operator()
+    why = ["--reason", "disk"]
+    operator.bench.before_next_commit(
+        lambda: operator.run("fleet", "cordon", "worker-001", *why)
+    )
+    code, text = operator.run("fleet", "cordon", "worker-000", *why)
+    assert (code, "has changed meanwhile" in text) == (1, True)
--- a/tests/failures/test_wave_failures.py
+++ b/tests/failures/test_wave_failures.py
@@ -23,14 +23,15 @@
 class WaveBench(benches.Bench):
     """A bench whose waves are begun, watched and judged."""
 
-    def begin(self, *names: str) -> "WaveBench":
+    def begin(self, *names: str, targets=WAVE.targets) -> "WaveBench":
         """Starts waves; counts reboots and the most that was down."""
-        waves = dict.fromkeys(names, WAVE)
+        wave = dataclasses.replace(WAVE, targets=targets)
+        waves = dict.fromkeys(names, wave)
         self.config = dataclasses.replace(self.config, waves=waves)
         self.reboots: list[str] = []
         self.most_down = 0
         for name in names:
-            plan = wave_plan.plan(self.fleet(), self.config, WAVE)
+            plan = wave_plan.plan(self.fleet(), self.config, wave)
             assert not plan.cannot
             # Every second wave goes the other way round, so that two of them
             # meet in the budget rather than at one instance.
@@ -282,3 +283,29 @@
     for _ in range(5):
         subject.step("wave/kernel")
     assert not subject.not_serving()
+
+
+def test_a_wave_takes_no_more_down_beside_a_cordoned_worker():
+    """Jobs lose three of six workers where the budget allows two.
+
+    A worker that fails all its jobs is cordoned, and a wave begins. It
+    carries nothing, so that it counts as down; it costs nothing more to
+    maintain it, and it stays cordoned.
+    """
+    pools = {"batch": config_lib.Pool("quotes", 6)}
+    subject = WaveBench(
+        benches.worker_listings(6, per_rack=6),
+        benches.config_of(minions=0, pools=pools, workers_down=2),
+        lambda _: ("batch", "quotes"),
+    )
+    key = keys.instance("worker-000")
+    row = subject.fleet().members["worker-000"].row
+    subject.put(key, dataclasses.replace(row, cordoned=True))
+    subject.begin("kernel", targets=config_lib.WaveTarget.WORKERS)
+    unusable = set()
+    while subject.fleet().waves["kernel"].row.state is RUNNING:
+        subject.step("wave/kernel")
+        unusable.add(len(subject.not_serving() | {"worker-000"}))
+    assert max(unusable) == 2
+    assert_each_rebooted_once(subject)
+    assert subject.fleet().members["worker-000"].row.cordoned
