Grow waves tenfold after the canary, let it soak, tell slow drains

Cause: a wave over all minions of a deployment took 6 rounds where one rack at a time without a canary takes 3; a canary that dies a minute after it came back was not seen; a drain that never ends was told nowhere.

`soak_s` (0 by default) lets the first round serve before the next, watched; the wave stops when it fails meanwhile. A drain beyond `drain_limit_s` (600) is in `wave status` and `fleet explain`. The measures print growths and what a bad version takes down.

--- a/src/vanillaswitch/cli/wave.py
+++ b/src/vanillaswitch/cli/wave.py
@@ -176,6 +176,7 @@
         f"\n  failed {one}: {why}" for one, why in wave.failed.items()
     )
     waits = f"\n  waits: {wave.waits}" if wave.waits else ""
+    waits += "".join(f"\n  slow {one}: {why}" for one, why in wave.slow.items())
     return (
         f"{name}: {wave.state}, {place}, "
         f"{len(wave.done)} of {total} done ({wave.reason}){waits}{failed}"
--- a/src/vanillaswitch/coordination/wave_duty.py
+++ b/src/vanillaswitch/coordination/wave_duty.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import fleet_cache
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import wave_boots
+from vanillaswitch.coordination import wave_delays
 from vanillaswitch.coordination import wave_front
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
@@ -65,11 +66,15 @@
     if not cache.settle(context.platform, judged, now):
         return None
     whole = cache.fleet
+    spec = context.config.waves[wave]
+    soak_s = wave_delays.soak_left_s(context.memory, row, spec, now)
     names = {
         name
         for name, member in whole.members.items()
         if member.row.service in judged or member.row.wave == wave
     }
+    if soak_s:
+        names |= set(row.rounds[0]) & whole.members.keys()
     booting = wave_boots.not_yet_back(context.memory, whole, wave, now)
     said = cache.ask(context.platform, names - booting, now)
     if isinstance(said, platform.Unavailable):
@@ -83,6 +88,13 @@
         booting,
         context.config,
         _broken(context, fleet, wave, row),
+        wave_delays.slow_drains(
+            context.memory,
+            {n: m for n, m in fleet.members.items() if m.row.wave == wave},
+            spec.drain_limit_s,
+            now,
+        ),
+        soak_s,
         context.clock.wall(),
         lambda: ids.new_id(context.rng),
     )
--- a/src/vanillaswitch/coordination/wave_plan.py
+++ b/src/vanillaswitch/coordination/wave_plan.py
@@ -100,9 +100,10 @@
             else:
                 targets.append(Target(member.name, service, member.domain))
     rounds = ORDERS.get(order)(targets, allowance, wave)
-    return WavePlan(
-        rounds, expected_s(len(rounds), kind), tuple(cannot), skipped
-    )
+    seconds = expected_s(len(rounds), kind)
+    if len(rounds) > 1:
+        seconds += wave.soak_s
+    return WavePlan(rounds, seconds, tuple(cannot), skipped)
 
 
 def expected_s(rounds: int, kind: platform.InstanceKind) -> float:
--- a/src/vanillaswitch/coordination/wave_state.py
+++ b/src/vanillaswitch/coordination/wave_state.py
@@ -41,6 +41,7 @@
         expected_s: how long the plan said that it takes.
         waits: why it begins nothing although nothing of it is under way;
             empty while it goes on.
+        slow: instance to what its drain waits for, beyond the limit.
     """
 
     state: WaveState
@@ -54,6 +55,7 @@
     reason: str = ""
     operator: str = ""
     waits: str = ""
+    slow: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     def mark(self, name: str) -> str:
         """Returns what an instance's row says once this run is done with it.
--- a/src/vanillaswitch/coordination/wave_step.py
+++ b/src/vanillaswitch/coordination/wave_step.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import changes
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import instance_steps
+from vanillaswitch.coordination import wave_delays
 from vanillaswitch.coordination import wave_front
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
@@ -27,9 +28,10 @@
     wave = wave_verdict.record_done(wave, done)
     wave = wave_verdict.finish_if_over(view, wave, draft)
     began = False
-    if wave.state is wave_state.WaveState.RUNNING:
+    if wave.state is wave_state.WaveState.RUNNING and not view.soak_left_s:
         began = _begin(view, wave, draft)
     wave = wave_wait.note(view, wave, began, draft)
+    wave = wave_delays.note(view, wave, draft)
     if not wave.same_but_done(view.wave):
         draft.put_wave(view.name, wave)
     # An operator's pause that was committed a moment ago refuses a take-down.
--- a/src/vanillaswitch/coordination/wave_verdict.py
+++ b/src/vanillaswitch/coordination/wave_verdict.py
@@ -30,6 +30,8 @@
         judged: services whose budgets this step may draw on.
         booting: instances that reboot and were not asked for that.
         broken: instance to the reason why it counts as failed by now.
+        slow: instance to the reason why its drain takes too long.
+        soak_left_s: how long the first round has still to serve.
         wall_s: wall-clock time.
     """
 
@@ -40,6 +42,8 @@
     booting: frozenset[str]
     config: config_lib.Config
     broken: Mapping[str, str]
+    slow: Mapping[str, str]
+    soak_left_s: float
     wall_s: float
     new_operation: Callable[[], str]
 
--- a/src/vanillaswitch/coordination/wave_wait.py
+++ b/src/vanillaswitch/coordination/wave_wait.py
@@ -42,6 +42,10 @@
 
 
 def _causes(view: wave_verdict.View, wave: wave_state.Wave) -> Iterator[str]:
+    if view.soak_left_s:
+        soak_s = view.config.waves[view.name].soak_s
+        yield f"the first round serves for {soak_s:g} s before the next begins"
+        return
     members = wave_front.waiting(wave, view.fleet)
     kind = wave_plan.KINDS[view.config.waves[view.name].targets]
     for service in sorted({member.row.service for member in members}):
--- a/src/vanillaswitch/state/check.py
+++ b/src/vanillaswitch/state/check.py
@@ -192,6 +192,8 @@
             ),
             "canary": some,
             "growth": some,
+            "soak_s": count,
+            "drain_limit_s": count,
             "background_failures_per_day": count,
         },
         config_lib.Policies: {
--- a/src/vanillaswitch/state/config.py
+++ b/src/vanillaswitch/state/config.py
@@ -150,6 +150,8 @@
         services: whose instances it maintains.
         canary: how many instances the first round takes.
         growth: factor between rounds.
+        soak_s: how long the first round has to serve before the next begins.
+        drain_limit_s: a drain that takes longer is told; it is never forced.
         background_failures_per_day: how many instances fail by themselves
             on an ordinary day, against which a wave's failures are judged.
     """
@@ -157,7 +159,9 @@
     services: tuple[str, ...]
     targets: WaveTarget
     canary: int = 1
-    growth: float = 2.0
+    growth: float = 10.0
+    soak_s: float = 0.0
+    drain_limit_s: float = 600.0
     background_failures_per_day: float = 1.0
 
 
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -10,6 +10,8 @@
 
 from standins import measure_calls
 from standins import measure_control
+from standins import measure_maintenance
+from standins import measure_measures
 from standins import measure_parts
 from standins import measure_planning
 from standins import measure_rollout
@@ -21,6 +23,8 @@
 MODULES = (
     measure_calls,
     measure_control,
+    measure_maintenance,
+    measure_measures,
     measure_parts,
     measure_planning,
     measure_rollout,
--- a/standins/measure_measures.py
+++ b/standins/measure_measures.py
@@ -18,6 +18,7 @@
 import cattrs
 import click
 
+from standins import measurements
 from standins import target
 from vanillaswitch.coordination import budgets
 from vanillaswitch.coordination import buffer
@@ -35,6 +36,10 @@
 SHARES = (0.1, 0.5, 1.0)
 SEEDS = 20
 TIMES = 5
+GROWTHS = (2.0, 4.0, 10.0)
+FAILURE_RATES = (0.05, 0.5, 1.0)
+"""Share of instances that don't come back from a bad version."""
+
 LEAST_RATIO, MOST_RATIO = 0.5, 3.0
 """Real over declared size of a job."""
 
@@ -156,6 +161,13 @@
             "services_that_must_wait": len(plan.cannot),
         }
     targets, rooms = _targets(world, fleet, kind)
+    found["growth"] = {
+        str(growth): _with_growth(targets, rooms, wave, growth)
+        for growth in GROWTHS
+    }
+    found["rack-at-a-time"]["bad version"] = _bad_version(
+        wave_plan.ORDERS.get("rack-at-a-time")(targets, rooms, wave)
+    )
     found["lower_bound_rounds"] = {
         "any": wave_plan.fewest_rounds(targets, rooms),
         "canary and growth": wave_plan.fewest_growing_rounds(
@@ -165,6 +177,38 @@
     return found
 
 
+def _with_growth(
+    targets: list[wave_plan.Target],
+    rooms: dict[str, int],
+    wave: config_lib.Wave,
+    growth: float,
+) -> dict[str, Any]:
+    grown = dataclasses.replace(wave, growth=growth)
+    rounds = wave_plan.ORDERS.get("growing")(targets, rooms, grown)
+    kind = wave_plan.KINDS[wave.targets]
+    return {
+        "rounds": len(rounds),
+        "modelled_s": wave_plan.expected_s(len(rounds), kind),
+        "bad version": _bad_version(rounds),
+    }
+
+
+def _bad_version(rounds: wave_plan.Rounds) -> dict[str, float]:
+    """Returns how many instances a bad version takes down, by its rate.
+
+    The mean when each instance fails by itself at that rate and the wave
+    stops after the first round with a failure.
+    """
+    found = {}
+    for rate in FAILURE_RATES:
+        reached, lost = 1.0, 0.0
+        for names in rounds:
+            lost += reached * rate * len(names)
+            reached *= (1.0 - rate) ** len(names)
+        found[str(rate)] = round(lost, 1)
+    return found
+
+
 def _targets(
     world: World, fleet: fleet_state.Fleet, kind: config_lib.WaveTarget
 ) -> tuple[list[wave_plan.Target], dict[str, int]]:
@@ -325,16 +369,25 @@
     }
 
 
-@click.command()
-def main() -> None:
-    """Prints all measures as JSON."""
+@measurements.measurement("measures")
+def measure_all() -> measurements.Figures:
+    """Plans for both deployments and the target, and times planning."""
     worlds = {name: example(name) for name in EXAMPLES}
     worlds["target"] = target_world(1.0)
-    told = {name: measures(world) for name, world in worlds.items()}
-    told["planning"] = {
+    figures = [
+        {"deployment": name, **measures(world)}
+        for name, world in worlds.items()
+    ]
+    planning = {
         str(share): planning_cost(target_world(share)) for share in SHARES
     }
-    click.echo(json.dumps(told, indent=1))
+    return [*figures, {"planning": planning}]
+
+
+@click.command()
+def main() -> None:
+    """Prints all measures as JSON."""
+    click.echo(json.dumps(measure_all(), indent=1))
 
 
 if __name__ == "__main__":
--- a/tests/failures/test_wave_failures.py
+++ b/tests/failures/test_wave_failures.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.common import benches
+from vanillaswitch.coordination import explain
 from vanillaswitch.coordination import wave_duty  # noqa: F401
 from vanillaswitch.coordination import wave_plan
 from vanillaswitch.coordination import wave_state
@@ -23,9 +24,9 @@
 class WaveBench(benches.Bench):
     """A bench whose waves are begun, watched and judged."""
 
-    def begin(self, *names: str, targets=WAVE.targets) -> "WaveBench":
+    def begin(self, *names: str, **fields) -> "WaveBench":
         """Starts waves; counts reboots and the most that was down."""
-        wave = dataclasses.replace(WAVE, targets=targets)
+        wave = dataclasses.replace(WAVE, **fields)
         waves = dict.fromkeys(names, wave)
         self.config = dataclasses.replace(self.config, waves=waves)
         self.reboots: list[str] = []
@@ -309,3 +310,56 @@
     assert max(unusable) == 2
     assert_each_rebooted_once(subject)
     assert subject.fleet().members["worker-000"].row.cordoned
+
+
+def test_a_canary_that_dies_while_it_serves_stops_the_wave():
+    """New software boots, and crashes on every minion a minute later.
+
+    The canary comes back and serves. The wave lets it serve for a while
+    before the next round, sees it go down, and stops.
+    """
+    subject = bench().begin("kernel", soak_s=60.0)
+    canary = subject.fleet().waves["kernel"].row.rounds[0][0]
+    while "serves for 60 s" not in subject.fleet().waves["kernel"].row.waits:
+        subject.step("wave/kernel")
+    for _ in range(40):
+        subject.step("wave/kernel")
+    subject.platform.instances.kill(canary)
+    assert subject.run().state is wave_state.WaveState.STOPPED
+    assert subject.reboots == [canary]
+
+
+def test_a_soak_ends_and_the_wave_goes_on():
+    """A wave stands still for ever after its canary."""
+    subject = bench().begin("kernel", soak_s=30.0)
+    began = subject.clock.monotonic()
+    assert subject.run().state is wave_state.WaveState.FINISHED
+    assert subject.clock.monotonic() - began >= 30.0
+    assert_each_rebooted_once(subject)
+
+
+def test_a_drain_that_does_not_end_is_told_and_not_forced():
+    """A wave hangs for days on a request that never ends, and says nothing.
+
+    One minion keeps a request in flight. After the limit status and
+    explanation name it; its request is not cut off, and the wave goes on
+    when the request is over.
+    """
+    subject = bench().begin("kernel", drain_limit_s=30.0)
+    busy = subject.fleet().waves["kernel"].row.rounds[0][0]
+    subject.platform.instances.set_in_flight(busy, 1)
+    for _ in range(40):
+        subject.step("wave/kernel")
+        assert not subject.fleet().waves["kernel"].row.slow
+    for _ in range(40):
+        subject.step("wave/kernel")
+    assert busy in subject.fleet().waves["kernel"].row.slow
+    key = explain.key_of(explain.wave_subject("kernel"))
+    [row] = subject.platform.table.read([key]).rows
+    rules = [entry.rule for entry in explain.history(row).entries]
+    assert rules.count("slow drain") == 1
+    assert not subject.reboots
+    subject.platform.instances.set_in_flight(busy, 0)
+    assert subject.run().state is wave_state.WaveState.FINISHED
+    assert not subject.fleet().waves["kernel"].row.slow
+    assert subject.platform.instances.reboots_in_use == 0
