--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -17,7 +17,7 @@
 from vanillaswitch.state import keys
 from vanillaswitch.state import rows
 
-NAMES = st.sampled_from(("a", "b"))
+NAMES = st.runner().flatmap(lambda machine: st.sampled_from(machine.names))
 CALLERS = st.sampled_from(("tacoma", "olympia"))
 
 
@@ -30,9 +30,11 @@
     never pay for two veils, nor hear "not run" of one that is being cut.
     """
 
+    names = ("a", "b")
+
     def __init__(self):
         super().__init__()
-        self.world = claim_world.World(("a", "b"))
+        self.world = claim_world.World(self.names)
         self.open: list[claim_world.Attempt] = []
         self.answers: dict[str, requests.Answer] = {}
         self.sent: set[str] = set()
@@ -165,6 +167,16 @@
 )
 
 
+class _AtThreeEntries(_AtMostOnce):
+    """The same with three: faults meet less often, and more can disagree."""
+
+    names = ("a", "b", "c")
+
+
+TestAtThreeEntries = _AtThreeEntries.TestCase
+TestAtThreeEntries.settings = TestAtMostOnce.settings
+
+
 @pytest.fixture
 def world():
     made = claim_world.World()
