--- a/src/vanillaswitch/coordination/cordons.py
+++ b/src/vanillaswitch/coordination/cordons.py
@@ -1,5 +1,6 @@
 """Cordons of workers that fail all they start, within the service's budget."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 
@@ -23,11 +24,20 @@
     fence: duties.Fence,
     reading: placement_view.Reading,
     states: Mapping[str, jobs.JobState],
+    well: Collection[str],
 ) -> None:
-    """Cordons workers at fault, the worst first."""
+    """Cordons workers at fault, the worst first.
+
+    Args:
+        context: of the step.
+        fence: of the duty.
+        reading: what the step decided on.
+        states: of the duty's jobs.
+        well: jobs that run well, or did.
+    """
     proven = placement_view.proven(reading)
     by_service: dict[str, dict[str, tuple[str, ...]]] = {}
-    for worker, failed in jobs.faulty_workers(states, proven).items():
+    for worker, failed in jobs.faulty_workers(states, proven, well).items():
         member = reading.fleet.members.get(worker)
         if member is not None and not member.row.cordoned:
             found = by_service.setdefault(member.row.service, {})
--- a/src/vanillaswitch/coordination/fleet_cache.py
+++ b/src/vanillaswitch/coordination/fleet_cache.py
@@ -14,17 +14,14 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Mapping
-import dataclasses
 import weakref
 
 from vanillaswitch.coordination import byte_meter
 from vanillaswitch.coordination import controller
+from vanillaswitch.coordination import fleet_rows
 from vanillaswitch.coordination import fleet_state
-from vanillaswitch.coordination import wave_state
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import keys
-from vanillaswitch.state import rows
 
 PAGE_ROWS = 100
 """Rows of instances in one page of the sweep."""
@@ -42,8 +39,6 @@
 LISTING_BYTES = 190
 """Bytes of one of each on the wire with its name, about."""
 
-Members = dict[str, fleet_state.Member]
-
 
 class Cache:
     """Rows and list as last read; soft state of one process.
@@ -54,29 +49,18 @@
 
     def __init__(self) -> None:
         self.meter = byte_meter.Meter()
-        self._members: Members = {}
-        self._budgets: dict[str, fleet_state.Versioned[rows.Budget]] = {}
-        self._waves: dict[str, fleet_state.Versioned[wave_state.Wave]] = {}
-        self._listings: dict[str, platform.Listing] = {}
+        self._rows = fleet_rows.FleetRows()
         self._read_at: dict[str, int] = {}
         self._doubted: set[str] = set()
         self._after = ""
         self._whole_at = 0.0
         self._sweep_due: float | None = None
         self._list_due = 0.0
-        self._fleet: fleet_state.Fleet | None = None
 
     @property
     def fleet(self) -> fleet_state.Fleet:
         """The fleet as known; no member has a status."""
-        if self._fleet is None:
-            self._fleet = fleet_state.Fleet(
-                dict(self._members),
-                dict(self._budgets),
-                dict(self._waves),
-                fleet_state.strangers(self._members, self._listings.values()),
-            )
-        return self._fleet
+        return self._rows.fleet
 
     def refresh(self, source: platform.Platform, now: float) -> bool:
         """Reads the whole fleet at first, later the next page when due.
@@ -157,7 +141,7 @@
         if isinstance(outcome, platform.Committed):
             self._take_written(written, outcome.version)
         elif isinstance(outcome, platform.Conflict):
-            self._take(outcome.found)
+            self._rows.take(outcome.found)
         elif isinstance(outcome, platform.OutcomeUnknown):
             # It may take effect even later: these rows are read again.
             for put in written:
@@ -176,7 +160,7 @@
             if put.key.startswith(keys.BUDGETS)
         ]
         known = [s for s in current if self._read_at.get(s) == self._version(s)]
-        self._take(
+        self._rows.take(
             platform.Row(
                 put.key,
                 platform.ABSENT if put.value is None else version,
@@ -196,7 +180,7 @@
         """Returns the rows of all that is known to belong to services."""
         names = set(more) | {
             name
-            for name, member in self._members.items()
+            for name, member in self.fleet.members.items()
             if member.row.service in services
         }
         for service in services:
@@ -208,15 +192,15 @@
     ) -> bool:
         if not wanted:
             return True
-        before = {key: self._version_of(key) for key in wanted}
+        before = {key: self._rows.version_of(key) for key in wanted}
         found = table.read(sorted(wanted))
         if isinstance(found, platform.Unavailable):
             return False
         size = sum(_size(row) for row in found.rows)
         asked = len(wanted) * NAME_BYTES
         self.meter.charge(CALL_BYTES + asked + size, now)
-        self._take(found.rows)
-        self._forget(before, {row.key for row in found.rows})
+        self._rows.take(found.rows)
+        self._rows.forget(before, {row.key for row in found.rows})
         return True
 
     def _read_whole(self, source: platform.Platform, now: float) -> bool:
@@ -225,11 +209,10 @@
             found = source.table.scan(prefix)
             if isinstance(found, platform.Unavailable):
                 return False
-            self._take(found.rows)
+            self._rows.take(found.rows)
             if prefix == keys.BUDGETS:
-                versions = {
-                    name: b.version for name, b in self._budgets.items()
-                }
+                known = self.fleet.budgets
+                versions = {name: one.version for name, one in known.items()}
         self._read_at = versions
         if not self._read_list(source, now):
             return False
@@ -248,13 +231,13 @@
         end = "" if last else found.rows[-1].key
         known = {
             key: member.version
-            for name, member in self._members.items()
+            for name, member in self.fleet.members.items()
             if (key := keys.instance(name)) > self._after
             and (last or key <= end)
         }
         self._after = end
-        self._take(found.rows)
-        self._forget(known, {row.key for row in found.rows})
+        self._rows.take(found.rows)
+        self._rows.forget(known, {row.key for row in found.rows})
 
     def _read_list(self, source: platform.Platform, now: float) -> bool:
         """Reads the list, and the rows of those on it that are not known."""
@@ -263,75 +246,10 @@
             return False
         size = CALL_BYTES + len(listed.instances) * LISTING_BYTES
         self._list_due = now + size / LIST_BYTES_PER_S
-        self._listings = {one.instance: one for one in listed.instances}
-        for name, member in self._members.items():
-            self._members[name] = dataclasses.replace(
-                member, listing=self._listings.get(name)
-            )
-        self._fleet = None
+        self._rows.set_list(listed.instances)
         unknown = [one.instance for one in self.fleet.strangers]
         return self._read(source.table, _instance_keys(unknown), now)
 
-    def _forget(
-        self, before: Mapping[str, int], found: Collection[str]
-    ) -> None:
-        """Drops rows that are gone, unless written while they were read."""
-        gone = [
-            platform.Row(key, platform.ABSENT, {}, "")
-            for key, version in before.items()
-            if key not in found and self._version_of(key) == version
-        ]
-        self._take(gone)
-
-    def _version_of(self, key: str) -> int:
-        for prefix, kept in (
-            (keys.INSTANCES, self._members),
-            (keys.BUDGETS, self._budgets),
-            (keys.WAVES, self._waves),
-        ):
-            if key.startswith(prefix):
-                found = kept.get(keys.name_of(prefix, key))
-                return found.version if found else platform.ABSENT
-        return platform.ABSENT
-
-    def _take(self, found: Iterable[platform.Row]) -> None:
-        """Takes rows, but none that is older than what is known.
-
-        Versions only grow, and a slow answer may come after a newer one.
-        """
-        for row in found:
-            if row.version == platform.ABSENT:
-                self._drop(row.key)
-            elif row.version > self._version_of(row.key):
-                self._keep(row)
-
-    def _keep(self, row: platform.Row) -> None:
-        self._fleet = None
-        if row.key.startswith(keys.INSTANCES):
-            name = keys.name_of(keys.INSTANCES, row.key)
-            self._members[name] = fleet_state.Member(
-                name,
-                row.version,
-                rows.load(rows.Instance, row.value),
-                self._listings.get(name),
-                None,
-            )
-        elif row.key.startswith(keys.BUDGETS):
-            name = keys.name_of(keys.BUDGETS, row.key)
-            self._budgets[name] = fleet_state.versioned(rows.Budget, row)
-        elif row.key.startswith(keys.WAVES):
-            name = keys.name_of(keys.WAVES, row.key)
-            self._waves[name] = fleet_state.versioned(wave_state.Wave, row)
-
-    def _drop(self, key: str) -> None:
-        self._fleet = None
-        if key.startswith(keys.INSTANCES):
-            self._members.pop(keys.name_of(keys.INSTANCES, key), None)
-        elif key.startswith(keys.BUDGETS):
-            self._budgets.pop(keys.name_of(keys.BUDGETS, key), None)
-        elif key.startswith(keys.WAVES):
-            self._waves.pop(keys.name_of(keys.WAVES, key), None)
-
 
 _caches: weakref.WeakKeyDictionary[platform.Table, Cache] = (
     weakref.WeakKeyDictionary()
--- a/src/vanillaswitch/coordination/job_records.py
+++ b/src/vanillaswitch/coordination/job_records.py
@@ -11,16 +11,31 @@
 from vanillaswitch.state import keys
 from vanillaswitch.state import rows
 
+_ASIDE = "a job that can never run is put aside"
+_WAITS = "a job waits until there is room for it"
+
 
 def puts(
     context: controller.Context,
     fence: duties.Fence,
     reading: placement_view.Reading,
     states: Mapping[str, jobs.JobState],
+    waiting: Mapping[str, str],
 ) -> list[platform.Put]:
-    """Returns the writes of the states that differ from their rows."""
+    """Returns the writes of the states that differ from their rows.
+
+    Args:
+        context: of the step.
+        fence: of the duty.
+        reading: what the step decided on.
+        states: of the duty's jobs.
+        waiting: reasons to keep of jobs that wait.
+    """
     changed = []
-    decisions = []
+    decisions = [
+        _decision(context, fence, name, reason, _WAITS, {})
+        for name, reason in sorted(waiting.items())
+    ]
     for name, state in states.items():
         found = reading.jobs.get(name)
         before = found.row if found else jobs.JobState(shape=state.shape)
@@ -38,12 +53,24 @@
     fence: duties.Fence,
     name: str,
     state: jobs.JobState,
+) -> explain.Decision:
+    figures = {"failures": float(sum(state.failed_on.values()))}
+    return _decision(context, fence, name, state.aside, _ASIDE, figures)
+
+
+def _decision(
+    context: controller.Context,
+    fence: duties.Fence,
+    name: str,
+    cause: str,
+    rule: str,
+    figures: Mapping[str, float],
 ) -> explain.Decision:
     return explain.Decision(
         subject=explain.job_subject(name),
-        cause=state.aside,
-        rule="a job that can never run is put aside",
-        figures={"failures": sum(state.failed_on.values())},
+        cause=cause,
+        rule=rule,
+        figures=figures,
         actor=keys.name_of(keys.DUTIES, fence.key),
         wall_s=context.clock.wall(),
     )
--- a/src/vanillaswitch/coordination/jobs.py
+++ b/src/vanillaswitch/coordination/jobs.py
@@ -18,7 +18,12 @@
 """So is one that failed this often where the pool has fewer workers."""
 
 JOBS_TO_BLAME_WORKER = 3
-"""A worker on which this many jobs failed in a row is at fault."""
+"""A worker on which this many jobs failed in a row is at fault, if one of them
+runs well elsewhere."""
+
+JOBS_TO_BLAME_UNPROVEN = 6
+"""So is one on which this many failed where none runs elsewhere, for there may
+be no room that could prove them good."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,13 +132,20 @@
 
 
 def faulty_workers(
-    states: Mapping[str, JobState], proven: Collection[str]
+    states: Mapping[str, JobState],
+    proven: Collection[str],
+    well: Collection[str],
 ) -> dict[str, tuple[str, ...]]:
     """Returns workers that failed several jobs in a row, with those jobs.
 
+    The failure guarded against: a few broken jobs that happen to start on
+    one worker first would have it cordoned. They run nowhere, while of the
+    jobs that a faulty worker fails some do.
+
     Args:
         states: of all jobs; those put aside are at fault themselves.
         proven: workers on which a task runs.
+        well: jobs that run well, or did.
     """
     failed: dict[str, list[str]] = {}
     for name, state in sorted(states.items()):
@@ -142,10 +154,16 @@
     return {
         worker: tuple(names)
         for worker, names in failed.items()
-        if len(names) >= JOBS_TO_BLAME_WORKER and worker not in proven
+        if len(names) >= _to_blame(names, well) and worker not in proven
     }
 
 
+def _to_blame(failed: Collection[str], well: Collection[str]) -> int:
+    """Returns how many failed jobs blame their worker."""
+    is_proof = any(name in well for name in failed)
+    return JOBS_TO_BLAME_WORKER if is_proof else JOBS_TO_BLAME_UNPROVEN
+
+
 def to_cordon(
     faulty: Mapping[str, tuple[str, ...]], allowance: int
 ) -> tuple[str, ...]:
--- a/src/vanillaswitch/coordination/placement_duty.py
+++ b/src/vanillaswitch/coordination/placement_duty.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination import duties
 from vanillaswitch.coordination import duty_names
 from vanillaswitch.coordination import job_records
+from vanillaswitch.coordination import job_waits
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement
 from vanillaswitch.coordination import placement_memory
@@ -136,7 +137,10 @@
         if self._lost:
             return True
         self._resend(ended)
-        cordons.cordon(self._context, self._fence, self._reading, states)
+        well = task_endings.running_well(
+            self._mine, self._reading.reports, self._memory, states, now
+        )
+        cordons.cordon(self._context, self._fence, self._reading, states, well)
         self._send_stops(ended)
         task_messages.throttle(
             self._context, self._memory, self._running(ended), plan.shares
@@ -223,41 +227,32 @@
             platform.Put(keys.task(name), version, None)
             for name, (_, version) in refused.items()
         ]
-        stops = list(self._to_stop(ended, plan).items())
+        wanted = task_endings.to_stop(
+            {n: t for n, t in self._mine.items() if n not in ended},
+            self._reading.fleet,
+            self._config,
+            self._memory,
+            plan.evictions,
+            self._context.clock.monotonic(),
+        )
+        stops = list(wanted.items())
         for name, reason in stops[:STOPS_IN_ONE_COMMIT]:
             marked = dataclasses.replace(self._mine[name], stopping=reason)
             version = self._reading.tasks[name].version
             puts.append(_put(keys.task(name), version, marked))
+        memory, now = self._memory, self._context.clock.monotonic()
+        memory.waits = job_waits.updated(memory.waits, plan.waiting, now)
+        waiting = job_waits.due(memory.waits, now)
         puts += job_records.puts(
-            self._context, self._fence, self._reading, states
+            self._context, self._fence, self._reading, states, waiting
         )
         if puts and isinstance(self._commit(puts), platform.Committed):
+            memory.waits = job_waits.told(memory.waits, waiting)
             for put in puts:
                 name = keys.name_of(keys.TASKS, put.key)
                 if put.value and put.key == keys.task(name):
                     self._mine[name] = rows.load(tasks.Task, put.value)
 
-    def _to_stop(
-        self,
-        ended: Collection[str],
-        plan: placement.Placement,
-    ) -> dict[str, str]:
-        """Returns why each task is to be stopped, by name."""
-        stops = {}
-        now = self._context.clock.monotonic()
-        for name, task in self._mine.items():
-            if name in ended or task.stopping:
-                continue
-            member = self._reading.fleet.members.get(task.worker)
-            reason = (
-                task_endings.unwanted(task, self._config, self._memory, now)
-                or placement_view.leaving_reason(member)
-                or plan.evictions.get(name, "")
-            )
-            if reason:
-                stops[name] = reason
-        return stops
-
     def _send_stops(self, ended: Collection[str]) -> None:
         stopping = []
         for name, task in self._mine.items():
--- a/src/vanillaswitch/coordination/placement_memory.py
+++ b/src/vanillaswitch/coordination/placement_memory.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TypeVar
 
+from vanillaswitch.coordination import job_waits
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.coordination import tasks
 from vanillaswitch.coordination import usage
@@ -40,6 +41,7 @@
         seen: usage by job.
         absent: since when a task is missing from the configuration.
         refused: when a worker last refused a start.
+        waits: why jobs wait.
         reading: the last one, whose parsed rows are used again.
         config: the configuration that the last turn went by.
         turned: when the last turn began; None before the first.
@@ -62,6 +64,7 @@
     absent: dict[str, float] = dataclasses.field(default_factory=dict)
     refused: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    waits: dict[str, job_waits.Wait] = dataclasses.field(default_factory=dict)
     reading: placement_view.Reading | None = None
     config: config_lib.Config | None = None
     turned: float | None = None
--- a/src/vanillaswitch/coordination/placement_view.py
+++ b/src/vanillaswitch/coordination/placement_view.py
@@ -12,7 +12,6 @@
 
 from vanillaswitch.coordination import controller
 from vanillaswitch.coordination import duties
-from vanillaswitch.coordination import fleet_cache
 from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement
@@ -20,6 +19,7 @@
 from vanillaswitch.coordination import rooms
 from vanillaswitch.coordination import tasks
 from vanillaswitch.coordination import usage
+from vanillaswitch.coordination import worker_facts
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 from vanillaswitch.state import keys
@@ -74,7 +74,7 @@
         if isinstance(outcome, platform.Unavailable):
             return outcome
         found.append(outcome.rows)
-    fleet = _fleet(context, services)
+    fleet = worker_facts.fleet(context, services)
     if isinstance(fleet, platform.Unavailable):
         return fleet
     reports = outside.workers.reports()
@@ -90,29 +90,6 @@
     )
 
 
-def _fleet(
-    context: controller.Context, services: Collection[str]
-) -> fleet_state.Fleet | platform.Unavailable:
-    """Returns all members; the workers of some services have a status."""
-    cache = fleet_cache.of(context)
-    outside = context.platform
-    now = context.clock.monotonic()
-    if not cache.refresh(outside, now):
-        return platform.Unavailable("the fleet can't be read")
-    if not cache.settle(outside, services, now):
-        return platform.Unavailable("budgets can't be read")
-    asked = {
-        name
-        for name, member in cache.fleet.members.items()
-        if member.row.service in services
-        and member.row.kind is platform.InstanceKind.WORKER
-    }
-    said = cache.ask(outside, asked, now)
-    if isinstance(said, platform.Unavailable):
-        return said
-    return cache.fleet.hearing(said)
-
-
 def _parsed_tasks(
     found: Iterable[platform.Row],
     known: Mapping[str, fleet_state.Versioned[tasks.Task]],
@@ -143,46 +120,6 @@
     return parsed
 
 
-def size_of(member: fleet_state.Member) -> tasks.Need | None:
-    """Returns a worker's size; None while the list does not show it."""
-    listing = member.listing
-    if listing is None or listing.cores <= 0 or listing.memory_mb <= 0:
-        return None
-    return tasks.Need(listing.cores, listing.memory_mb, listing.accelerators)
-
-
-def sizes_by_pool(fleet: fleet_state.Fleet) -> dict[str, list[tasks.Need]]:
-    """Returns the sizes of each pool's workers that the list shows."""
-    found: dict[str, list[tasks.Need]] = {}
-    for member in fleet.members.values():
-        size = size_of(member)
-        if size is not None:
-            found.setdefault(member.row.pool, []).append(size)
-    return found
-
-
-def leaving_reason(member: fleet_state.Member | None) -> str:
-    """Returns why tasks must leave a worker; empty when they may stay."""
-    if member is None:
-        return ""
-    if member.row.target_pool:
-        return f"worker moves to pool {member.row.target_pool}"
-    if member.row.phase is not platform.Phase.SERVING:
-        return f"worker is {member.row.phase}"
-    if member.listing and member.listing.state is not platform.ListedState.LIVE:
-        return "worker is leaving"
-    return ""
-
-
-def is_open(member: fleet_state.Member) -> bool:
-    """Tells whether a worker takes new tasks."""
-    serves = (
-        member.status is not None
-        and member.status.phase is platform.Phase.SERVING
-    )
-    return serves and not member.row.cordoned and not leaving_reason(member)
-
-
 @dataclasses.dataclass(frozen=True)
 class Inputs:
     """What a view is built from.
@@ -243,10 +180,10 @@
     running = proven(inputs.reading)
     found = []
     for name, member in sorted(inputs.reading.fleet.members.items()):
-        size = size_of(member)
+        size = worker_facts.size_of(member)
         if member.row.pool not in inputs.pools or size is None:
             continue
-        takes = is_open(member) and name not in inputs.refusing
+        takes = worker_facts.is_open(member) and name not in inputs.refusing
         found.append(
             rooms.Worker(name, member.row.pool, size, takes, name in running)
         )
@@ -278,7 +215,7 @@
     indices: dict[str, set[int]] = {}
     for found in inputs.reading.tasks.values():
         indices.setdefault(found.row.job, set()).add(found.row.index)
-    sizes = sizes_by_pool(inputs.reading.fleet)
+    sizes = worker_facts.sizes_by_pool(inputs.reading.fleet)
     wanted: list[rooms.Wanted] = []
     for name, job in sorted(inputs.config.jobs.items()):
         state = inputs.states.get(name, jobs.JobState())
--- a/src/vanillaswitch/coordination/task_endings.py
+++ b/src/vanillaswitch/coordination/task_endings.py
@@ -3,11 +3,13 @@
 from collections.abc import Mapping
 import dataclasses
 
+from vanillaswitch.coordination import fleet_state
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement_memory
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.coordination import quotas
 from vanillaswitch.coordination import tasks
+from vanillaswitch.coordination import worker_facts
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import config as config_lib
 
@@ -23,6 +25,9 @@
 CHECKPOINT_REPORT_S = 10.0
 """How long a stopped task's row waits for the report of its checkpoint."""
 
+RAN_WELL_S = 10.0
+"""A task that has run for so long shows that its job can run."""
+
 _SILENT_S = tasks.LEASE_S * tasks.LAPSE_MARGIN
 
 
@@ -131,6 +136,64 @@
     return "worker does not report it" if now - known > _SILENT_S else ""
 
 
+def running_well(
+    mine: Mapping[str, tasks.Task],
+    reports: Mapping[str, platform.TaskReport],
+    memory: placement_memory.Memory,
+    known: Mapping[str, jobs.JobState],
+    now: float,
+) -> frozenset[str]:
+    """Returns the jobs of which a task has finished, or runs for a while.
+
+    Args:
+        mine: the duty's tasks, by name.
+        reports: by operation.
+        memory: of the duty.
+        known: states of the jobs.
+        now: monotonic seconds.
+    """
+    found = {name for name, state in known.items() if state.finished}
+    for task in mine.values():
+        report = reports.get(task.operation)
+        began = memory.tried.get(task.operation, memory.began)
+        running = report and report.state is platform.TaskState.RUNNING
+        if running and now - began >= RAN_WELL_S:
+            found.add(task.job)
+    return frozenset(found)
+
+
+def to_stop(
+    mine: Mapping[str, tasks.Task],
+    fleet: fleet_state.Fleet,
+    config: config_lib.Config,
+    memory: placement_memory.Memory,
+    evictions: Mapping[str, str],
+    now: float,
+) -> dict[str, str]:
+    """Returns why tasks are to be stopped that are not yet, by name.
+
+    Args:
+        mine: the duty's tasks that are not over, by name.
+        fleet: with all workers.
+        config: the configuration in force.
+        memory: of the duty.
+        evictions: reasons of the plan, by name.
+        now: monotonic seconds.
+    """
+    stops = {}
+    for name, task in mine.items():
+        if task.stopping:
+            continue
+        reason = (
+            unwanted(task, config, memory, now)
+            or worker_facts.leaving_reason(fleet.members.get(task.worker))
+            or evictions.get(name, "")
+        )
+        if reason:
+            stops[name] = reason
+    return stops
+
+
 def states(
     reading: placement_view.Reading,
     config: config_lib.Config,
@@ -148,7 +211,7 @@
         task = reading.tasks[name].row
         if task.job in found:
             member = reading.fleet.members.get(task.worker)
-            blame = not placement_view.leaving_reason(member)
+            blame = not worker_facts.leaving_reason(member)
             found[task.job] = jobs.after(found[task.job], task, report, blame)
     good = {
         report.worker
@@ -156,7 +219,7 @@
         if report.state is platform.TaskState.FINISHED
     }
     good |= {n for n, m in reading.fleet.members.items() if m.row.cordoned}
-    sizes = placement_view.sizes_by_pool(reading.fleet)
+    sizes = worker_facts.sizes_by_pool(reading.fleet)
     return {
         name: _judged(config, sizes, name, jobs.forgiven(state, good))
         for name, state in found.items()
--- a/tests/cover/test_jobs.py
+++ b/tests/cover/test_jobs.py
@@ -126,10 +126,11 @@
     failed = jobs.JobState(failed_on={"w0": 1})
     aside = dataclasses.replace(failed, aside="fails everywhere")
     two = {"a": failed, "b": failed, "c": aside}
-    assert jobs.faulty_workers(two, ()) == {}
+    assert jobs.faulty_workers(two, (), {"a"}) == {}
     three = {**two, "d": failed}
-    assert jobs.faulty_workers(three, ()) == {"w0": ("a", "b", "d")}
-    assert jobs.faulty_workers(three, {"w0"}) == {}
+    assert jobs.faulty_workers(three, (), {"a"}) == {"w0": ("a", "b", "d")}
+    assert jobs.faulty_workers(three, {"w0"}, {"a"}) == {}
+    assert jobs.faulty_workers(three, (), {"another"}) == {}
 
 
 def test_to_cordon_never_exceeds_the_allowance() -> None:
--- a/tests/failures/test_jobs_failures.py
+++ b/tests/failures/test_jobs_failures.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.common import placing
+from vanillaswitch.coordination import explain
 from vanillaswitch.coordination import jobs
 from vanillaswitch.coordination import placement_view
 from vanillaswitch.protocol import platform
@@ -116,6 +117,45 @@
     assert not any(place.state(name).aside for name in wanted)
 
 
+def test_broken_jobs_that_fail_first_on_one_worker_do_not_cordon_it() -> None:
+    """A good worker is taken out because it was the first to run three jobs.
+
+    Three broken jobs start on the only worker that answers, and fail there;
+    later they fail on others too. No worker ran one of them well, so that
+    none is to blame.
+    """
+    wanted = {f"bad{n}": placing.job() for n in range(3)}
+    place = placing.Placing(4, wanted)
+    place.platform.workers.failing_jobs |= wanted.keys()
+    for worker in ("w1", "w2", "w3"):
+        place.platform.instances.freeze(worker)
+    place.step(10)
+    assert place.starts("w0") >= 3
+    for worker in ("w1", "w2", "w3"):
+        place.platform.instances.thaw(worker)
+    for _ in range(120):
+        place.step()
+        assert place.cordoned() == set()
+    assert all(place.state(name).aside for name in wanted)
+
+
+def test_a_job_that_waits_for_long_says_why() -> None:
+    """A batch does not start for an hour, and nobody can say why.
+
+    Its team's quota is used up by another job. After a while the reason is
+    kept, once for as long as it stays the same.
+    """
+    jobs_of = {"a": placing.job(cores=16), "b": placing.job(cores=16)}
+    place = placing.Placing(1, jobs_of)
+    place.step(200)
+    found = place.platform.table.read([explain.key_of("job/b")])
+    assert isinstance(found, platform.Rows)
+    [entry] = explain.history(found.rows[0]).entries
+    assert entry.cause == "pool batch has no room"
+    found = place.platform.table.read([explain.key_of("job/a")])
+    assert found == platform.Rows(())
+
+
 def test_cordons_stop_at_the_availability_budget() -> None:
     """A bad image fails on all workers, and all of them are cordoned.
 
