Hear cancels before their jobs, survive SIGHUP, trust the list for upkeep

(2) an order for upkeep is accepted again when an earlier owner's was carried out; taken as an end of all that ran, it started a task a second time. (3) SIGHUP had its default and ended the process. Change: cancels of unknown jobs wait for them; whether an instance ended is read from the list of machines; SIGHUP reads the settings again; calls for changes wait 1 s instead of 10 s, which bounds a silent connection. Ruled out: the feed itself (the cancel was read within 0.3 s of its acknowledgement).

--- a/src/vanillaswitch/coordination/fleet/core.py
+++ b/src/vanillaswitch/coordination/fleet/core.py
@@ -99,6 +99,7 @@
         self.pools: Mapping[str, fleet.Pool] = {}
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         self._ticket_until: dict[tuple[str, int, int], float] = {}
+        self._early_cancels: set[str] = set()
         self._starts: list[StartOrder] = []
         self._stops: list[StopOrder] = []
         self._changed = True
@@ -135,9 +136,14 @@
 
     def job_added(self, job: jobs.Job, now: float) -> None:
         """Takes in a job; one that is known already changes nothing."""
-        if self.book.get(job.job_id) is None:
-            self.book.add(books.Entry(job, now))
-            self._changed = True
+        if self.book.get(job.job_id) is not None:
+            return
+        entry = books.Entry(job, now)
+        self.book.add(entry)
+        self._changed = True
+        if job.job_id in self._early_cancels:
+            self._early_cancels.remove(job.job_id)
+            self._end_job(entry, jobs.JobState.CANCELLED, now)
 
     def restore(
         self,
@@ -198,11 +204,17 @@
         self.instances[task.instance].add(run)
 
     def cancelled(self, job_id: str, now: float) -> None:
-        """Takes note that a client cancelled a job."""
+        """Takes note that a client cancelled a job.
+
+        Jobs and cancels are heard of on different ways. A cancel that comes
+        first, as after the history of one table was lost, has to wait for its
+        job: the job would run although its cancel was confirmed.
+        """
         entry = self.book.get(job_id)
-        if entry is None or entry.ended is not None:
-            return
-        self._end_job(entry, jobs.JobState.CANCELLED, now)
+        if entry is None:
+            self._early_cancels.add(job_id)
+        elif entry.ended is None:
+            self._end_job(entry, jobs.JobState.CANCELLED, now)
 
     def _end_job(
         self, entry: books.Entry, state: jobs.JobState, now: float
--- a/src/vanillaswitch/coordination/fleet/follow.py
+++ b/src/vanillaswitch/coordination/fleet/follow.py
@@ -8,10 +8,10 @@
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import platform
 
-WAIT_S = 10.0
+WAIT_S = 1.0
 """How long one call waits for a change. A connection that went silent is
-found when the call runs out, so this bounds how old the copy may get; much
-shorter waits would cost calls for nothing."""
+found when the call runs out, so this bounds how old the copy may get:
+configurations and cancels have to be in force within 2 to 3 s."""
 
 RETRY_S = 0.25
 """Pause after a call that failed."""
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -81,6 +81,7 @@
         self._waves: dict[str, waves.Wave] = {}
         self._listed: dict[str, fleet.Machine] = {}
         self._emptying: dict[str, float] = {}
+        self._leaving: set[str] = set()
 
     def run(self) -> None:
         """Reads the list and acts on it until the term is over."""
@@ -116,9 +117,14 @@
         alive = {machine.instance for machine in self._listed.values()}
         now = self._clock.monotonic()
         for instance in list(self._core.instances.values()):
-            quiet = instance.silent or not instance.listed
+            quiet = (
+                instance.silent
+                or not instance.listed
+                or instance.name in self._leaving
+            )
             heard_since = instance.heard_at >= began
             if quiet and not heard_since and instance.name not in alive:
+                self._leaving.discard(instance.name)
                 self._core.gone(instance.name, now, "no machine runs it")
                 self._wake.set()
 
@@ -164,6 +170,10 @@
         for name, since in sorted(self._emptying.items(), key=_by_start):
             if name not in wave.machines:
                 continue
+            in_doubt = wave.machines[name].phase is waves.Phase.IN_DOUBT
+            if in_doubt:
+                self._order(wave, name, now)
+                continue
             if waves.down(wave) >= wave.order.max_count:
                 break
             if self._empty(name, wave, now - since, now):
@@ -225,15 +235,17 @@
         if isinstance(outcome, fleet.Accepted):
             item.phase = waves.Phase.ORDERED
             item.ordered_at = self._clock.monotonic()
+            item.instance = self._listed[name].instance
             self._emptying.pop(name, None)
             if instance is not None:
-                self._core.gone(instance.name, now, "upkeep")
-                self._wake.set()
+                # Whether it has ended is for the list to tell: the order may
+                # have been carried out before, for an earlier owner, and
+                # then what runs goes on.
+                self._leaving.add(instance.name)
         elif isinstance(outcome, fleet.NoAnswer) and outcome.sent:
-            # It may begin at any moment now, so it counts as down until the
-            # list shows it.
-            item.phase = waves.Phase.ORDERED
-            item.ordered_at = self._clock.monotonic()
+            # It may begin at any moment, so it counts as down until the same
+            # order was answered.
+            item.phase = waves.Phase.IN_DOUBT
         elif fleet.is_fenced(outcome):
             self._recorder.depose()
             self._wake.set()
--- a/src/vanillaswitch/coordination/fleet/waves.py
+++ b/src/vanillaswitch/coordination/fleet/waves.py
@@ -18,6 +18,7 @@
     """How far a machine of a wave has come."""
 
     WAITING = "waiting"
+    IN_DOUBT = "in-doubt"
     ORDERED = "ordered"
     DONE = "done"
 
@@ -67,27 +68,31 @@
 ) -> None:
     """Takes note of what the list of machines shows.
 
-    An ordered machine is done when it is up again with another instance. One
+    An ordered machine is done when its upkeep is over. It is done already
+    when the same instance still runs on it: an earlier owner gave the order,
+    and the platform accepts it a second time without doing anything. One
     that left the list for good needs no upkeep.
     """
     for item in wave.machines.values():
         machine = listed.get(item.machine)
         if machine is None:
             item.phase = Phase.DONE
-            continue
-        if item.phase is not Phase.ORDERED:
-            if machine.state is fleet.MachineState.UPKEEP:
+        elif machine.state is fleet.MachineState.UPKEEP:
+            if item.phase is not Phase.ORDERED:
                 item.phase = Phase.ORDERED
                 item.ordered_at = now
-            continue
-        waited = now - item.ordered_at >= upkeep_s
-        if waited and machine.state is not fleet.MachineState.UPKEEP:
-            item.phase = Phase.DONE
+        elif item.phase is Phase.ORDERED:
+            unchanged = item.instance and item.instance == machine.instance
+            if unchanged or now - item.ordered_at >= upkeep_s:
+                item.phase = Phase.DONE
 
 
 def down(wave: Wave) -> int:
-    """Returns how many machines of a wave are in upkeep."""
-    return sum(item.phase is Phase.ORDERED for item in wave.machines.values())
+    """Returns how many machines of a wave are, or may be, in upkeep."""
+    return sum(
+        item.phase in (Phase.ORDERED, Phase.IN_DOUBT)
+        for item in wave.machines.values()
+    )
 
 
 def next_machines(
--- a/src/vanillaswitch/daemons/edge.py
+++ b/src/vanillaswitch/daemons/edge.py
@@ -28,8 +28,23 @@
         click.echo(str(error), err=True)
         sys.exit(exits.USAGE)
     logs.configure(settings.process, "json")
+    lifecycle.on_reload(_reload)
     with startup.ending_when_broken("edge"), edge.run(settings) as running:
         lifecycle.wait_for_stop()
         logs.info("shuts down")
         running.stop(settings.bounds.grace_s)
         logs.info("has stopped")
+
+
+def _reload() -> None:
+    """Reads the settings again on SIGHUP and tells what they say.
+
+    Addresses and bounds hold for the life of a process: the platform starts
+    it anew where it wants others.
+    """
+    try:
+        settings = platform_settings.load(platform_settings.path())
+    except errors.SettingsError as error:
+        logs.error("the settings can't be read again: {}", error)
+        return
+    logs.info("read the settings of {} again", settings.process)
--- a/src/vanillaswitch/internal/lifecycle.py
+++ b/src/vanillaswitch/internal/lifecycle.py
@@ -1,5 +1,6 @@
 """Waiting for the signal that ends a daemon."""
 
+from collections.abc import Callable
 import signal
 
 import gevent
@@ -12,3 +13,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     stopped.wait()
+
+
+def on_reload(reload: Callable[[], None]) -> None:
+    """Calls ``reload`` on each SIGHUP, whose default would end the process."""
+    gevent.signal_handler(signal.SIGHUP, reload)
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -24,7 +24,7 @@
 """Limit for one call. A slow store answers in about half a second (60 times
 its 7 ms); a silent connection has to be given up well within a lease."""
 
-FEED_SLACK_S = 1.5
+FEED_SLACK_S = 1.0
 """How much longer than its wait a call for changes may take."""
 
 _PART = "vanillaswitch"
