Count a machine's tasks as away from the moment its upkeep is ordered

Change: an instance whose machine was ordered away counts as leaving at once. Ruled out: late news of crashes, which count only after notice_ms.

--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -29,6 +29,10 @@
     instance = core.instances.get(task.instance)
     if instance is None or task.state is not books.TaskState.ASSIGNED:
         return None
+    # Its end is certain, although the instance has not listed it yet: orders
+    # for several machines follow each other within milliseconds.
+    if instance.leaving:
+        return None
     return instance.runs.get((task.name, task.run))
 
 
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -81,7 +81,6 @@
         self._waves: dict[str, waves.Wave] = {}
         self._listed: dict[str, fleet.Machine] = {}
         self._emptying: dict[str, float] = {}
-        self._leaving: set[str] = set()
 
     def run(self) -> None:
         """Reads the list and acts on it until the term is over."""
@@ -117,14 +116,9 @@
         alive = {machine.instance for machine in self._listed.values()}
         now = self._clock.monotonic()
         for instance in list(self._core.instances.values()):
-            quiet = (
-                instance.silent
-                or not instance.listed
-                or instance.name in self._leaving
-            )
+            quiet = instance.silent or not instance.listed or instance.leaving
             heard_since = instance.heard_at >= began
             if quiet and not heard_since and instance.name not in alive:
-                self._leaving.discard(instance.name)
                 self._core.gone(instance.name, now, "no machine runs it")
                 self._wake.set()
 
@@ -225,6 +219,11 @@
         if now - self._recorder.confirmed_at > LEASE_S:
             return
         instance = self._instance(name)
+        if instance is not None:
+            # Whether it has ended is for the list to tell: the order may have
+            # been carried out before, for an earlier owner, and then what
+            # runs goes on.
+            instance.leaving = True
         outcome = self._machines.maintain(
             name, wave.order.number, self._recorder.newest
         )
@@ -237,11 +236,6 @@
             item.ordered_at = self._clock.monotonic()
             item.instance = self._listed[name].instance
             self._emptying.pop(name, None)
-            if instance is not None:
-                # Whether it has ended is for the list to tell: the order may
-                # have been carried out before, for an earlier owner, and
-                # then what runs goes on.
-                self._leaving.add(instance.name)
         elif isinstance(outcome, fleet.NoAnswer) and outcome.sent:
             # It may begin at any moment, so it counts as down until the same
             # order was answered.
@@ -249,20 +243,28 @@
         elif fleet.is_fenced(outcome):
             self._recorder.depose()
             self._wake.set()
+        elif instance is not None:
+            instance.leaving = False
 
     def _cordon(self) -> None:
-        """Keeps new work off the machines that are being emptied."""
+        """Keeps new work off the machines that are being emptied.
+
+        An instance that still runs after its machine's upkeep was found done
+        is given work again.
+        """
         pending = {
             name
             for wave in self._waves.values()
             for name, item in wave.machines.items()
             if item.phase is waves.Phase.WAITING
         }
+        finished = set().union(*map(_finished, self._waves.values()))
         for name, machine in self._listed.items():
             instance = self._core.instances.get(machine.instance)
             if instance is not None:
                 instance.cordoned = name in self._emptying
                 instance.due = name in pending
+                instance.leaving = instance.leaving and name not in finished
 
     def _evacuate(self, now: float) -> None:
         for instance in list(self._core.instances.values()):
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -66,6 +66,7 @@
         silent: it did not answer lately.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
+        leaving: an order that ends all it runs was given for its machine.
         suspended_until: it gets no work until then, since it failed some.
         last_end: number of the last end that was taken note of.
         clock_ms: its clock at ``clock_at``.
@@ -80,6 +81,7 @@
         self.silent = False
         self.cordoned = False
         self.due = False
+        self.leaving = False
         self.suspended_until = 0.0
         self.failures_in_row: set[str] = set()
         self.suspensions = 0
@@ -116,6 +118,7 @@
             and self.listed
             and not self.silent
             and not self.cordoned
+            and not self.leaving
             and not self.registration.draining
             and now >= self.suspended_until
         )
