Move machines to the pools that work waits for, keep waves off busy ones

Change: the need of each pool is what its tasks use, wait for and grow by; idle machines of pools that can spare them, then of standby, are moved; what no pool wants for 1.5 s goes to standby. A wave takes machines that their pool can spare until its time runs short. Ruled out: fewer machines in all (the tasks that last need 5 of 6 machines of each pool, as they may not share one).

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -0,0 +1,164 @@
+"""Which machines change their pool, and when.
+
+Load pattern: queues take turns. Each asks several times its mean for some
+seconds, more than its pool holds, and a fraction of it in between; the fleet
+as a whole has room. A machine that moves is away for one to two seconds, a
+move costs as much as one to two seconds of a machine, and a machine that
+stands in a pool costs all the time, used or not. So machines follow the load
+as soon as it shows, come from where they are idle, and go to standby when no
+pool has wanted them for a while.
+
+The need of a pool is what its tasks use and wait for, and what it will have
+grown by when a machine arrives: the growth of the last moment is the first
+sign of a turn, seconds before the pool is full.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import math
+
+UTILISATION = 0.9
+"""Share of a pool's processors that is planned to be used: tasks of one to
+five cores do not fill 16 without gaps."""
+
+GROWTH_WINDOW_S = 0.5
+"""Over how long growth is measured; a turn brings some jobs in that time."""
+
+LOOK_AHEAD_S = 0.8
+"""For how long growth is taken to go on, about half of a move: tasks that end
+meanwhile make up for the rest."""
+
+IDLE_S = 1.5
+"""A machine is given up only after its pool could spare it for so long: as
+long as its standing there costs what a move costs."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolLoad:
+    """What is known of one pool.
+
+    Attributes:
+        need_cpu: thousandths of a core that tasks use and wait for.
+        least: machines that it needs whatever the load, for tasks that may
+            not share an instance.
+        have: machines that are up or on their way to it.
+        idle: machines of it that run nothing.
+        machine_cpu: thousandths of a core of one machine.
+        standby: its machines are off.
+    """
+
+    name: str
+    need_cpu: int
+    least: int
+    have: int
+    idle: Sequence[str]
+    machine_cpu: int
+    standby: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """A machine is to change its pool."""
+
+    machine: str
+    pool: str
+
+
+class Capacity:
+    """Decides moves from the loads as they come in."""
+
+    def __init__(self) -> None:
+        self._history: dict[str, collections.deque[tuple[float, int]]] = {}
+        self._spare_since: dict[str, float] = {}
+        self._wanted: dict[str, int] = {}
+
+    @property
+    def wanted(self) -> Mapping[str, int]:
+        """Machines that each pool was found to need last."""
+        return self._wanted
+
+    def plan(self, loads: Iterable[PoolLoad], now: float) -> list[Move]:
+        """Returns the moves to order now.
+
+        Args:
+            loads: all pools.
+            now: monotonic seconds.
+        """
+        by_name = {load.name: load for load in loads}
+        self._wanted = {
+            name: 0 if load.standby else self._machines(load, now)
+            for name, load in by_name.items()
+        }
+        spare = self._spare(by_name, now)
+        moves: list[Move] = []
+        short = {
+            name: self._wanted[name] - load.have
+            for name, load in by_name.items()
+        }
+        for name in sorted(short, key=lambda name: (-short[name], name)):
+            lacking = short[name]
+            while lacking > 0 and spare:
+                moves.append(Move(spare.pop(0), name))
+                lacking -= 1
+        moves.extend(self._retire(by_name, moves, now))
+        return moves
+
+    def _machines(self, load: PoolLoad, now: float) -> int:
+        growth = self._growth(load, now)
+        need = load.need_cpu + growth * LOOK_AHEAD_S
+        room = max(1, load.machine_cpu) * UTILISATION
+        return max(load.least, math.ceil(need / room))
+
+    def _growth(self, load: PoolLoad, now: float) -> float:
+        """Returns by how much the need grows a second; not below zero."""
+        history = self._history.setdefault(load.name, collections.deque())
+        history.append((now, load.need_cpu))
+        while len(history) > 2 and history[1][0] <= now - GROWTH_WINDOW_S:
+            history.popleft()
+        began, before = history[0]
+        if now <= began:
+            return 0.0
+        return max(0.0, (load.need_cpu - before) / (now - began))
+
+    def _spare(self, loads: Mapping[str, PoolLoad], now: float) -> list[str]:
+        """Returns machines that may go at once, those in pools first.
+
+        An idle machine in a pool costs already, one on standby only from
+        when it is taken.
+        """
+        pooled: list[str] = []
+        standby: list[str] = []
+        for name, load in sorted(loads.items()):
+            if load.standby:
+                standby.extend(load.idle)
+                continue
+            surplus = load.have - self._wanted[name]
+            if surplus <= 0:
+                self._spare_since.pop(name, None)
+                continue
+            self._spare_since.setdefault(name, now)
+            pooled.extend(load.idle[:surplus])
+        return pooled + standby
+
+    def _retire(
+        self, loads: Mapping[str, PoolLoad], moves: Sequence[Move], now: float
+    ) -> list[Move]:
+        """Sends machines to standby that their pool has not wanted lately."""
+        target = next(
+            (name for name, load in loads.items() if load.standby), None
+        )
+        if target is None:
+            return []
+        taken = {move.machine for move in moves}
+        retired: list[Move] = []
+        for name, since in sorted(self._spare_since.items()):
+            load = loads.get(name)
+            if load is None or now - since < IDLE_S:
+                continue
+            surplus = load.have - self._wanted[name]
+            left = [item for item in load.idle[:surplus] if item not in taken]
+            retired.extend(Move(machine, target) for machine in left)
+        return retired
--- a/src/vanillaswitch/coordination/fleet/core.py
+++ b/src/vanillaswitch/coordination/fleet/core.py
@@ -99,6 +99,7 @@
         self.pools: Mapping[str, fleet.Pool] = {}
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         self._ticket_until: dict[tuple[str, int, int], float] = {}
+        self.waiting_cpu: Mapping[str, int] = {}
         self._early_cancels: set[str] = set()
         self._starts: list[StartOrder] = []
         self._stops: list[StopOrder] = []
@@ -604,6 +605,21 @@
             if instance.registration.service == service
         ]
 
+    def least_instances(self, service: str) -> int:
+        """Returns how many instances the lasting tasks of a pool need.
+
+        Tasks that may not share an instance need one each, whatever the load.
+        """
+        least = 1
+        for entry in self.book.live.values():
+            if self.service_of(entry) != service:
+                continue
+            for step in entry.open.values():
+                apart = step.step.anti_affinity
+                if step.step.long_running and apart:
+                    least = max(least, -(-step.step.count // apart))
+        return least
+
     def ready_steps(self, wall_ms: float) -> dict[str, list[books.OpenStep]]:
         """Returns open steps with waiting tasks, by pool, in order."""
         steps: dict[str, list[tuple[queue_order.Key, books.OpenStep]]] = {}
@@ -624,7 +640,16 @@
     def plan(self, now: float, wall_ms: float) -> None:
         """Assigns waiting tasks to instances with room."""
         self._changed = False
-        for service, steps in self.ready_steps(wall_ms).items():
+        ready = self.ready_steps(wall_ms)
+        self._plan_steps(ready, now)
+        self.waiting_cpu = {
+            service: _waiting_cpu(steps) for service, steps in ready.items()
+        }
+
+    def _plan_steps(
+        self, ready: Mapping[str, list[books.OpenStep]], now: float
+    ) -> None:
+        for service, steps in ready.items():
             instances = self.pool_instances(service)
             for step in steps:
                 self._place(step, instances, now)
@@ -744,6 +769,10 @@
         return True
 
 
+def _waiting_cpu(steps: Iterable[books.OpenStep]) -> int:
+    return sum(books.need(step.step).cpu * len(step.waiting) for step in steps)
+
+
 def _by_key(
     item: tuple[queue_order.Key, books.OpenStep],
 ) -> tuple[queue_order.Key, float]:
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -8,6 +8,7 @@
 
 from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import evacuation
+from vanillaswitch.coordination.fleet import mover
 from vanillaswitch.coordination.fleet import recorder as recorders
 from vanillaswitch.coordination.fleet import rooms
 from vanillaswitch.coordination.fleet import waves
@@ -16,16 +17,10 @@
 from vanillaswitch.protocol import fleet
 from vanillaswitch.state import deployment as deployments
 
-BUSY_LIST_S = 0.25
-"""How often the list is read while a wave or an instance's fate hangs on it;
-each reading is priced and the platform allows some dozens a second."""
-
-IDLE_LIST_S = 1.0
-"""How often it is read otherwise."""
-
-LEASE_S = 2.0
-"""An order for a machine is given only so long after the owner's last write:
-less than the term after which another may own the fleet."""
+LIST_S = 0.25
+"""How often the list is read. Moves follow the load and upkeep follows the
+list, so this is time lost for each; each reading is priced and the platform
+allows some dozens a second."""
 
 EMPTY_WAIT_S = 2.5
 """How long a machine's short tasks may finish before its upkeep stops them;
@@ -39,6 +34,11 @@
 it shows the end, and stopping what still runs."""
 
 
+ROUND_MARGIN_S = 3.0
+"""Time kept back for the last machines of a wave, which may have to be
+emptied first."""
+
+
 class WaveBoard(Protocol):
     """The operators' waves and what is reported of them."""
 
@@ -81,19 +81,14 @@
         self._waves: dict[str, waves.Wave] = {}
         self._listed: dict[str, fleet.Machine] = {}
         self._emptying: dict[str, float] = {}
+        self._mover = mover.Mover(core, machines, recorder, clock)
 
     def run(self) -> None:
         """Reads the list and acts on it until the term is over."""
         while not self._recorder.deposed:
             if self._read():
                 self._step()
-            self._clock.sleep(BUSY_LIST_S if self._busy() else IDLE_LIST_S)
-
-    def _busy(self) -> bool:
-        return any(not wave.completed for wave in self._waves.values()) or any(
-            instance.silent or not instance.listed
-            for instance in self._core.instances.values()
-        )
+            self._clock.sleep(LIST_S)
 
     def _read(self) -> bool:
         began = self._clock.monotonic()
@@ -132,6 +127,12 @@
                 self._advance(wave, now)
         self._cordon()
         self._evacuate(now)
+        busy = set(self._emptying)
+        for wave in self._waves.values():
+            for item in wave.machines.values():
+                if item.phase in (waves.Phase.ORDERED, waves.Phase.IN_DOUBT):
+                    busy.add(item.machine)
+        self._mover.step(self._listed, busy)
 
     def _begin(self, order: fleet.WaveOrder, now: float) -> None:
         finished = self._board.finished(order.name)
@@ -157,10 +158,12 @@
         finished = _finished(wave)
         if finished != before:
             self._board.save_finished(wave.order.name, finished)
+        behind = self._behind(wave, now)
         for name in waves.next_machines(
             wave, self._listed, self._cost, wave.order.max_count
         ):
-            self._emptying.setdefault(name, now)
+            if behind or self._may_spare(name):
+                self._emptying.setdefault(name, now)
         for name, since in sorted(self._emptying.items(), key=_by_start):
             if name not in wave.machines:
                 continue
@@ -193,6 +196,18 @@
         instance = self._instance(machine)
         return 0.0 if instance is None else float(instance.used_cpu)
 
+    def _may_spare(self, machine: str) -> bool:
+        """Whether a machine's pool does without it at present."""
+        pool = self._listed[machine].pool
+        known = self._core.pools.get(pool)
+        if known is None or known.standby:
+            return True
+        serving = sum(
+            item.usable(self._clock.monotonic())
+            for item in self._core.pool_instances(pool)
+        )
+        return serving > self._mover.wanted.get(pool, 0)
+
     def _behind(self, wave: waves.Wave, now: float) -> bool:
         """Whether the rest of a wave takes longer than the time it has."""
         left = sum(
@@ -201,6 +216,7 @@
         )
         rounds = -(-left // wave.order.max_count)
         need = rounds * (self._bounds.upkeep_s + ROUND_OVERHEAD_S)
+        need += ROUND_MARGIN_S
         return now + need > wave.seen_at + wave.order.duration_s
 
     def _empty(
@@ -216,7 +232,7 @@
         return evacuation.may_end_all(self._core, instance)
 
     def _order(self, wave: waves.Wave, name: str, now: float) -> None:
-        if now - self._recorder.confirmed_at > LEASE_S:
+        if now - self._recorder.confirmed_at > recorders.ORDER_LEASE_S:
             return
         instance = self._instance(name)
         if instance is not None:
--- a/src/vanillaswitch/coordination/fleet/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/recorder.py
@@ -34,6 +34,10 @@
 """Limit for becoming the owner; a copy of the write that comes later still is
 a term that nobody serves, which ends as any other."""
 
+ORDER_LEASE_S = 2.0
+"""An order for a machine is given only so long after the owner's last write:
+less than the term after which another may own the fleet."""
+
 FIRST_WAIT_S = 0.03
 LONGEST_WAIT_S = 0.3
 """Pause between copies of a transaction: short enough to be back soon after
--- a/src/vanillaswitch/platform/machines.py
+++ b/src/vanillaswitch/platform/machines.py
@@ -19,6 +19,7 @@
 
 _OK = 200
 _REFUSED = 409
+_IMPOSSIBLE = 400
 _BUSY = "busy"
 
 
@@ -77,6 +78,8 @@
             return fleet.NoAnswer(reply.sent, reply.reason)
         if reply.status == _OK:
             return fleet.Accepted(0.0)
+        if reply.status == _IMPOSSIBLE:
+            return fleet.Refused(fleet.Reason.INVALID)
         if reply.status != _REFUSED:
             return fleet.NoAnswer(False, f"status {reply.status}")
         if reply.body.get("reason") == _BUSY:
