Replace a lost owner after 1.6 s, one that ended or can't write at once

Change: a term ends after 1.6 s without a write. A suspect owner is looked for: nothing listens at its address, or another process does, ends its term; one that lives but can't write ends its term when it is asked. A new owner orders machines only lease_ms after the last write of one that may be alive. Ruled out: shorter terms yet (a store 60 times slower shows about one write a second).

--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -169,12 +169,12 @@
                 continue
             in_doubt = wave.machines[name].phase is waves.Phase.IN_DOUBT
             if in_doubt:
-                self._order(wave, name, now)
+                self._order(wave, name)
                 continue
             if waves.down(wave) >= wave.order.max_count:
                 break
             if self._empty(name, wave, now - since, now):
-                self._order(wave, name, now)
+                self._order(wave, name)
         self._report(wave)
 
     def _report(self, wave: waves.Wave) -> None:
@@ -231,8 +231,8 @@
             return False
         return evacuation.may_end_all(self._core, instance)
 
-    def _order(self, wave: waves.Wave, name: str, now: float) -> None:
-        if now - self._recorder.confirmed_at > recorders.ORDER_LEASE_S:
+    def _order(self, wave: waves.Wave, name: str) -> None:
+        if not self._recorder.may_order():
             return
         instance = self._instance(name)
         if instance is not None:
--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -13,12 +13,6 @@
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import deployment as deployments
 
-SUSPECT_S = 1.1
-"""An owner that wrote nothing for so long, two writes, is looked for at its
-address: where nothing listens its process has ended, and the rest of its
-term need not be waited for. A cut may refuse connections too, so this alone,
-with an owner that goes on writing, is no reason to take over."""
-
 SPREAD_S = 0.15
 """Takers-over wait a random part of this, so that most find it done."""
 
@@ -28,6 +22,9 @@
 Probe = Callable[[str], int]
 """Connects to "ip:port" and returns the error number, 0 for none."""
 
+TermEnded = Callable[[str, str], bool]
+"""Asks the process at "ip:port" whether the term of a boot is over."""
+
 
 class Member:
     """Takes the fleet over when it has no living owner."""
@@ -41,6 +38,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         probe: Probe,
+        term_ended: TermEnded,
     ):
         self._outside = outside
         self._operator = operator
@@ -48,16 +46,15 @@
         self._clock = clock
         self._rng = rng
         self._probe = probe
+        self._term_ended = term_ended
         self._me = recorders.OwnerRow(
             settings.process, settings.internal_address, boot
         )
-        term_s = settings.bounds.lease_s + succession.TERM_MARGIN_S
-        self._succession = succession.Succession(term_s)
+        self._succession = succession.Succession()
         self._owner: owners.Owner | None = None
         self._recorder: recorders.Recorder | None = None
         self._leaving = False
         self._store_answered_at = -1e9
-        self._changed_at = 0.0
 
     @property
     def owner(self) -> owners.Owner | None:
@@ -87,8 +84,14 @@
             self._read()
             if self._may_take_over():
                 self._take_over()
-            else:
-                self._clock.sleep(succession.READ_EVERY_S)
+                continue
+            now = self._clock.monotonic()
+            suspect = self._succession.unchanged_s(now) >= succession.SUSPECT_S
+            self._clock.sleep(
+                succession.READ_SUSPECT_S
+                if suspect
+                else succession.READ_EVERY_S
+            )
 
     def _read(self) -> None:
         read = self._outside.table.read([recorders.OWNER_KEY])
@@ -99,17 +102,45 @@
         self._store_answered_at = now
         version = read.rows[0].version if read.rows else platform.ABSENT
         row = recorders.owner_row(read.rows[0].value) if read.rows else None
-        if version != self._succession.version:
-            self._changed_at = now
         self._succession.observed(row, version, now)
-        if now - self._changed_at >= SUSPECT_S:
+        if self._succession.unchanged_s(now) >= succession.SUSPECT_S:
             self._look_for(self._succession.row)
 
     def _look_for(self, row: recorders.OwnerRow) -> None:
-        if not row.address or self._probe(row.address) != errno.ECONNREFUSED:
+        """Finds out whether a suspect owner's term is over.
+
+        Its process has ended when nothing listens where it did, or another
+        one does. A process that lives ends its term when asked if it can't
+        write: this one can reach the store, and work waits.
+        """
+        if not row.address or row.boot == self._me.boot:
             return
-        logs.info("the owner {} has ended", row.holder)
-        self._succession.process_ended(row.boot)
+        if (
+            row.address == self._me.address
+            or self._probe(row.address) == errno.ECONNREFUSED
+        ):
+            ended = True
+        else:
+            ended = self._term_ended(row.address, row.boot)
+        if ended:
+            logs.info("the term of owner {} is over", row.holder)
+            self._succession.process_ended(row.boot)
+
+    def yield_term(self) -> bool:
+        """Ends this process's term if it could not write lately.
+
+        Returns:
+            Whether it has no term now.
+        """
+        recorder = self._recorder
+        if self._owner is None or recorder is None:
+            return True
+        age = self._clock.monotonic() - recorder.confirmed_at
+        if age < succession.SUSPECT_S:
+            return False
+        logs.warning("yields the fleet: no write for {:.2f} s", age)
+        recorder.depose()
+        return True
 
     def _may_take_over(self) -> bool:
         if self._operator.config is None:
@@ -123,7 +154,11 @@
         recorder = recorders.Recorder(
             self._outside.table, self._clock, self._me
         )
-        if not recorder.take_over(self._succession.version):
+        now = self._clock.monotonic()
+        orders_from = self._succession.orders_from(
+            self._settings.bounds.lease_s, now
+        )
+        if not recorder.take_over(self._succession.version, orders_from):
             return
         logs.info("owns the fleet with token {}", recorder.token)
         self._recorder = recorder
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -172,7 +172,7 @@
         listed: Mapping[str, fleet.Machine],
         now: float,
     ) -> None:
-        if now - self._recorder.confirmed_at > recorders.ORDER_LEASE_S:
+        if not self._recorder.may_order():
             return
         instance = self._instance(listed[move.machine])
         if instance is not None:
--- a/src/vanillaswitch/coordination/fleet/owner_link.py
+++ b/src/vanillaswitch/coordination/fleet/owner_link.py
@@ -25,6 +25,7 @@
         boot: str,
         local: Callable[[], owners.Owner | None],
         address: Callable[[], str],
+        yield_term: Callable[[], bool],
     ):
         """Makes a link.
 
@@ -33,7 +34,10 @@
             boot: makes ids of questions unique.
             local: returns this process's term of ownership, if it has one.
             address: returns where the owner listens; empty when unknown.
+            yield_term: ends this process's term unless it could write
+                lately; returns whether it has none now.
         """
+        self._yield_term = yield_term
         self._clock = clock
         self._boot = boot
         self._local = local
@@ -56,7 +60,11 @@
         del sender
         if isinstance(message, peers.JobQuestion):
             reply(self._answer(message))
-        elif isinstance(message, peers.JobAnswer):
+        elif isinstance(message, peers.OwnerQuestion):
+            other = message.boot != self._boot
+            ended = other or self._yield_term()
+            reply(peers.OwnerStanding(message.question, self._boot, ended))
+        elif isinstance(message, peers.JobAnswer | peers.OwnerStanding):
             waiting = self._waiting.get(message.question)
             if waiting is not None:
                 waiting.set(message)
@@ -73,13 +81,30 @@
         answer = self._ask("", queue)
         return None if answer is None else answer.pending
 
+    def term_ended(self, address: str, boot: str) -> bool:
+        """Asks an owner that does not write whether its term is over.
+
+        Without an answer it is not known to be.
+        """
+        question = peers.OwnerQuestion(self._next_id(), boot)
+        answer = self._exchange(address, question)
+        return isinstance(answer, peers.OwnerStanding) and answer.ended
+
+    def _next_id(self) -> str:
+        return f"{self._boot}-{next(self._ids)}"
+
     def _ask(self, job_id: str, queue: str) -> peers.JobAnswer | None:
-        question = peers.JobQuestion(
-            f"{self._boot}-{next(self._ids)}", job_id, queue
-        )
+        question = peers.JobQuestion(self._next_id(), job_id, queue)
         if self._local() is not None:
             return self._answer(question)
-        address = self._address()
+        answer = self._exchange(self._address(), question)
+        if isinstance(answer, peers.JobAnswer) and answer.owner:
+            return answer
+        return None
+
+    def _exchange(
+        self, address: str, question: peers.JobQuestion | peers.OwnerQuestion
+    ) -> peers.Message | None:
         if not address or self._transport is None:
             return None
         self._transport.retain([address])
@@ -88,13 +113,15 @@
         try:
             if not self._transport.send(address, question):
                 return None
-            answer = waiting.get(timeout=ANSWER_S)
+            answer: peers.Message = waiting.get(timeout=ANSWER_S)
+            return answer
         except gevent.Timeout:
+            # The stream may be silent or wait to be opened again; the next
+            # question opens another at once.
+            self._transport.retain(())
             return None
         finally:
             del self._waiting[question.question]
-        owned: peers.JobAnswer | None = answer if answer.owner else None
-        return owned
 
     def _answer(self, question: peers.JobQuestion) -> peers.JobAnswer:
         owner = self._local()
--- a/src/vanillaswitch/coordination/fleet/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/recorder.py
@@ -34,7 +34,7 @@
 """Limit for becoming the owner; a copy of the write that comes later still is
 a term that nobody serves, which ends as any other."""
 
-ORDER_LEASE_S = 2.0
+ORDER_LEASE_S = 1.2
 """An order for a machine is given only so long after the owner's last write:
 less than the term after which another may own the fleet."""
 
@@ -98,6 +98,7 @@
         self._token = 0
         self._confirmed_at = -1e9
         self._deposed = False
+        self._orders_from = 0.0
 
     @property
     def token(self) -> int:
@@ -127,12 +128,24 @@
         """Ends the term: a higher token was seen."""
         self._deposed = True
 
-    def take_over(self, version: int) -> bool:
+    def may_order(self) -> bool:
+        """Whether machines may be ordered now.
+
+        The term has to be certain, and an earlier owner that was only slow
+        must have stopped giving orders for long enough.
+        """
+        now = self._clock.monotonic()
+        certain = now - self._confirmed_at <= ORDER_LEASE_S
+        return certain and not self._deposed and now >= self._orders_from
+
+    def take_over(self, version: int, orders_from: float) -> bool:
         """Tries to become the owner.
 
         Args:
             version: of the owner's row as last read.
+            orders_from: monotonic seconds from which machines may be ordered.
         """
+        self._orders_from = orders_from
         self._version = version
         outcome = self._write(self._me, (), TAKE_OVER_S)
         if isinstance(outcome, Written):
--- a/src/vanillaswitch/coordination/fleet/succession.py
+++ b/src/vanillaswitch/coordination/fleet/succession.py
@@ -1,34 +1,37 @@
 """When a process may take the fleet over from its owner.
 
 The owner writes its row at least every ``RENEW_S``. It has lost the fleet
-when the row stays the same for ``term_s`` while the store answers: time in
+when the row stays the same for ``TERM_S`` while the store answers: time in
 which the store could not be asked does not count, since the owner could not
 write either, and after an outage it has the first turn.
 """
 
 from vanillaswitch.coordination.fleet import recorder
 
-RENEW_S = 0.5
+RENEW_S = 0.4
 """Longest pause between two writes of the owner; several fit into a term."""
 
-TERM_MARGIN_S = 0.3
-"""A term is longer than the deployment's shortest time between the orders of
-two owners by so much."""
+TERM_S = 1.6
+"""A row that is unchanged for so long has no living owner. Three writes are
+missed then; a store that is 60 times slower still shows one a second. A term
+that is ended too early costs a change of owner and breaks nothing."""
 
 READ_EVERY_S = 0.5
 """How often a process that does not own the fleet reads the owner's row."""
 
+SUSPECT_S = 0.7
+"""An owner that wrote nothing for so long is asked whether it lives, and its
+row is read more often."""
+
+READ_SUSPECT_S = 0.2
+"""How often the row of a suspect owner is read."""
+
 
 class Succession:
     """Watches the owner's row for one process."""
 
-    def __init__(self, term_s: float):
-        """Begins to watch.
-
-        Args:
-            term_s: a row that is unchanged for so long has no living owner.
-        """
-        self._term_s = term_s
+    def __init__(self) -> None:
+        """Begins to watch."""
         self._row = recorder.OwnerRow("", "", "")
         self._version = 0
         self._since: float | None = None
@@ -57,6 +60,21 @@
         """Takes note that the row could not be read."""
         self._since = None
 
+    def unchanged_s(self, now: float) -> float:
+        """Returns for how long the row has stayed the same; 0 if unknown."""
+        return 0.0 if self._since is None else now - self._since
+
+    def orders_from(self, lease_s: float, now: float) -> float:
+        """Returns from when a new owner may order machines.
+
+        An owner that was only slow may have ordered one just before it lost
+        the fleet; two owners keep a distance of ``lease_s``. One whose process
+        ended, or which gave the fleet up, orders nothing any more.
+        """
+        if not self._row.holder or self._row.boot == self._dead_boot:
+            return now
+        return now - self.unchanged_s(now) + lease_s
+
     def process_ended(self, boot: str) -> None:
         """Takes note that the owner's process has surely ended."""
         self._dead_boot = boot
@@ -67,4 +85,4 @@
             return False
         if not self._row.holder or self._row.boot == self._dead_boot:
             return True
-        return now - self._since >= self._term_s
+        return now - self._since >= TERM_S
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -200,6 +200,34 @@
     pending: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class OwnerQuestion:
+    """Asks a process whether it still serves as the owner of the fleet.
+
+    The asker can reach the store and sees that the owner does not write.
+
+    Attributes:
+        boot: start of the process that the owner's row names.
+    """
+
+    question: str
+    boot: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerStanding:
+    """The answer.
+
+    Attributes:
+        boot: start of the process that answers.
+        ended: the term that was asked about is over, at the latest now.
+    """
+
+    question: str
+    boot: str
+    ended: bool
+
+
 Message = (
     Heartbeat
     | ConfigOffer
@@ -213,4 +241,6 @@
     | SlotReturn
     | JobQuestion
     | JobAnswer
+    | OwnerQuestion
+    | OwnerStanding
 )
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -153,11 +153,22 @@
         store = stores.Store(client, settings.store_address)
         view = _operators(store)
         outside = _outside(settings, client, store, view)
-        member = members.Member(
-            outside, view, settings, boot, clock, rng, _probe
-        )
         link = owner_link.OwnerLink(
-            clock, boot, lambda: member.owner, lambda: member.owner_address
+            clock,
+            boot,
+            lambda: member.owner,
+            lambda: member.owner_address,
+            lambda: member.yield_term(),
+        )
+        member = members.Member(
+            outside,
+            view,
+            settings,
+            boot,
+            clock,
+            rng,
+            _probe,
+            link.term_ended,
         )
         link.attach(
             stack.enter_context(
