--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -49,9 +49,9 @@
         step = entry.open.get((occurrence, number)) if entry else None
         if step is None:
             continue
-        missing = away(core, step)
-        at_work = indices - missing
-        if at_work and len(missing | indices) > step.step.may_miss:
+        # What is to be ended counts as at work whatever was listed last: an
+        # owner that has just taken over has not heard of any run yet.
+        if len(away(core, step) | indices) > step.step.may_miss:
             return False
     return True
 
--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -115,14 +115,9 @@
         """
         if not row.address or row.boot == self._me.boot:
             return
-        if (
-            row.address == self._me.address
-            or self._probe(row.address) == errno.ECONNREFUSED
-        ):
-            ended = True
-        else:
-            ended = self._term_ended(row.address, row.boot)
-        if ended:
+        replaced = row.address == self._me.address
+        refused = self._probe(row.address) == errno.ECONNREFUSED
+        if replaced or refused or self._term_ended(row.address, row.boot):
             logs.info("the term of owner {} is over", row.holder)
             self._succession.process_ended(row.boot)
 
