Spread hand-ins over parts of the store, let terms grow with its answers

Change: jobs and cancels lie in eight parts, what the owner writes in one of its own; waits for an owner grow by four times what a reading takes.

--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -22,8 +22,9 @@
 Probe = Callable[[str], int]
 """Connects to "ip:port" and returns the error number, 0 for none."""
 
-TermEnded = Callable[[str, str], bool]
-"""Asks the process at "ip:port" whether the term of a boot is over."""
+TermEnded = Callable[[str, str, float], bool]
+"""Asks the process at "ip:port" whether the term of a boot is over, which it
+ends unless it could write in the last so many seconds."""
 
 
 class Member:
@@ -86,7 +87,7 @@
                 self._take_over()
                 continue
             now = self._clock.monotonic()
-            suspect = self._succession.unchanged_s(now) >= succession.SUSPECT_S
+            suspect = self._succession.suspect(now)
             self._clock.sleep(
                 succession.READ_SUSPECT_S
                 if suspect
@@ -94,6 +95,7 @@
             )
 
     def _read(self) -> None:
+        asked_at = self._clock.monotonic()
         read = self._outside.table.read([recorders.OWNER_KEY])
         now = self._clock.monotonic()
         if isinstance(read, platform.Unavailable):
@@ -102,8 +104,8 @@
         self._store_answered_at = now
         version = read.rows[0].version if read.rows else platform.ABSENT
         row = recorders.owner_row(read.rows[0].value) if read.rows else None
-        self._succession.observed(row, version, now)
-        if self._succession.unchanged_s(now) >= succession.SUSPECT_S:
+        self._succession.observed(row, version, asked_at, now)
+        if self._succession.suspect(now):
             self._look_for(self._succession.row)
 
     def _look_for(self, row: recorders.OwnerRow) -> None:
@@ -117,13 +119,21 @@
             return
         replaced = row.address == self._me.address
         refused = self._probe(row.address) == errno.ECONNREFUSED
-        if replaced or refused or self._term_ended(row.address, row.boot):
+        patience_s = self._succession.suspect_after_s
+        if (
+            replaced
+            or refused
+            or self._term_ended(row.address, row.boot, patience_s)
+        ):
             logs.info("the term of owner {} is over", row.holder)
             self._succession.process_ended(row.boot)
 
-    def yield_term(self) -> bool:
+    def yield_term(self, patience_s: float) -> bool:
         """Ends this process's term if it could not write lately.
 
+        Args:
+            patience_s: a write in the last so many seconds is lately.
+
         Returns:
             Whether it has no term now.
         """
@@ -131,7 +141,7 @@
         if self._owner is None or recorder is None:
             return True
         age = self._clock.monotonic() - recorder.confirmed_at
-        if age < succession.SUSPECT_S:
+        if age < patience_s:
             return False
         logs.warning("yields the fleet: no write for {:.2f} s", age)
         recorder.depose()
--- a/src/vanillaswitch/coordination/fleet/owner_link.py
+++ b/src/vanillaswitch/coordination/fleet/owner_link.py
@@ -25,7 +25,7 @@
         boot: str,
         local: Callable[[], owners.Owner | None],
         address: Callable[[], str],
-        yield_term: Callable[[], bool],
+        yield_term: Callable[[float], bool],
     ):
         """Makes a link.
 
@@ -34,8 +34,8 @@
             boot: makes ids of questions unique.
             local: returns this process's term of ownership, if it has one.
             address: returns where the owner listens; empty when unknown.
-            yield_term: ends this process's term unless it could write
-                lately; returns whether it has none now.
+            yield_term: ends this process's term unless it could write in
+                the last so many seconds; returns whether it has none now.
         """
         self._yield_term = yield_term
         self._clock = clock
@@ -62,7 +62,7 @@
             reply(self._answer(message))
         elif isinstance(message, peers.OwnerQuestion):
             other = message.boot != self._boot
-            ended = other or self._yield_term()
+            ended = other or self._yield_term(message.patience_s)
             reply(peers.OwnerStanding(message.question, self._boot, ended))
         elif isinstance(message, peers.JobAnswer | peers.OwnerStanding):
             waiting = self._waiting.get(message.question)
@@ -81,12 +81,12 @@
         answer = self._ask("", queue)
         return None if answer is None else answer.pending
 
-    def term_ended(self, address: str, boot: str) -> bool:
+    def term_ended(self, address: str, boot: str, patience_s: float) -> bool:
         """Asks an owner that does not write whether its term is over.
 
         Without an answer it is not known to be.
         """
-        question = peers.OwnerQuestion(self._next_id(), boot)
+        question = peers.OwnerQuestion(self._next_id(), boot, patience_s)
         answer = self._exchange(address, question)
         return isinstance(answer, peers.OwnerStanding) and answer.ended
 
--- a/src/vanillaswitch/coordination/fleet/succession.py
+++ b/src/vanillaswitch/coordination/fleet/succession.py
@@ -12,9 +12,15 @@
 """Longest pause between two writes of the owner; several fit into a term."""
 
 TERM_S = 1.6
-"""A row that is unchanged for so long has no living owner. Three writes are
-missed then; a store that is 60 times slower still shows one a second. A term
-that is ended too early costs a change of owner and breaks nothing."""
+"""A row that is unchanged for so long has no living owner: three writes are
+missed then. A term that is ended too early costs a change of owner, and
+breaks nothing."""
+
+SLOW_FACTOR = 4.0
+"""Each wait for the owner is longer by so many times what the last reading
+took. A write takes about two readings, so a store that answers 60 times slower
+(0.25 s a reading) shows a write in more than a second; without this the owner
+was replaced again and again while such a store was slow."""
 
 READ_EVERY_S = 0.5
 """How often a process that does not own the fleet reads the owner's row."""
@@ -36,6 +42,12 @@
         self._version = 0
         self._since: float | None = None
         self._dead_boot = ""
+        self._reading_s = 0.0
+
+    @property
+    def suspect_after_s(self) -> float:
+        """How long the row may stay the same before the owner is suspect."""
+        return SUSPECT_S + SLOW_FACTOR * self._reading_s
 
     @property
     def row(self) -> recorder.OwnerRow:
@@ -48,9 +60,14 @@
         return self._version
 
     def observed(
-        self, row: recorder.OwnerRow | None, version: int, now: float
+        self,
+        row: recorder.OwnerRow | None,
+        version: int,
+        asked_at: float,
+        now: float,
     ) -> None:
         """Takes note of the row as it was read; None when there is none."""
+        self._reading_s = now - asked_at
         if self._since is None or version != self._version:
             self._since = now
         self._version = version
@@ -85,4 +102,9 @@
             return False
         if not self._row.holder or self._row.boot == self._dead_boot:
             return True
-        return now - self._since >= TERM_S
+        term_s = TERM_S + SLOW_FACTOR * self._reading_s
+        return now - self._since >= term_s
+
+    def suspect(self, now: float) -> bool:
+        """Whether the owner should be looked for."""
+        return self.unchanged_s(now) >= self.suspect_after_s
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -1,8 +1,10 @@
 """The platform's store of rows as the product's table, and its changes.
 
-A key "job/ab12" is the row "ab12" of the table "job". The tables of the
-product lie in one part, so that one transaction may span them; those that the
-platform shares with us have no part and hold bare documents. In our own rows
+A key "job/ab12" is the row "ab12" of the table "job". What the owner of the
+fleet writes lies in one part, so that one transaction may span it. What
+clients hand in is spread over several parts, since a part takes one
+transaction after the other. The tables that the platform shares with us have
+no part and hold bare documents. In our own rows
 a document stands beside the token of the transaction that wrote it, by which
 a lost answer is settled (see ``coordination.commits``).
 """
@@ -10,9 +12,13 @@
 import base64
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import json
 from typing import Any
 import urllib.parse
+import zlib
+
+import gevent
 
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import calls
@@ -27,7 +33,13 @@
 FEED_SLACK_S = 1.0
 """How much longer than its wait a call for changes may take."""
 
+SPREAD = 8
+"""Parts of a table that clients write to. A store 60 times slower takes five
+transactions a second in a part; hand-ins of a turn, some 25 a second, would
+hold up the owner's writes and each other in a single one."""
+
 _PART = "vanillaswitch"
+_SPREAD_TABLES = frozenset({"job", "cancel"})
 _SHARED = frozenset({"op", "servers", "status"})
 _PAGE_ROWS = 500
 _OK = 200
@@ -41,13 +53,23 @@
     return table, name
 
 
-def _part(table: str) -> str:
-    return "" if table in _SHARED else _PART
+def _parts(table: str) -> tuple[str, ...]:
+    """Returns the parts that the rows of a table lie in."""
+    if table in _SHARED:
+        return ("",)
+    if table in _SPREAD_TABLES:
+        return tuple(f"{_PART}-{number}" for number in range(SPREAD))
+    return (_PART,)
+
+
+def _part(table: str, name: str) -> str:
+    parts = _parts(table)
+    return parts[zlib.crc32(name.encode()) % len(parts)]
 
 
 def _address(key: str) -> dict[str, Any]:
     table, name = _split(key)
-    return {"table": table, "part": _part(table), "key": name}
+    return {"table": table, "part": _part(table, name), "key": name}
 
 
 def _pack(table: str, value: Mapping[str, Any], token: str) -> str:
@@ -80,6 +102,14 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class _Read:
+    """The rows of one part, and the version of their first page."""
+
+    rows: tuple[Mapping[str, Any], ...]
+    version: int
+
+
 class Store:
     """Implements ``platform.Table`` and ``feeds.Feed``."""
 
@@ -93,7 +123,8 @@
         found: list[platform.Row] = []
         for key in keys:
             table, name = _split(key)
-            outcome = self._page(table, name, name + "\0", 1)
+            part = _part(table, name)
+            outcome = self._page(table, part, name, name + "\0", 1)
             if isinstance(outcome, platform.Unavailable):
                 return outcome
             found.extend(_row(raw) for raw in outcome["rows"])
@@ -102,21 +133,23 @@
     def scan(
         self, prefix: str, after: str = "", limit: int = 0
     ) -> platform.ReadOutcome:
-        """Reads the rows of a table, page by page."""
-        table, name = _split(prefix)
-        begin = max(name, _split(after)[1] + "\0" if after else "")
+        """Reads the rows of a table whose keys start with ``prefix``."""
+        table, _ = _split(prefix)
         found: list[platform.Row] = []
-        while True:
-            left = limit - len(found) if limit else _PAGE_ROWS
-            outcome = self._page(table, begin, "", min(left, _PAGE_ROWS))
-            if isinstance(outcome, platform.Unavailable):
-                return outcome
-            rows = [_row(raw) for raw in outcome["rows"]]
-            found.extend(row for row in rows if row.key.startswith(prefix))
-            full = limit and len(found) >= limit
-            if full or not rows or not outcome.get("more_pages"):
-                return platform.Rows(tuple(found))
-            begin = _split(rows[-1].key)[1] + "\0"
+        for part in _parts(table):
+            read = self._all(table, part)
+            if isinstance(read, platform.Unavailable):
+                return read
+            found.extend(_row(raw) for raw in read.rows)
+        wanted = sorted(
+            (
+                row
+                for row in found
+                if row.key.startswith(prefix) and row.key > after
+            ),
+            key=lambda row: row.key,
+        )
+        return platform.Rows(tuple(wanted[: limit or None]))
 
     def commit(
         self, transaction: platform.Transaction
@@ -143,21 +176,37 @@
     def snapshot(self, table: str) -> feeds.Snapshot | platform.Unavailable:
         """Reads all rows of a table.
 
-        Pages are read one after the other, so a row may be newer than the
-        version of the first page; changes from there on repeat it.
+        Pages and parts are read at different moments, so a row may be newer
+        than the version of the oldest; changes from there on repeat it.
         """
+        calls_ = [
+            gevent.spawn(self._all, table, part) for part in _parts(table)
+        ]
+        gevent.joinall(calls_, raise_error=True)
         rows: list[feeds.Change] = []
+        versions: list[int] = []
+        for call in calls_:
+            read = call.value
+            if isinstance(read, platform.Unavailable):
+                return read
+            versions.append(read.version)
+            rows.extend(_change(table, raw) for raw in read.rows)
+        return feeds.Snapshot(tuple(rows), min(versions))
+
+    def _all(self, table: str, part: str) -> _Read | platform.Unavailable:
+        """Reads all pages of one part."""
+        rows: list[Mapping[str, Any]] = []
         begin, version = "", None
         while True:
-            outcome = self._page(table, begin, "", _PAGE_ROWS)
+            outcome = self._page(table, part, begin, "", _PAGE_ROWS)
             if isinstance(outcome, platform.Unavailable):
                 return outcome
             if version is None:
                 version = int(outcome["row_version"])
             page = outcome["rows"]
-            rows.extend(_change(table, raw) for raw in page)
+            rows.extend(page)
             if not page or not outcome.get("more_pages"):
-                return feeds.Snapshot(tuple(rows), version)
+                return _Read(tuple(rows), version)
             begin = str(page[-1]["key"]) + "\0"
 
     def changes(
@@ -183,9 +232,9 @@
         )
 
     def _page(
-        self, table: str, begin: str, end: str, limit: int
+        self, table: str, part: str, begin: str, end: str, limit: int
     ) -> Mapping[str, Any] | platform.Unavailable:
-        fields: dict[str, Any] = {"table": table, "part": _part(table)}
+        fields: dict[str, Any] = {"table": table, "part": part}
         if begin:
             fields["from"] = begin
         if end:
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -208,10 +208,12 @@
 
     Attributes:
         boot: start of the process that the owner's row names.
+        patience_s: an owner that wrote more lately goes on.
     """
 
     question: str
     boot: str
+    patience_s: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -158,7 +158,7 @@
             boot,
             lambda: member.owner,
             lambda: member.owner_address,
-            lambda: member.yield_term(),
+            lambda patience_s: member.yield_term(patience_s),
         )
         member = members.Member(
             outside,
