Stop tasks that stand still, use slow instances last, pace fills

Change: a task without progress for 2.2 s is stopped where others have room; an instance under 0.4 of its pool's median speed is used last; fills are halved when a tail passes 0.85 of its target and come back in steps. Ruled out: judging single tasks by their estimate (off by half and more).

--- a/src/vanillaswitch/coordination/fleet/core.py
+++ b/src/vanillaswitch/coordination/fleet/core.py
@@ -22,6 +22,7 @@
 
 from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import placement
+from vanillaswitch.coordination.fleet import progress
 from vanillaswitch.coordination.fleet import queue_order
 from vanillaswitch.coordination.fleet import rooms
 from vanillaswitch.internal import logs
@@ -272,8 +273,7 @@
                 return
         run.confirmed = True
         run.inherited = False
-        if row.percent != run.percent:
-            run.percent, run.percent_at = row.percent, now
+        progress.observe(instance, run, row.percent, now)
         run.gauge = row.gauge
         run.saved = row.saved or run.saved
 
@@ -586,6 +586,40 @@
                 ):
                     self.stop_run(instance, run, now)
 
+    def stop_stalled(self, now: float) -> None:
+        """Stops tasks that stand still, where another instance has room."""
+        for service in self.pools:
+            instances = self.pool_instances(service)
+            progress.mark_slow(instances)
+            for instance in instances:
+                if instance.silent:
+                    continue
+                for run in list(instance.runs.values()):
+                    if progress.stalled(run, now):
+                        self._give_up(instance, run, instances, now)
+
+    def _give_up(
+        self,
+        instance: rooms.Instance,
+        run: rooms.Run,
+        others: Iterable[rooms.Instance],
+        now: float,
+    ) -> None:
+        entry = self.book.get(run.task.job_id)
+        task = entry.task(run.task) if entry else None
+        room = any(
+            other is not instance and other.usable(now) and other.fits(run.need)
+            for other in others
+        )
+        if task is None or not room:
+            return
+        task.avoid.add(instance.name)
+        instance.suspended_until = max(
+            instance.suspended_until, now + SUSPEND_S
+        )
+        self._log("task {} stands still on {}", run.task, instance.name)
+        self.stop_run(instance, run, now)
+
     def _run(self, instance: str, key: rooms.RunKey) -> rooms.Run | None:
         known = self.instances.get(instance)
         return known.runs.get(key) if known else None
--- a/src/vanillaswitch/coordination/fleet/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instance_task.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import recorder as recorders
 from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet import sharing
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
@@ -230,6 +231,29 @@
             instance.registration, start, START_TIMEOUT_S, fresh
         )
 
+    def send_pace(self, pace: sharing.Pace) -> None:
+        """Sends a pace once in a task of its own.
+
+        One that is lost is decided again from what the instance lists.
+        """
+        gevent.spawn(self._send_pace, pace)
+
+    def _send_pace(self, pace: sharing.Pace) -> None:
+        instance = self._core.instances.get(self._name)
+        if instance is None:
+            return
+        outcome = self._means.upstreams.pace(
+            instance.registration,
+            pace.run.task,
+            pace.run.run,
+            pace.percent,
+            self._means.recorder.token,
+        )
+        if isinstance(outcome, fleet.Accepted):
+            pace.run.pace = pace.percent
+        else:
+            self._judge(outcome, self._clock.monotonic())
+
     def send_stop(self, order: cores.StopOrder) -> None:
         """Sends a stop once in a task of its own."""
         gevent.spawn(self._send_stop, order)
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -19,6 +19,7 @@
 from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.coordination.fleet import queue_order
 from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet import sharing
 from vanillaswitch.coordination.fleet import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
@@ -291,12 +292,20 @@
         self._judge_missing(now)
         self._core.lapse(now)
         self._core.stop_again(now)
+        self._core.stop_stalled(now)
         self._core.plan(now, self._clock.wall() * 1000)
         self._ask_advice(now)
         for stop in self._core.take_stops():
             task = self._instances.get(stop.instance)
             if task is not None:
                 task.send_stop(stop)
+        self._pace(now)
+
+    def _pace(self, now: float) -> None:
+        for name, instance in self._core.instances.items():
+            for pace in sharing.plan(instance, now):
+                if name in self._instances:
+                    self._instances[name].send_pace(pace)
 
     def _refresh_config(self) -> None:
         config = self._config()
--- a/src/vanillaswitch/coordination/fleet/placement.py
+++ b/src/vanillaswitch/coordination/fleet/placement.py
@@ -136,7 +136,7 @@
         if apart and instance.count_of(task.name) >= apart:
             continue
         rank = (
-            instance.name in task.avoid,
+            instance.name in task.avoid or instance.slow,
             # A lasting task would soon have to leave it again.
             step.step.long_running and instance.due,
             bool(near) and near not in instance.registration.labels,
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -14,6 +14,10 @@
 """A task and the number of one of its runs."""
 
 
+FULL_PACE = 100
+"""Percent at which a task works when nobody paces it."""
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """One run on one instance, from decision to end.
@@ -31,6 +35,7 @@
         percent_at: when ``percent`` last changed.
         saved: newest checkpoint listed.
         gauge: see ``fleet.Running``.
+        pace: percent of its speed at which it may work.
     """
 
     task: jobs.TaskName
@@ -48,6 +53,7 @@
     percent_at: float = 0.0
     saved: str = ""
     gauge: float = 0.0
+    pace: int = FULL_PACE
 
     @property
     def key(self) -> RunKey:
@@ -71,6 +77,10 @@
         last_end: number of the last end that was taken note of.
         clock_ms: its clock at ``clock_at``.
         clock_at: monotonic seconds at which ``clock_ms`` arrived.
+        speed: work done a second as against what tasks were estimated at.
+        slow: it is slow among its pool.
+        paced_at: when fills on it were last paced.
+        calm_since: since then no task that serves was near its target.
         lapses_at: by then all that it runs has ended unless it is held on.
     """
 
@@ -85,6 +95,11 @@
         self.suspended_until = 0.0
         self.failures_in_row: set[str] = set()
         self.suspensions = 0
+        self.speed = 1.0
+        self.speed_samples = 0
+        self.slow = False
+        self.paced_at = 0.0
+        self.calm_since = now
         self.last_end = 0
         self.clock_ms = 0.0
         self.clock_at = now
--- /dev/null
+++ b/tests/cover/test_progress.py
@@ -0,0 +1,82 @@
+"""Tasks that stand still and instances that are slow are found."""
+
+from tests.common import fleets
+from vanillaswitch.coordination.fleet import progress
+from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+_STEP = jobs.Step(count=1, cpu=1000, estimate_ms=1000.0)
+
+
+def _run(instance, number=0, step=_STEP):
+    name = jobs.TaskName(f"{number:016x}", 0, 0, 0)
+    run = rooms.Run(name, 1, step, fleet.Resources(1000, 0), 0.0)
+    run.confirmed = True
+    instance.add(run)
+    return run
+
+
+def _work(instance, speed):
+    """Lets tasks of 1 s run at a speed, as their instance lists them."""
+    for number in range(4):
+        run = _run(instance, number)
+        for tick in range(1, 4):
+            now = tick * 0.3
+            progress.observe(instance, run, min(99.0, now * speed * 100), now)
+
+
+def test_an_instance_that_takes_many_times_as_long_is_slow():
+    instances = [
+        rooms.Instance(fleets.registration(f"i-{number}"), 0.0)
+        for number in range(4)
+    ]
+    for instance in instances[1:]:
+        _work(instance, 1.0)
+    _work(instances[0], 0.15)
+    progress.mark_slow(instances)
+    assert [instance.slow for instance in instances] == [True] + 3 * [False]
+
+
+def test_estimates_that_are_off_for_all_make_nobody_slow():
+    instances = [
+        rooms.Instance(fleets.registration(f"i-{number}"), 0.0)
+        for number in range(4)
+    ]
+    for instance in instances:
+        _work(instance, 0.3)
+    progress.mark_slow(instances)
+    assert not any(instance.slow for instance in instances)
+
+
+def test_a_task_without_progress_stands_still_and_a_paced_one_does_not():
+    instance = rooms.Instance(fleets.registration("i-1"), 0.0)
+    run = _run(instance)
+    progress.observe(instance, run, 40.0, 1.0)
+    assert not progress.stalled(run, 3.0)
+    assert progress.stalled(run, 3.3)
+    run.pace = 0
+    assert not progress.stalled(run, 3.3)
+
+
+def test_a_task_that_stands_still_goes_on_elsewhere():
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", "i-2")
+    core.job_added(fleets.job(steps=(_STEP,)), 0.0)
+    batch = fleets.plan(core)
+    fleets.run_all(core, batch)
+    core.stop_stalled(9.0)
+    stop = core.take_stops()[0]
+    end = fleet.End(1, stop.task, stop.run, fleet.How.STOPPED, "")
+    core.held(stop.instance, fleets.held((end,)), 9.1, 9.1)
+    again = fleets.plan(core, 9.2).starts[0]
+    assert again.instance != stop.instance
+
+
+def test_the_only_instance_keeps_a_task_that_stands_still():
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1")
+    core.job_added(fleets.job(steps=(_STEP,)), 0.0)
+    fleets.run_all(core, fleets.plan(core))
+    core.stop_stalled(9.0)
+    assert not core.take_stops()
--- /dev/null
+++ b/tests/cover/test_sharing.py
@@ -0,0 +1,66 @@
+"""Fills make way for tasks that serve users."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from tests.common import fleets
+from tests.common import properties
+from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet import sharing
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+_SERVES = jobs.Step(count=1, long_running=True, target_ms=50.0)
+_FILLS = jobs.Step(count=1, fills=True)
+
+
+def _instance():
+    instance = rooms.Instance(fleets.registration("i-1"), 0.0)
+    runs = []
+    for number, step in enumerate((_SERVES, _FILLS)):
+        name = jobs.TaskName("ab" * 8, 0, number, 0)
+        run = rooms.Run(name, 1, step, fleet.Resources(0, 0), 0.0)
+        run.confirmed = True
+        instance.add(run)
+        runs.append(run)
+    return instance, *runs
+
+
+def test_a_fill_is_slowed_when_a_tail_comes_near_its_target():
+    instance, serving, fill = _instance()
+    serving.gauge = 49.0
+    paces = sharing.plan(instance, 1.0)
+    assert paces == [sharing.Pace(fill, 50)]
+    assert not sharing.plan(instance, 1.1)
+
+
+def test_a_fill_alone_is_left_at_full_speed():
+    instance, serving, _ = _instance()
+    instance.remove(serving.key)
+    assert not sharing.plan(instance, 5.0)
+
+
+def test_a_fill_comes_back_only_after_a_calm_while():
+    instance, serving, fill = _instance()
+    serving.gauge, fill.pace = 20.0, 50
+    instance.calm_since = 10.0
+    assert not sharing.plan(instance, 11.0)
+    assert sharing.plan(instance, 11.7) == [sharing.Pace(fill, 70)]
+
+
+@properties.steady
+@hypothesis.given(effect=st.floats(0.3, 4.0), own=st.floats(5.0, 35.0))
+def test_no_tail_stays_over_its_target_for_long(effect, own):
+    """The tail grows with the pace; within 4 s it is under its target."""
+    instance, serving, fill = _instance()
+    over_since = None
+    for tick in range(200):
+        now = tick * 0.1
+        serving.gauge = own + effect * fill.pace
+        if serving.gauge > _SERVES.target_ms:
+            over_since = now if over_since is None else over_since
+            assert now - over_since < 4.0
+        else:
+            over_since = None
+        for pace in sharing.plan(instance, now):
+            pace.run.pace = pace.percent
