Don't take young tasks for stalled after a change of owner; keep old rows out

Cause: a run that a new owner inherits had last made progress at second 0 of its clock, so each task listed at 0 percent was stopped and started again. Change: progress counts from when the owner heard of a run. The beginning of a wave is recorded, so that a new owner knows how much time is left. Ruled out: acknowledged ends, a missing row of progress, load by itself.

--- a/src/vanillaswitch/coordination/fleet/book.py
+++ b/src/vanillaswitch/coordination/fleet/book.py
@@ -98,6 +98,7 @@
         self.started = False
         self.shown = jobs.JobState.QUEUED
         self.version = 0
+        self.ended_ms = 0.0
         self.open: dict[tuple[int, int], OpenStep] = {}
         self._done: set[tuple[int, int]] = set()
         self._opened: set[tuple[int, int]] = set()
@@ -160,8 +161,14 @@
                 self._opened.add(key)
                 self.open[key] = OpenStep(self, occurrence, number, step)
 
-    def pack(self) -> dict[str, Any]:
-        """Returns what a later owner has to know, as a document."""
+    def pack(self, wall_ms: float = 0.0) -> dict[str, Any]:
+        """Returns what a later owner has to know, as a document.
+
+        Args:
+            wall_ms: wall clock, taken as the end of a job that has just ended.
+        """
+        if self.ended is not None and not self.ended_ms:
+            self.ended_ms = wall_ms
         tasks = [
             [
                 step.occurrence,
@@ -179,6 +186,7 @@
         ]
         return {
             "ended": self.ended.value if self.ended else "",
+            "ended_ms": self.ended_ms,
             "started": self.started,
             "done": [list(key) for key in sorted(self._done)],
             "tasks": tasks,
@@ -192,6 +200,7 @@
         ended = document.get("ended")
         self.ended = jobs.JobState(ended) if ended else None
         self.shown = self.state
+        self.ended_ms = float(document.get("ended_ms", 0.0))
         if self.ended is not None:
             return
         for row in document.get("tasks", ()):
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import dataclasses
 from typing import Protocol
 
 import gevent.event
@@ -41,16 +42,33 @@
 emptied first."""
 
 
+@dataclasses.dataclass(frozen=True)
+class WaveRecord:
+    """What outlives an owner of a wave.
+
+    Attributes:
+        machines: those whose upkeep has begun and ended.
+        began_ms: wall clock of the owner that saw it first, milliseconds
+            since 1970. Counted anew by each owner, a wave would seem to have
+            time left when it has none.
+    """
+
+    machines: Collection[str]
+    began_ms: float
+
+
 class WaveBoard(Protocol):
     """The operators' waves and what is reported of them."""
 
     def orders(self) -> Iterable[fleet.WaveOrder]:
         """Returns the waves that are ordered."""
 
-    def finished(self, wave: str) -> Collection[str] | None:
-        """Returns the machines of a wave whose upkeep has begun and ended.
+    def begin(self, wave: str, now_ms: float) -> WaveRecord | None:
+        """Returns what is recorded of a wave; None while it can't be read.
 
-        None while that can't be read.
+        Args:
+            wave: its name.
+            now_ms: recorded as its beginning unless one is recorded already.
         """
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
@@ -139,11 +157,13 @@
         self._mover.step(self._listed, busy)
 
     def _begin(self, order: fleet.WaveOrder, now: float) -> None:
-        finished = self._board.finished(order.name)
-        if finished is None:
+        wall_ms = self._clock.wall() * 1000
+        record = self._board.begin(order.name, wall_ms)
+        if record is None:
             return
-        wave = waves.begin(order, now)
-        for name in finished:
+        age_s = max(0.0, wall_ms - record.began_ms) / 1000
+        wave = waves.begin(order, now - age_s)
+        for name in record.machines:
             if name in wave.machines:
                 wave.machines[name].phase = waves.Phase.DONE
         self._waves[order.name] = wave
--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
@@ -97,15 +98,22 @@
         """Returns the waves that are ordered."""
         return tuple(self._waves.values())
 
-    def finished(self, wave: str) -> Collection[str] | None:
-        """Returns the machines of a wave that are recorded as finished."""
-        read = self._table.read([f"{FINISHED_TABLE}/{wave}"])
-        if isinstance(read, platform.Unavailable):
+    def begin(self, wave: str, now_ms: float) -> machine_task.WaveRecord | None:
+        """Returns what is recorded of a wave; records its beginning."""
+        key = f"{FINISHED_TABLE}/{wave}"
+
+        def begun(document: Mapping[str, Any]) -> dict[str, Any]:
+            return {"machines": [], "began_ms": now_ms} | dict(document)
+
+        if not self._update(key, begun):
+            return None
+        read = self._table.read([key])
+        if isinstance(read, platform.Unavailable) or not read.rows:
             return None
-        if not read.rows:
-            return ()
-        names: Collection[str] = read.rows[0].value.get("machines", ())
-        return names
+        row = read.rows[0].value
+        return machine_task.WaveRecord(
+            tuple(row.get("machines", ())), float(row.get("began_ms", now_ms))
+        )
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
         """Adds machines to those that are recorded as finished.
@@ -115,7 +123,7 @@
 
         def merged(document: Mapping[str, Any]) -> dict[str, Any]:
             known = set(document.get("machines", ()))
-            return {"machines": sorted(known | set(machines))}
+            return dict(document) | {"machines": sorted(known | set(machines))}
 
         return self._update(f"{FINISHED_TABLE}/{wave}", merged)
 
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -19,6 +19,7 @@
 from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.coordination.fleet import queue_order
 from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet import retention
 from vanillaswitch.coordination.fleet import sharing
 from vanillaswitch.coordination.fleet import succession
 from vanillaswitch.coordination.fleet import term_state
@@ -89,6 +90,7 @@
         self._clock = clock
         self._config_version = -1
         self._finishing = False
+        self._removed: list[books.Entry] = []
         self._recording = False
         self._wake = gevent.event.Event()
         self._core = cores.Core(
@@ -180,7 +182,8 @@
         self._registrations.start_from(listed)
         rows = {row.key: row for row in progress.rows}
         for row in accepted.rows:
-            self._restore(row, rows.get(row.key), now)
+            self._restore(row, rows.pop(row.key, None), now)
+        self._removed = [_orphan(row) for row in rows.values()]
         self._jobs.start_from(accepted)
         lapses = instance_task.inherited_lapse_at(now)
         self._core.inherit_runs(now, lapses)
@@ -211,6 +214,7 @@
                 self._jobs.run,
                 self._cancels.run,
                 self._machines.run,
+                self._remove_old,
             )
         ]
         opener = gevent.getcurrent()
@@ -341,16 +345,34 @@
             self._record(self._core.take_batch(recorders.MAX_ROWS))
             self._recording = False
 
+    def _remove_old(self) -> None:
+        """Removes the rows of jobs that ended long ago, for good."""
+        while not self._recorder.deposed and not self._finishing:
+            self._clock.sleep(retention.PAUSE_S)
+            old = retention.expired(
+                self._core.book,
+                self._settings.bounds.status_s,
+                self._clock.wall() * 1000,
+            )
+            for entry in old:
+                if retention.remove_job(self._outside.table, entry.job.job_id):
+                    self._core.book.remove(entry.job.job_id)
+                    self._removed.append(entry)
+
     def _record(self, batch: term_state.Batch) -> None:
         states = [entry.state for entry in batch.entries]
         puts = [
             platform.Put(
                 f"{recorders.PROGRESS_TABLE}/{entry.job.job_id}",
                 entry.version,
-                entry.pack(),
+                entry.pack(self._clock.wall() * 1000),
             )
             for entry in batch.entries
         ]
+        removed, self._removed = self._removed, []
+        spare = recorders.MAX_ROWS - len(puts)
+        self._removed.extend(removed[spare:])
+        puts.extend(retention.progress_removal(removed[:spare]))
         written = self._recorder.write(puts)
         if isinstance(written, recorders.Deposed):
             return
@@ -413,3 +435,11 @@
         validity_s = outcome.validity_s or queue.advice.validity_ms / 1000
         self._core.advised(step, outcome.by_instance, began + validity_s)
         self._wake.set()
+
+
+def _orphan(row: feeds.Change) -> books.Entry:
+    """Returns what stands for a row of progress whose job was removed."""
+    job = jobs.Job(row.key, "", "", "", (jobs.Step(count=1),), 0)
+    entry = books.Entry(job, 0.0)
+    entry.version = row.version
+    return entry
--- a/src/vanillaswitch/coordination/fleet/planning.py
+++ b/src/vanillaswitch/coordination/fleet/planning.py
@@ -102,7 +102,6 @@
         run = rooms.Run(
             task.name, number, step.step, books.need(step.step), now
         )
-        run.percent_at = now
         instance.add(run)
         self._emit(
             events.TaskAssigned(
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -32,7 +32,9 @@
         void_since: since then it is certain that it can't start any more.
         decided_at: monotonic seconds at which it was decided.
         percent: how far it is, as last listed.
-        percent_at: when ``percent`` last changed.
+        percent_at: when ``percent`` last changed, at first when the owner
+            heard of the run; else a new owner would take every young task
+            for one that stands still.
         saved: newest checkpoint listed.
         gauge: see ``fleet.Running``.
         pace: percent of its speed at which it may work.
@@ -50,11 +52,15 @@
     stop_sent_at: float = 0.0
     void_since: float | None = None
     percent: float = 0.0
-    percent_at: float = 0.0
+    percent_at: float = dataclasses.field(init=False)
     saved: str = ""
     gauge: float = 0.0
     pace: int = FULL_PACE
 
+    def __post_init__(self) -> None:
+        """Counts progress from when the run was decided or heard of."""
+        self.percent_at = self.decided_at
+
     @property
     def key(self) -> RunKey:
         """The task and the run's number."""
--- /dev/null
+++ b/tests/cover/test_retention.py
@@ -0,0 +1,57 @@
+"""Rows of jobs that ended long ago are removed, and only those."""
+
+from standins import table as tables
+from tests.common import fleets
+from vanillaswitch.coordination.fleet import book as books
+from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet import retention
+from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
+
+STATUS_S = 120.0
+DAY_MS = 86_400_000.0
+
+
+def _ended(number, at_ms, shown=jobs.JobState.COMPLETED):
+    entry = books.Entry(fleets.job(number), 0.0)
+    entry.end(jobs.JobState.COMPLETED)
+    entry.pack(at_ms)
+    entry.shown = shown
+    return entry
+
+
+def test_a_job_is_kept_for_as_long_as_it_may_be_asked_for():
+    entry = _ended(1, DAY_MS)
+    just_before = DAY_MS + (STATUS_S + retention.MARGIN_S) * 1000
+    assert not retention.expired([entry], STATUS_S, just_before)
+    assert retention.expired([entry], STATUS_S, just_before + 1) == [entry]
+
+
+def test_a_job_whose_end_is_not_recorded_or_that_runs_is_kept():
+    unrecorded = _ended(1, DAY_MS, shown=jobs.JobState.RUNNING)
+    running = books.Entry(fleets.job(2), 0.0)
+    found = retention.expired([unrecorded, running], STATUS_S, 2 * DAY_MS)
+    assert not found
+
+
+def test_the_end_survives_a_change_of_owner():
+    entry = _ended(1, DAY_MS)
+    again = books.Entry(entry.job, 0.0)
+    again.unpack(entry.pack(2 * DAY_MS))
+    assert again.ended_ms == DAY_MS
+
+
+def test_a_job_and_its_cancel_are_removed_together():
+    table = tables.MemoryTable()
+    for name in (recorders.JOB_TABLE, recorders.CANCEL_TABLE):
+        put = platform.Put(f"{name}/ab", platform.ABSENT, {})
+        table.commit(platform.Transaction(name, (put,)))
+    assert retention.remove_job(table, "ab")
+    assert table.scan("").rows == ()
+    assert retention.remove_job(table, "ab")
+
+
+def test_a_store_that_does_not_answer_keeps_the_job_in_the_book():
+    table = tables.MemoryTable()
+    table.faults.down = True
+    assert not retention.remove_job(table, "ab")
--- a/tests/failures/test_fleet_failures.py
+++ b/tests/failures/test_fleet_failures.py
@@ -271,3 +271,25 @@
     assert watch.orders_from(3.0, 1.6) == 3.0
     watch.process_ended("boot-1")
     assert watch.orders_from(3.0, 1.6) == 1.6
+
+
+def test_a_new_owner_does_not_take_young_tasks_for_stalled():
+    """A charge is stopped and starts again after each change of owner.
+
+    The new owner has not seen the task's progress change yet, and judged it
+    as if it had stood still since its clock began.
+    """
+    before = fleets.new_core()
+    fleets.adopt(before, "i-1", "i-2")
+    before.job_added(fleets.job(), 0.0)
+    batch = fleets.plan(before)
+    entry = before.book.get(fleets.job().job_id)
+    core = fleets.new_core()
+    for name in ("i-1", "i-2"):
+        core.registered(fleets.registration(name), 100.0)
+    core.restore(entry.job, entry.pack(), 1, 100.0)
+    core.inherit_runs(100.0, 120.0)
+    fleets.run_all(core, batch)
+    fleets.show(core, {"i-2": []})
+    core.stop_stalled(101.0)
+    assert not core.take_stops()
