--- a/src/vanillaswitch/coordination/fleet/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instance_task.py
@@ -102,6 +102,11 @@
             instance = self._core.instances.get(self._name)
             if instance is None:
                 return
+            if not instance.registration.address:
+                # An earlier owner's rows name it and no list does, as after
+                # an outage in which its entry lapsed; it may register again.
+                self._clock.sleep(RETRY_S)
+                continue
             self._await_record(instance)
             answered = self._hold(instance, failures > 0)
             failures = 0 if answered else failures + 1
@@ -261,7 +266,7 @@
 
     def _send_stop(self, order: term_state.StopOrder) -> None:
         instance = self._core.instances.get(self._name)
-        if instance is None:
+        if instance is None or not instance.registration.address:
             return
         outcome = self._means.upstreams.stop(
             instance.registration,
