Let strong machines own the fleet; reserve ports in the tests of processes

(2) tests of processes took ports that the kernel gives to connections, and a process then could not start (once in three runs beside eight busy processes; one earlier failure of told_to_stop whose output was not kept is taken to be the same, not shown). Change: a machine of less than one core waits up to 0.6 s longer before it takes over; tests take ports below that range.

--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -17,6 +17,11 @@
 SPREAD_S = 0.15
 """Takers-over wait a random part of this, so that most find it done."""
 
+WEAK_S = 0.6
+"""A machine with less than one core waits longer by this times what it lacks,
+so that a stronger one becomes the owner where there is one: at 1,400 task
+starts a second an owner takes 0.46 of a core, all that the weakest have."""
+
 LEAVE_S = 1.0
 """Longest wait for the owner's last write on leaving."""
 
@@ -162,7 +167,8 @@
             return False
         if not self._succession.may_take_over(self._clock.monotonic()):
             return False
-        self._clock.sleep(self._rng.random() * SPREAD_S)
+        weakness = max(0.0, 1.0 - self._settings.cores)
+        self._clock.sleep(self._rng.random() * SPREAD_S + weakness * WEAK_S)
         return True
 
     def _take_over(self) -> None:
--- a/src/vanillaswitch/platform/settings.py
+++ b/src/vanillaswitch/platform/settings.py
@@ -117,6 +117,8 @@
         store_address=fields.text("platform.address"),
         machines_address=fields.text("cloud_api.address", ""),
         advice_address=fields.text("advice", ""),
+        cores=fields.number("limits.cpu_share", 1.0)
+        * fields.number("limits.cpu_cores", 1.0),
         orders=fields.text("orders", KNOWN_ORDERS),
         contracts=fields.items("contracts"),
         heartbeat_s=fields.seconds("heartbeat_ms", 1.5),
--- a/src/vanillaswitch/state/deployment.py
+++ b/src/vanillaswitch/state/deployment.py
@@ -63,6 +63,7 @@
         store_address: "ip:port" of the platform's store.
         machines_address: "ip:port" of the platform's list of machines.
         advice_address: "ip:port" of the advising service; may be empty.
+        cores: processors that this machine may use.
         orders: how instances take orders.
         contracts: parts of the rules in force.
     """
@@ -76,6 +77,7 @@
     store_address: str
     machines_address: str
     advice_address: str
+    cores: float
     orders: str
     contracts: tuple[str, ...]
     heartbeat_s: float
--- a/tests/failures/test_edge_process.py
+++ b/tests/failures/test_edge_process.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -43,19 +44,37 @@
     }
 
 
+_PORTS = itertools.count(20_000 + os.getpid() % 90 * 100)
+"""Below the ports that the kernel hands to connections: one of those that was
+free a moment ago may be taken by anybody's connection, and the process then
+can't start."""
+
+
+def _is_free(port):
+    try:
+        sockets.listen(f"127.0.0.1:{port}").close()
+    except OSError:
+        return False
+    return True
+
+
 def _free_ports(count):
-    held = [sockets.listen("127.0.0.1:0") for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+    """Returns the first of ``count`` ports in a row that are free."""
+    while True:
+        first = next(_PORTS)
+        ports = range(first, first + count)
+        if all(_is_free(port) for port in ports):
+            for _ in ports:
+                next(_PORTS)
+            return first
 
 
 class _Edge:
     """One process and where it is reached."""
 
     def __init__(self, outside, folder, name):
-        entry, ready, internal = _free_ports(3)
+        entry = _free_ports(4)
+        ready, internal = entry + 1, entry + 2
         self.entry = f"127.0.0.1:{entry}"
         self.ready = f"127.0.0.1:{ready}"
         file = folder / f"{name}.conf"
