Refuse hand-ins at once while the store is known to be silent

Change: a store that answered no call for 0.9 s counts as away, and hand-ins and cancels are refused before anything is sent; a write that was sent is given up as unknown after 2 s. Ruled out: the owner, silent connections, load (docs/incidents).

--- a/src/vanillaswitch/coordination/fleet/intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake.py
@@ -8,6 +8,7 @@
 no copy of the row's write can take effect any more.
 """
 
+from collections.abc import Callable
 import dataclasses
 import enum
 import itertools
@@ -19,6 +20,16 @@
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
 
+SILENT_S = 0.9
+"""A store that answered no call for so long is taken to be away: one that is
+60 times slower answers in half of it. What would be written is refused at
+once, since a write that was sent and not answered can't be refused any more;
+without this each hand-in of an outage hung until its client gave up."""
+
+ATTEMPT_S = 2.0
+"""Longest wait for the outcome of a write that was sent. Then the client is
+told that it is not known, in time to ask again under the same id."""
+
 
 class Verdict(enum.StrEnum):
     """What became of a hand-in or a cancel."""
@@ -38,7 +49,22 @@
 class Intake:
     """Writes and reads rows of jobs for clients."""
 
-    def __init__(self, table: platform.Table, clock: clocks.Clock, boot: str):
+    def __init__(
+        self,
+        table: platform.Table,
+        clock: clocks.Clock,
+        boot: str,
+        unanswered_s: Callable[[], float],
+    ):
+        """Makes an intake.
+
+        Args:
+            table: where jobs are written.
+            clock: bounds the waits.
+            boot: makes tokens of transactions unique.
+            unanswered_s: returns for how long the store answered no call.
+        """
+        self._unanswered_s = unanswered_s
         self._table = table
         self._clock = clock
         self._boot = boot
@@ -51,6 +77,8 @@
             job: the job.
             deadline: monotonic seconds after which nobody waits any more.
         """
+        if self._silent():
+            return Verdict.NOT_DONE
         document = job_rows.pack(job)
         key = f"{recorders.JOB_TABLE}/{job.job_id}"
         outcome = self._insert(key, document, deadline)
@@ -73,6 +101,8 @@
             known: whether it is certain that it was accepted.
             deadline: monotonic seconds after which nobody waits any more.
         """
+        if self._silent():
+            return Verdict.NOT_DONE
         if not known:
             read = self._table.read([f"{recorders.JOB_TABLE}/{job_id}"])
             if isinstance(read, platform.Unavailable):
@@ -87,6 +117,8 @@
 
     def state(self, job_id: str) -> jobs.JobState | None | Unknown:
         """Reads a job's recorded state; None when there is no such job."""
+        if self._silent():
+            return Unknown()
         read = self._table.read(
             [
                 f"{recorders.PROGRESS_TABLE}/{job_id}",
@@ -105,6 +137,9 @@
             return jobs.JobState.RUNNING
         return jobs.JobState.QUEUED
 
+    def _silent(self) -> bool:
+        return self._unanswered_s() > SILENT_S
+
     def _insert(
         self, key: str, document: dict[str, object], deadline: float
     ) -> platform.CommitOutcome:
@@ -114,7 +149,7 @@
             self._table,
             platform.Transaction(token, (put,)),
             self._clock,
-            deadline,
+            min(deadline, self._clock.monotonic() + ATTEMPT_S),
         )
 
 
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -20,6 +20,7 @@
 
 import gevent
 
+from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import calls
 from vanillaswitch.protocol import feeds
@@ -113,10 +114,23 @@
 class Store:
     """Implements ``platform.Table`` and ``feeds.Feed``."""
 
-    def __init__(self, client: plain_http.PlainClient, address: str):
+    def __init__(
+        self,
+        client: plain_http.PlainClient,
+        address: str,
+        clock: clocks.Clock,
+    ):
         self._client = client
         self._address = address
+        self._clock = clock
         self._silent = False
+        self._unanswered_since: float | None = None
+
+    @property
+    def unanswered_s(self) -> float:
+        """For how long calls have been made and none was answered."""
+        since = self._unanswered_since
+        return 0.0 if since is None else self._clock.monotonic() - since
 
     def read(self, keys: Sequence[str]) -> platform.ReadOutcome:
         """Reads rows one by one; each is as of its own moment."""
@@ -216,9 +230,16 @@
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         )
-        reply = self._call(
-            "GET", f"/-/rows-feed?{query}", None, wait_s + FEED_SLACK_S
+        reply = calls.call(
+            self._client,
+            self._address,
+            "GET",
+            f"/-/rows-feed?{query}",
+            timeout_s=wait_s + FEED_SLACK_S,
+            fresh=self._silent,
         )
+        if isinstance(reply, calls.Reply):
+            self._unanswered_since = None
         if isinstance(reply, calls.NoReply):
             return platform.Unavailable(reply.reason)
         if reply.status == _HISTORY_LOST:
@@ -255,6 +276,8 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
     ) -> calls.Reply | calls.NoReply:
+        if self._unanswered_since is None:
+            self._unanswered_since = self._clock.monotonic()
         # After a call without an answer the next one goes on a new
         # connection: kept ones of the same age may have gone silent too.
         reply = calls.call(
@@ -267,6 +290,8 @@
             fresh=self._silent,
         )
         self._silent = isinstance(reply, calls.NoReply)
+        if not self._silent:
+            self._unanswered_since = None
         return reply
 
 
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -156,7 +156,7 @@
     state = _State()
     with contextlib.ExitStack() as stack:
         client = stack.enter_context(plain_http.open_client(clock))
-        store = stores.Store(client, settings.store_address)
+        store = stores.Store(client, settings.store_address, clock)
         told = telemetry.Telemetry(logs.event)
         view = _operators(store, told)
         outside = _outside(settings, client, store, view)
@@ -200,7 +200,7 @@
         )
         ready = functools.partial(_ready, state, view, member, clock)
         handler = jobs_http.JobsHttp(
-            intake.Intake(store, clock, boot),
+            intake.Intake(store, clock, boot, lambda: store.unanswered_s),
             link,
             lambda: view.config,
             clock,
--- a/tests/cover/test_edge_platform.py
+++ b/tests/cover/test_edge_platform.py
@@ -31,7 +31,7 @@
     outside = edge_http.EdgePlatform(instances, task_s=0.05)
     clock = clocks.SystemClock()
     with outside.serving(), plain_http.open_client(clock) as client:
-        yield outside, client, stores.Store(client, outside.address)
+        yield outside, client, stores.Store(client, outside.address, clock)
 
 
 def _put(key, version, value):
