Look for the owner as soon as a process starts

Change: a process looks at its first reading. Ruled out: taking over without a look (a cut process would end a good term).

--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -63,6 +63,7 @@
         self._owner: owners.Owner | None = None
         self._recorder: recorders.Recorder | None = None
         self._leaving = False
+        self._looked = False
         self._store_answered_at = -1e9
 
     @property
@@ -113,7 +114,11 @@
         version = read.rows[0].version if read.rows else platform.ABSENT
         row = recorders.owner_row(read.rows[0].value) if read.rows else None
         self._succession.observed(row, version, asked_at, now)
-        if self._succession.suspect(now):
+        # A process that has just started may follow the loss of all; it
+        # looks at once, instead of after the pause of an owner that it has
+        # seen writing, which costs a second of nothing being started.
+        if not self._looked or self._succession.suspect(now):
+            self._looked = True
             self._look_for(self._succession.row)
 
     def _look_for(self, row: recorders.OwnerRow) -> None:
