--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -56,10 +56,10 @@
     def commit(self, transaction):
         del transaction
         self.committed_at = self._clock.monotonic()
-        raise _TakenOver
+        raise _TakenOverError
 
 
-class _TakenOver(Exception):
+class _TakenOverError(Exception):
     pass
 
 
@@ -80,7 +80,7 @@
     began = clock.monotonic()
     try:
         member.run()
-    except _TakenOver:
+    except _TakenOverError:
         return table.committed_at - began
     raise AssertionError("nobody took over")
 
