Split the owner's tasks, hold an instance that comes back

Reading it showed a fault: an instance that was taken as gone and registered again under its id got no new task of calls, and a task that failed by a fault of ours was not begun again. Change: modules of their own; a tick starts the tasks that are missing.

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/advice_task.py
@@ -0,0 +1,82 @@
+"""Asks the advising service which instances may run a step."""
+
+import gevent
+import gevent.event
+
+from vanillaswitch.coordination.fleet import book as books
+from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
+from vanillaswitch.protocol import fleet
+
+SLACK_S = 1.0
+"""How much longer than the announced time an advising call may take."""
+
+AGAIN_S = 0.1
+"""Pause before a step whose call failed is asked for again."""
+
+
+class AdviceTask:
+    """Keeps the tickets of waiting steps fresh, one call a step at a time."""
+
+    def __init__(
+        self,
+        core: cores.Core,
+        advisor: fleet.Advisor,
+        clock: clocks.Clock,
+        wake: gevent.event.Event,
+    ):
+        self._core = core
+        self._advisor = advisor
+        self._clock = clock
+        self._wake = wake
+        self._asking: set[tuple[str, int, int]] = set()
+
+    def ask_for_waiting(self) -> None:
+        """Asks for steps that wait for tickets."""
+        if not any(queue.advice for queue in self._core.queues.values()):
+            return
+        now = self._clock.monotonic()
+        wall_ms = self._clock.wall() * 1000
+        for steps in self._core.ready_steps(wall_ms).values():
+            for step in steps:
+                key = (step.entry.job.job_id, step.occurrence, step.number)
+                tickets = self._core.tickets_for(step, now)
+                if tickets is None or tickets or key in self._asking:
+                    continue
+                self._asking.add(key)
+                gevent.spawn(self._ask, step, key)
+
+    def _ask(self, step: books.OpenStep, key: tuple[str, int, int]) -> None:
+        try:
+            self._ask_once(step)
+        finally:
+            self._asking.discard(key)
+
+    def _ask_once(self, step: books.OpenStep) -> None:
+        queue = self._core.queues.get(step.entry.job.queue)
+        if queue is None or queue.advice is None:
+            return
+        began = self._clock.monotonic()
+        names = [
+            instance.name
+            for instance in self._core.pool_instances(queue.service)
+            if instance.usable(began)
+        ]
+        if not names:
+            return
+        limit_ms = queue.advice.decision_ms
+        limit_ms += queue.advice.period_ms * len(names)
+        job_id = step.entry.job.job_id
+        outcome = self._advisor.ask(
+            f"{job_id}.{step.occurrence}.{step.number}",
+            names,
+            limit_ms / 1000 + SLACK_S,
+        )
+        if isinstance(outcome, fleet.NoAnswer):
+            logs.warning("no advice for {}: {}", job_id, outcome.reason)
+            self._clock.sleep(AGAIN_S)
+            return
+        validity_s = outcome.validity_s or queue.advice.validity_ms / 1000
+        self._core.advised(step, outcome.by_instance, began + validity_s)
+        self._wake.set()
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/listing.py
@@ -0,0 +1,94 @@
+"""The owner's view of the platform's list of instances."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import fleet
+
+PAUSE_S = 0.2
+"""Pause between reads of the instances' heartbeats, which come all the time
+and rarely say anything new."""
+
+UNLISTED_S = 2.5
+"""An entry that is missing counts as gone only so long after the store came
+back: living instances register again within about 2 s."""
+
+Decode = Callable[[str, Mapping[str, Any]], fleet.Registration]
+"""Decodes a row of the table of instances."""
+
+
+class Listing:
+    """Follows the registrations of instances for one term."""
+
+    def __init__(
+        self,
+        core: cores.Core,
+        feed: feeds.Feed,
+        table: str,
+        decode: Decode,
+        clock: clocks.Clock,
+        emit: Callable[[object], None],
+        on_change: Callable[[], None],
+    ):
+        """Makes a listing that has read nothing.
+
+        Args:
+            core: is told of instances.
+            feed: where to read.
+            table: name of the table of instances.
+            decode: decodes its rows.
+            clock: paces the reads.
+            emit: takes events.
+            on_change: called when something may have changed.
+        """
+        self._core = core
+        self._decode = decode
+        self._clock = clock
+        self._on_change = on_change
+        self._missing: set[str] = set()
+        self._follower = follow.Follower(
+            feed, table, clock, self._on_snapshot, self._on_rows, emit, PAUSE_S
+        )
+
+    def start_from(self, snapshot: feeds.Snapshot) -> None:
+        """Takes a snapshot that was read before, and goes on from there."""
+        self._on_snapshot(snapshot)
+        self._follower.start_from(snapshot)
+
+    def run(self) -> None:
+        """Follows the table for good."""
+        self._follower.run()
+
+    def judge_missing(self, now: float) -> None:
+        """Takes instances as gone from the list that are missing for good."""
+        settled = now - self._follower.back_at >= UNLISTED_S
+        if self._follower.failing or not settled:
+            return
+        for name in self._missing:
+            self._core.unlisted(name)
+        self._missing.clear()
+
+    def _on_snapshot(self, snapshot: feeds.Snapshot) -> None:
+        present = {row.key for row in snapshot.rows}
+        self._missing |= self._core.instances.keys() - present
+        self._on_rows(snapshot.rows)
+
+    def _on_rows(self, changes: Iterable[feeds.Change]) -> None:
+        now = self._clock.monotonic()
+        for change in changes:
+            if change.value is None:
+                self._missing.add(change.key)
+                continue
+            self._missing.discard(change.key)
+            found = self._decode(change.key, change.value)
+            known = self._core.instances.get(change.key)
+            if known and known.listed and known.registration == found:
+                continue
+            self._core.registered(found, now)
+        self._on_change()
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -11,11 +11,14 @@
 import gevent
 import gevent.event
 
+from vanillaswitch.coordination.fleet import advice_task
 from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet import instance_task
+from vanillaswitch.coordination.fleet import instance_tasks
 from vanillaswitch.coordination.fleet import job_rows
+from vanillaswitch.coordination.fleet import listing
 from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.coordination.fleet import queue_order
 from vanillaswitch.coordination.fleet import recorder as recorders
@@ -24,7 +27,6 @@
 from vanillaswitch.coordination.fleet import succession
 from vanillaswitch.coordination.fleet import term_state
 from vanillaswitch.internal import clock as clocks
-from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -39,17 +41,6 @@
 """How often the owner looks for what time alone brings: due occurrences,
 lapsed leases, suspensions that end."""
 
-REGISTRATION_PAUSE_S = 0.2
-"""Pause between reads of the instances' heartbeats, which come all the time
-and rarely say anything new."""
-
-UNLISTED_S = 2.5
-"""An entry that is missing counts as gone only so long after the store came
-back: living instances register again within about 2 s."""
-
-ADVICE_SLACK_S = 1.0
-"""How much longer than the announced time an advising call may take."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Outside:
@@ -99,14 +90,18 @@
         self._means = instance_task.Means(
             self._core, outside.upstreams, recorder, clock, self._wake
         )
-        self._instances: dict[str, instance_task.InstanceTask] = {}
-        self._missing: dict[str, float] = {}
-        self._advising: set[tuple[str, int, int]] = set()
-        self._registrations = self._follower(
+        self._instances = instance_tasks.InstanceTasks(self._means)
+        self._advice = advice_task.AdviceTask(
+            self._core, outside.advisor, clock, self._wake
+        )
+        self._listing = listing.Listing(
+            self._core,
+            outside.feed,
             outside.registrations,
-            self._all_registrations,
-            self._some_registrations,
-            REGISTRATION_PAUSE_S,
+            outside.registration,
+            clock,
+            emit,
+            self._wake.set,
         )
         self._jobs = self._follower(
             recorders.JOB_TABLE,
@@ -134,7 +129,6 @@
         table: str,
         on_snapshot: follow.OnSnapshot,
         on_changes: follow.OnChanges,
-        pause_s: float = 0.0,
     ) -> follow.Follower:
         return follow.Follower(
             self._outside.feed,
@@ -143,7 +137,6 @@
             on_snapshot,
             on_changes,
             self._emit,
-            pause_s,
         )
 
     @property
@@ -178,8 +171,7 @@
         listed, accepted, progress, cancelled = read
         now = self._clock.monotonic()
         self._refresh_config()
-        self._all_registrations(listed)
-        self._registrations.start_from(listed)
+        self._listing.start_from(listed)
         rows = {row.key: row for row in progress.rows}
         for row in accepted.rows:
             self._restore(row, rows.pop(row.key, None), now)
@@ -210,7 +202,7 @@
             for run in (
                 self._plan_all,
                 self._record_all,
-                self._registrations.run,
+                self._listing.run,
                 self._jobs.run,
                 self._cancels.run,
                 self._machines.run,
@@ -222,8 +214,7 @@
             task.link_exception(
                 lambda task: gevent.kill(opener, task.exception)
             )
-        for name in list(self._core.instances):
-            self._spawn_instance(name)
+        self._instances.ensure()
         try:
             yield
         finally:
@@ -243,35 +234,6 @@
 
     # What the store says.
 
-    def _all_registrations(self, snapshot: feeds.Snapshot) -> None:
-        present = {row.key for row in snapshot.rows}
-        now = self._clock.monotonic()
-        for name in self._core.instances.keys() - present:
-            self._missing.setdefault(name, now)
-        self._some_registrations(snapshot.rows)
-
-    def _some_registrations(self, changes: Iterable[feeds.Change]) -> None:
-        now = self._clock.monotonic()
-        for change in changes:
-            if change.value is None:
-                self._missing.setdefault(change.key, now)
-                continue
-            self._missing.pop(change.key, None)
-            found = self._outside.registration(change.key, change.value)
-            known = self._core.instances.get(change.key)
-            if known and known.listed and known.registration == found:
-                continue
-            if self._core.registered(found, now):
-                self._spawn_instance(found.instance)
-        self._wake.set()
-
-    def _spawn_instance(self, name: str) -> None:
-        if name in self._instances:
-            return
-        task = instance_task.InstanceTask(self._means, name)
-        self._instances[name] = task
-        gevent.spawn(task.run)
-
     def _some_jobs(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
@@ -298,12 +260,13 @@
     def _tick(self) -> None:
         now = self._clock.monotonic()
         self._refresh_config()
-        self._judge_missing(now)
+        self._listing.judge_missing(now)
+        self._instances.ensure()
         self._core.lapse(now)
         self._core.stop_again(now)
         self._core.stop_stalled(now)
         self._core.plan(now, self._clock.wall() * 1000)
-        self._ask_advice(now)
+        self._advice.ask_for_waiting()
         for stop in self._core.take_stops():
             task = self._instances.get(stop.instance)
             if task is not None:
@@ -313,8 +276,9 @@
     def _pace(self, now: float) -> None:
         for name, instance in self._core.instances.items():
             for pace in sharing.plan(instance, now):
-                if name in self._instances:
-                    self._instances[name].send_pace(pace)
+                task = self._instances.get(name)
+                if task is not None:
+                    task.send_pace(pace)
 
     def _refresh_config(self) -> None:
         config = self._config()
@@ -322,15 +286,6 @@
             self._config_version = config.version
             self._core.configured(config)
 
-    def _judge_missing(self, now: float) -> None:
-        if self._registrations.failing:
-            return
-        if now - self._registrations.back_at < UNLISTED_S:
-            return
-        for name in self._missing:
-            self._core.unlisted(name)
-        self._missing.clear()
-
     def _record_all(self) -> None:
         last = self._clock.monotonic()
         while not self._recorder.deposed and not self._finishing:
@@ -380,62 +335,14 @@
             entry.version = written.version
             entry.shown = state
         for name, number in batch.seen.items():
-            if name in self._instances:
-                self._instances[name].recorded(number)
+            task = self._instances.get(name)
+            if task is not None:
+                task.recorded(number)
         for start in batch.starts:
             task = self._instances.get(start.instance)
             if task is not None:
                 task.send_start(start)
 
-    # Advice.
-
-    def _ask_advice(self, now: float) -> None:
-        if not any(queue.advice for queue in self._core.queues.values()):
-            return
-        wall_ms = self._clock.wall() * 1000
-        for steps in self._core.ready_steps(wall_ms).values():
-            for step in steps:
-                key = (step.entry.job.job_id, step.occurrence, step.number)
-                wanted = self._core.tickets_for(step, now)
-                if wanted is None or wanted or key in self._advising:
-                    continue
-                self._advising.add(key)
-                gevent.spawn(self._advise, step, key)
-
-    def _advise(self, step: books.OpenStep, key: tuple[str, int, int]) -> None:
-        try:
-            self._advise_once(step)
-        finally:
-            self._advising.discard(key)
-
-    def _advise_once(self, step: books.OpenStep) -> None:
-        queue = self._core.queues.get(step.entry.job.queue)
-        if queue is None or queue.advice is None:
-            return
-        names = [
-            instance.name
-            for instance in self._core.pool_instances(queue.service)
-            if instance.usable(self._clock.monotonic())
-        ]
-        if not names:
-            return
-        limit_ms = queue.advice.decision_ms
-        limit_ms += queue.advice.period_ms * len(names)
-        began = self._clock.monotonic()
-        job_id = step.entry.job.job_id
-        outcome = self._outside.advisor.ask(
-            f"{job_id}.{step.occurrence}.{step.number}",
-            names,
-            limit_ms / 1000 + ADVICE_SLACK_S,
-        )
-        if isinstance(outcome, fleet.NoAnswer):
-            logs.warning("no advice for {}: {}", job_id, outcome.reason)
-            self._clock.sleep(TICK_S)
-            return
-        validity_s = outcome.validity_s or queue.advice.validity_ms / 1000
-        self._core.advised(step, outcome.by_instance, began + validity_s)
-        self._wake.set()
-
 
 def _orphan(row: feeds.Change) -> books.Entry:
     """Returns what stands for a row of progress whose job was removed."""
--- a/tests/failures/test_unlisted_instance.py
+++ b/tests/failures/test_unlisted_instance.py
@@ -5,6 +5,7 @@
 
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import instance_task
+from vanillaswitch.coordination.fleet import instance_tasks
 from vanillaswitch.coordination.fleet import term_state
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
@@ -69,3 +70,52 @@
     assert "" not in upstreams.addresses
     assert core.instances["i-1"].adopted
     assert core.instances["i-1"].runs[start.task, start.run].confirmed
+
+
+def _means(core, upstreams):
+    return instance_task.Means(
+        core,
+        upstreams,
+        _Recorder(),
+        clocks.SystemClock(),
+        gevent.event.Event(),
+    )
+
+
+def test_an_instance_that_was_taken_as_gone_is_held_when_it_is_back():
+    """An instance stands idle for good after an outage of the store.
+
+    Its entry and its lease lapsed, so it was taken as gone and its task of
+    calls ended; it registered again under the same id and got no new one.
+    """
+    core = fleets.new_core()
+    upstreams = _Upstreams(())
+    tasks = instance_tasks.InstanceTasks(_means(core, upstreams))
+    core.registered(fleets.registration("i-1"), 0.0)
+    tasks.ensure()
+    gevent.sleep(0.1)
+    core.gone("i-1", 1.0, "unlisted and silent")
+    gevent.sleep(0.2)
+    core.registered(fleets.registration("i-1"), 2.0)
+    tasks.ensure()
+    gevent.sleep(0.2)
+    assert core.instances["i-1"].adopted
+    core.gone("i-1", 3.0, "the test ends")
+
+
+def test_calls_that_fail_by_a_fault_of_ours_are_begun_again():
+    """An instance stands idle for good after one call to it went wrong."""
+    core = fleets.new_core()
+    upstreams = _Upstreams(())
+    good = upstreams.hold
+    upstreams.hold = lambda *_: 1 / 0
+    tasks = instance_tasks.InstanceTasks(_means(core, upstreams))
+    core.registered(fleets.registration("i-1"), 0.0)
+    tasks.ensure()
+    gevent.sleep(0.05)
+    assert tasks.get("i-1") is None
+    upstreams.hold = good
+    tasks.ensure()
+    gevent.sleep(0.2)
+    assert core.instances["i-1"].adopted
+    core.gone("i-1", 3.0, "the test ends")
