Let a new owner give up no machine for 15 s, forget moves without effect

Cause: an owner that has just taken over sees idle pools and sent most machines to standby before traffic began, to bring them back a turn later; a machine that went down while it moved was counted for its new pool for good. Change: machines are given up only 15 s after a term began; a move without effect is forgotten after 10 s. Ruled out: keeping them for good (they cost while nobody needs them). A test of the replay begins after that time, with the same bounds as before.

--- a/src/vanillaswitch/coordination/fleet/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -36,6 +36,11 @@
 long as its standing there costs what a move costs."""
 
 
+SETTLE_S = 15.0
+"""A new owner gives no machine up for so long: it knows nothing of the load
+yet, and machines stand where operators or an earlier owner put them."""
+
+
 @dataclasses.dataclass(frozen=True)
 class PoolLoad:
     """What is known of one pool.
@@ -74,6 +79,7 @@
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._spare_since: dict[str, float] = {}
         self._wanted: dict[str, int] = {}
+        self._began_at: float | None = None
 
     @property
     def wanted(self) -> Mapping[str, int]:
@@ -147,6 +153,10 @@
         self, loads: Mapping[str, PoolLoad], moves: Sequence[Move], now: float
     ) -> list[Move]:
         """Sends machines to standby that their pool has not wanted lately."""
+        if self._began_at is None:
+            self._began_at = now
+        if now - self._began_at < SETTLE_S:
+            return []
         target = next(
             (name for name, load in loads.items() if load.standby), None
         )
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -18,6 +18,11 @@
 instance has to be seen: the move, its start and its first heartbeat."""
 
 
+EXPIRY_S = 10.0
+"""A move that shows no effect for so long is forgotten: its machine went down
+on the way, and would be counted for its new pool for good."""
+
+
 @dataclasses.dataclass(frozen=True)
 class _Ordered:
     """A move that was ordered.
@@ -56,11 +61,6 @@
         """Machines that each pool needs."""
         return self._capacity.wanted
 
-    @property
-    def in_doubt(self) -> bool:
-        """Whether an order is without an answer."""
-        return any(not order.certain for order in self._ordered.values())
-
     def step(
         self, listed: Mapping[str, fleet.Machine], busy: Iterable[str]
     ) -> None:
@@ -84,7 +84,8 @@
         """Forgets orders whose effect the list and the instances show."""
         for name, order in list(self._ordered.items()):
             machine = listed.get(name)
-            if machine is None:
+            expired = order.certain and now - order.at > EXPIRY_S
+            if machine is None or expired:
                 del self._ordered[name]
                 continue
             arrived = (
