Order no upkeep for a machine that left while it was emptied

Cause: a machine of a wave that was being emptied left the list for good; its upkeep was ordered all the same and the missing entry failed the task, which ends the process. Change: a machine whose upkeep is no longer due is not emptied any more. Figures: the new test fails without the change (KeyError) and passes with it.

--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -197,18 +197,25 @@
             if behind or self._may_spare(name):
                 self._emptying.setdefault(name, now)
         for name, since in sorted(self._emptying.items(), key=_by_start):
-            if name not in wave.machines:
-                continue
-            in_doubt = wave.machines[name].phase is waves.Phase.IN_DOUBT
-            if in_doubt:
-                self._order(wave, name)
-                continue
-            if waves.down(wave) >= wave.order.max_count:
-                break
-            if self._empty(name, wave, now - since, now):
-                self._order(wave, name)
+            if name in wave.machines:
+                self._go_on(wave, name, now - since, now)
         self._report(wave)
 
+    def _go_on(
+        self, wave: waves.Wave, name: str, waited: float, now: float
+    ) -> None:
+        """Orders a machine that is being emptied, once it may go."""
+        phase = wave.machines[name].phase
+        if phase is waves.Phase.IN_DOUBT:
+            self._order(wave, name)
+        elif phase is not waves.Phase.WAITING:
+            # It left, or somebody else began its upkeep.
+            del self._emptying[name]
+        elif waves.down(wave) < wave.order.max_count and self._empty(
+            name, wave, waited, now
+        ):
+            self._order(wave, name)
+
     def _report(self, wave: waves.Wave) -> None:
         if wave.reported is not None and not wave.completed:
             return
--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -13,6 +13,15 @@
     "state": {"state", "protocol", "internal", "errors"},
     "coordination": {"coordination", "state", "protocol", "internal", "errors"},
     "transport": {"transport", "state", "protocol", "internal", "errors"},
+    "platform": {
+        "platform",
+        "transport",
+        "coordination",
+        "state",
+        "protocol",
+        "internal",
+        "errors",
+    },
 }
 
 
--- /dev/null
+++ b/tests/failures/test_wave_machine_gone.py
@@ -0,0 +1,99 @@
+"""A machine of a wave leaves while it is being emptied."""
+
+import gevent.event
+
+from tests.common import clocks
+from tests.common import fleets
+from vanillaswitch.coordination.fleet import machine_task
+from vanillaswitch.protocol import fleet
+from vanillaswitch.state import deployment as deployments
+
+
+class _Recorder:
+    deposed = False
+    newest = 9
+
+    def may_order(self):
+        return True
+
+
+class _Board:
+    """One wave of two machines, one at a time."""
+
+    def __init__(self):
+        self.reports = []
+
+    def orders(self):
+        return (fleet.WaveOrder("wave/1", 1, ("m-1", "m-2"), 60.0, 1),)
+
+    def begin(self, wave, now_ms):
+        del wave
+        return machine_task.WaveRecord((), now_ms)
+
+    def save_finished(self, wave, machines):
+        del wave, machines
+        return True
+
+    def report(self, wave, completed):
+        self.reports.append((wave, completed))
+        return True
+
+
+class _Machines:
+    def __init__(self, names):
+        self.names = names
+        self.ordered = []
+
+    def list(self):
+        return [
+            fleet.Machine(
+                name,
+                "berthing",
+                fleet.MachineState.UP,
+                "zone-1",
+                name.replace("m", "i"),
+                fleet.Resources(4000, 32_000),
+            )
+            for name in self.names
+        ]
+
+    def move(self, machine, pool, token):
+        del machine, pool, token
+        return fleet.Busy()
+
+    def maintain(self, machine, wave, token):
+        del wave, token
+        self.ordered.append(machine)
+        return fleet.Accepted(0.0)
+
+
+def test_no_order_is_given_for_a_machine_that_left_while_it_was_emptied():
+    """A wave stands still after a machine was taken away for good.
+
+    The machine was being emptied when it left the list; its upkeep was still
+    ordered, and the task that orders upkeep failed on the missing entry.
+    """
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", "i-2")
+    core.job_added(fleets.job(), 0.0)
+    fleets.run_all(core, fleets.plan(core))
+    machines, board = _Machines(["m-1", "m-2"]), _Board()
+    clock = clocks.ManualClock()
+    task = machine_task.MachineTask(
+        core,
+        machines,
+        board,
+        _Recorder(),
+        deployments.Bounds(),
+        clock,
+        gevent.event.Event(),
+        lambda _: None,
+    )
+    task._emptying["m-1"] = clock.monotonic()
+    machines.names = ["m-2"]
+    for _ in range(40):
+        assert task._read()
+        task._step()
+        clock.advance(0.25)
+    assert machines.ordered == ["m-2"]
+    assert board.reports[-1] == ("wave/1", True)
