Keep a term while its owner still reads the rows

Cause: a new owner reads all rows before it serves, on a large site for longer than an owner may be silent. Change: a term counts from its first write; the lease is renewed while rows are read, and restoring them gives other tasks a turn. Ruled out: weak machines (strong ones took over as well).

--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -158,7 +158,9 @@
             Whether it has no term now.
         """
         recorder = self._recorder
-        if self._owner is None or recorder is None:
+        # A term begins with the first write, while the rows are still read:
+        # an owner that gave way then would never get to serve.
+        if recorder is None or recorder.deposed:
             return True
         age = self._clock.monotonic() - recorder.confirmed_at
         if age < patience_s:
@@ -186,8 +188,8 @@
         )
         if not recorder.take_over(self._succession.version, orders_from):
             return
-        self._emit_owner("began", self._me.holder, recorder.token, 0.0)
         self._recorder = recorder
+        self._emit_owner("began", self._me.holder, recorder.token, 0.0)
         owner = owners.Owner(
             self._outside,
             recorder,
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -37,6 +37,10 @@
 """Pause before rows are written, in which events of the same moment gather:
 one transaction takes 7 ms, so fewer and larger ones cost little time."""
 
+RESTORE_AT_ONCE = 50
+"""Jobs restored before other tasks get a turn: some 10 ms of work on half a
+core, in which the lease could not be renewed."""
+
 TICK_S = 0.1
 """How often the owner looks for what time alone brings: due occurrences,
 lapsed leases, suspensions that end."""
@@ -80,6 +84,7 @@
         self._config = config
         self._clock = clock
         self._config_version = -1
+        self._loaded = False
         self._finishing = False
         self._removed: list[books.Entry] = []
         self._recording = False
@@ -154,7 +159,24 @@
         return self._core.book.pending(queue)
 
     def load(self) -> bool:
-        """Reads what earlier owners left; False when it can't be read."""
+        """Reads what earlier owners left; False when it can't be read.
+
+        The lease is renewed meanwhile: reading some thousand jobs takes longer
+        than an owner may be silent.
+        """
+        renewing = gevent.spawn(self._renew)
+        try:
+            return self._read_all()
+        finally:
+            self._loaded = True
+            renewing.join()
+
+    def _renew(self) -> None:
+        while not self._loaded and not self._recorder.deposed:
+            self._recorder.write([])
+            self._clock.sleep(succession.RENEW_S / 2)
+
+    def _read_all(self) -> bool:
         feed = self._outside.feed
         found = [
             feed.snapshot(table)
@@ -173,8 +195,10 @@
         self._refresh_config()
         self._listing.start_from(listed)
         rows = {row.key: row for row in progress.rows}
-        for row in accepted.rows:
+        for number, row in enumerate(accepted.rows, 1):
             self._restore(row, rows.pop(row.key, None), now)
+            if number % RESTORE_AT_ONCE == 0:
+                self._clock.sleep(0)
         self._removed = [_orphan(row) for row in rows.values()]
         self._jobs.start_from(accepted)
         lapses = instance_task.inherited_lapse_at(now)
--- /dev/null
+++ b/tests/failures/test_long_take_over.py
@@ -0,0 +1,118 @@
+"""Taking over a fleet with many jobs takes a while."""
+
+import random
+import types
+
+from tests.common import clocks
+from vanillaswitch.coordination.fleet import member as members
+from vanillaswitch.coordination.fleet import owner as owners
+from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.internal import clock as system_clock
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import platform
+from vanillaswitch.state import deployment as deployments
+
+
+def _settings():
+    names = (
+        "zone",
+        "entry_address",
+        "ready_address",
+        "metrics_address",
+        "store_address",
+        "machines_address",
+        "advice_address",
+    )
+    return deployments.Deployment(
+        process="edge-1",
+        internal_address="10.0.0.1:1",
+        cores=1.0,
+        orders="request",
+        contracts=(),
+        heartbeat_s=1.5,
+        writes_per_s=1.0,
+        reads_per_s=1.0,
+        machine_calls_per_s=1.0,
+        bounds=deployments.Bounds(),
+        **dict.fromkeys(names, ""),
+    )
+
+
+class _Table:
+    """Takes every commit."""
+
+    def __init__(self):
+        self.commits = 0
+
+    def commit(self, transaction):
+        del transaction
+        self.commits += 1
+        return platform.Committed(self.commits)
+
+
+def test_an_owner_that_still_reads_its_rows_does_not_yield():
+    """Nothing starts for seconds after a loss on a large site.
+
+    Each new owner reads thousands of rows. Asked meanwhile whether its term
+    is over it said yes, as it did not serve yet; the next one took over and
+    met the same.
+    """
+    clock = clocks.ManualClock()
+    member = members.Member(
+        types.SimpleNamespace(table=_Table()),
+        types.SimpleNamespace(config=object()),
+        _settings(),
+        "boot-1",
+        clock,
+        random.Random(1),
+        lambda _: 0,
+        lambda *_: False,
+        lambda _: None,
+    )
+    recorder = recorders.Recorder(
+        member._outside.table, clock, recorders.OwnerRow("e", "a", "boot-1")
+    )
+    recorder.take_over(0, 0.0)
+    member._recorder = recorder
+    assert not member.yield_term(1.0)
+    clock.advance(1.5)
+    assert member.yield_term(1.0)
+    assert recorder.deposed
+
+
+class _SlowFeed:
+    """Tables without rows that take a while to be read."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def snapshot(self, table):
+        del table
+        self._clock.sleep(0.3)
+        return feeds.Snapshot((), 1)
+
+
+def test_the_lease_is_renewed_while_rows_are_read():
+    """A new owner is replaced while it reads its rows, which nobody renews."""
+    clock = system_clock.SystemClock()
+    table = _Table()
+    recorder = recorders.Recorder(
+        table, clock, recorders.OwnerRow("e", "a", "boot-1")
+    )
+    recorder.take_over(0, 0.0)
+    outside = types.SimpleNamespace(
+        table=table,
+        feed=_SlowFeed(clock),
+        upstreams=None,
+        machines=None,
+        advisor=None,
+        registrations="servers",
+        registration=None,
+        waves=None,
+    )
+    owner = owners.Owner(
+        outside, recorder, _settings(), lambda: None, clock, lambda _: None
+    )
+    before = table.commits
+    assert owner.load()
+    assert table.commits - before >= 4
