--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -7,10 +7,37 @@
 from vanillaswitch.coordination.fleet import term_state
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.state import deployment as deployments
 
 WALL_MS = 1.7e12
 
 
+def deployment() -> deployments.Deployment:
+    """Returns the settings of a machine whose addresses nobody calls."""
+    unused = (
+        "zone",
+        "entry_address",
+        "ready_address",
+        "metrics_address",
+        "store_address",
+        "machines_address",
+        "advice_address",
+    )
+    return deployments.Deployment(
+        process="edge-1",
+        internal_address="10.0.0.1:1",
+        cores=1.0,
+        orders="request",
+        contracts=(),
+        heartbeat_s=1.5,
+        writes_per_s=1.0,
+        reads_per_s=1.0,
+        machine_calls_per_s=1.0,
+        bounds=deployments.Bounds(),
+        **dict.fromkeys(unused, ""),  # type: ignore[arg-type]
+    )
+
+
 def job(
     number: int = 1,
     steps: tuple[jobs.Step, ...] = (jobs.Step(count=2, cpu=1000),),
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -5,38 +5,10 @@
 import types
 
 from tests.common import clocks
+from tests.common import fleets
 from vanillaswitch.coordination.fleet import member as members
 from vanillaswitch.coordination.fleet import recorder as recorders
 from vanillaswitch.protocol import platform
-from vanillaswitch.state import deployment as deployments
-
-
-def _settings():
-    addresses = dict.fromkeys(
-        (
-            "entry_address",
-            "ready_address",
-            "metrics_address",
-            "store_address",
-            "machines_address",
-            "advice_address",
-        ),
-        "",
-    )
-    return deployments.Deployment(
-        process="edge-1",
-        zone="zone-1",
-        internal_address="10.0.0.1:1",
-        cores=1.0,
-        orders="request",
-        contracts=(),
-        heartbeat_s=1.5,
-        writes_per_s=1.0,
-        reads_per_s=1.0,
-        machine_calls_per_s=1.0,
-        bounds=deployments.Bounds(),
-        **addresses,
-    )
 
 
 class _Table:
@@ -69,7 +41,7 @@
     member = members.Member(
         types.SimpleNamespace(table=table),
         types.SimpleNamespace(config=object()),
-        _settings(),
+        fleets.deployment(),
         "new",
         clock,
         random.Random(1),
--- a/tests/failures/test_long_take_over.py
+++ b/tests/failures/test_long_take_over.py
@@ -4,38 +4,13 @@
 import types
 
 from tests.common import clocks
+from tests.common import fleets
 from vanillaswitch.coordination.fleet import member as members
 from vanillaswitch.coordination.fleet import owner as owners
 from vanillaswitch.coordination.fleet import recorder as recorders
 from vanillaswitch.internal import clock as system_clock
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import platform
-from vanillaswitch.state import deployment as deployments
-
-
-def _settings():
-    names = (
-        "zone",
-        "entry_address",
-        "ready_address",
-        "metrics_address",
-        "store_address",
-        "machines_address",
-        "advice_address",
-    )
-    return deployments.Deployment(
-        process="edge-1",
-        internal_address="10.0.0.1:1",
-        cores=1.0,
-        orders="request",
-        contracts=(),
-        heartbeat_s=1.5,
-        writes_per_s=1.0,
-        reads_per_s=1.0,
-        machine_calls_per_s=1.0,
-        bounds=deployments.Bounds(),
-        **dict.fromkeys(names, ""),
-    )
 
 
 class _Table:
@@ -61,7 +36,7 @@
     member = members.Member(
         types.SimpleNamespace(table=_Table()),
         types.SimpleNamespace(config=object()),
-        _settings(),
+        fleets.deployment(),
         "boot-1",
         clock,
         random.Random(1),
@@ -111,7 +86,12 @@
         waves=None,
     )
     owner = owners.Owner(
-        outside, recorder, _settings(), lambda: None, clock, lambda _: None
+        outside,
+        recorder,
+        fleets.deployment(),
+        lambda: None,
+        clock,
+        lambda _: None,
     )
     before = table.commits
     assert owner.load()
