Empty no instance of which only the id is known

Cause: an owner that takes over while an instance's entry has lapsed knows the instance from the rows of jobs alone and gave it a registration that says draining. What drains is emptied without regard to may_miss, so the lasting tasks of such instances were all stopped once it registered again. Ruled out: the count of tasks away (a second stop of one step on one instance is refused when the instance does not drain); the wave (no order was given). Change: such an instance is silent and unlisted, which keeps work off it, and does not count as draining. Emptying all instances is a function of its own.

--- a/src/vanillaswitch/coordination/fleet/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/accounts.py
@@ -145,9 +145,14 @@
         return unlisted
 
     def _add_ghost(self, name: str, now: float) -> None:
-        """Adds an instance of which nothing but its id is known."""
+        """Adds an instance of which nothing but its id is known.
+
+        It gets no work, since it is silent and unlisted. It does not count as
+        draining: what drains takes its tasks with it, so all of them may be
+        stopped at once, and this one may be sound and register again.
+        """
         unknown = fleet.Registration(
-            name, "", "", "", True, fleet.Resources(0, 0), ()
+            name, "", "", "", False, fleet.Resources(0, 0), ()
         )
         ghost = rooms.Instance(unknown, now)
         ghost.listed = False
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -73,3 +73,10 @@
             continue
         if instance.registration.draining or may_end(core, [run]):
             core.stop_run(instance, run, now, "its instance is emptied")
+
+
+def evacuate_all(core: cores.Core, now: float) -> None:
+    """Empties the instances that are wanted empty or leave by themselves."""
+    for instance in list(core.instances.values()):
+        if instance.cordoned or instance.registration.draining:
+            evacuate(core, instance, now)
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -148,7 +148,8 @@
             if wave.reported is not True:
                 self._advance(wave, now)
         self._cordon()
-        self._evacuate(now)
+        evacuation.evacuate_all(self._core, now)
+        self._wake.set()
         busy = set(self._emptying)
         for wave in self._waves.values():
             for item in wave.machines.values():
@@ -320,12 +321,6 @@
                 instance.due = name in pending
                 instance.leaving = instance.leaving and name not in finished
 
-    def _evacuate(self, now: float) -> None:
-        for instance in list(self._core.instances.values()):
-            if instance.cordoned or instance.registration.draining:
-                evacuation.evacuate(self._core, instance, now)
-        self._wake.set()
-
 
 def _finished(wave: waves.Wave) -> set[str]:
     return {
--- a/tests/failures/test_unlisted_instance.py
+++ b/tests/failures/test_unlisted_instance.py
@@ -4,6 +4,7 @@
 import gevent.event
 
 from tests.common import fleets
+from vanillaswitch.coordination.fleet import evacuation
 from vanillaswitch.coordination.fleet import instance_task
 from vanillaswitch.coordination.fleet import instance_tasks
 from vanillaswitch.coordination.fleet import term_state
@@ -119,3 +120,26 @@
     gevent.sleep(0.2)
     assert core.instances["i-1"].adopted
     core.gone("i-1", 3.0, "the test ends")
+
+
+def test_an_instance_of_unknown_address_is_not_emptied():
+    """Reminders stop all at once although their job spares one of them only.
+
+    The entry of their instance lapsed in an outage, so a new owner knew it
+    from the rows alone and took it for one that leaves by itself, whose tasks
+    may all be stopped. Once it registered again the stops were sent.
+    """
+    lasting = jobs.Step(count=2, long_running=True, may_miss=1)
+    before = fleets.new_core()
+    fleets.adopt(before, "i-1")
+    before.job_added(fleets.job(steps=(lasting,)), 0.0)
+    fleets.run_all(before, fleets.plan(before), percent=100.0)
+    entry = before.book.get(fleets.job().job_id)
+    core = fleets.new_core()
+    core.restore(entry.job, entry.pack(), 1, 0.0)
+    assert core.inherit_runs(0.0, 1e9) == ["i-1"]
+    evacuation.evacuate_all(core, 0.1)
+    assert not core.take_stops()
+    core.registered(fleets.registration("i-1"), 0.2)
+    evacuation.evacuate_all(core, 0.3)
+    assert not core.take_stops()
