Order moves side by side, keep emptied machines and lasting tasks at work

(2) The pool that lacked most took all spare machines, so a pool of lasting tasks got none for 13 s while four of its five machines were being emptied. (4) Machines stayed closed to work until their wave had to hurry, also when a turn began. Change: moves are decided each 0.1 s, 16 orders under way at once within the platform's rate, with a pause after one that failed; spare machines go round the pools that lack some; a lasting task leaves only where another instance has room; machines being emptied are given back while the wave has time; a new owner chooses none before it knows what pools need. A copy of a move in doubt is no longer forgotten when the next could not be sent. The start of a turn is still where most is lost.

--- a/src/vanillaswitch/coordination/fleet/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -99,16 +99,12 @@
             for name, load in by_name.items()
         }
         spare = self._spare(by_name, now)
-        moves: list[Move] = []
-        short = {
+        lacking = {
             name: self._wanted[name] - load.have
             for name, load in by_name.items()
+            if self._wanted[name] > load.have
         }
-        for name in sorted(short, key=lambda name: (-short[name], name)):
-            lacking = short[name]
-            while lacking > 0 and spare:
-                moves.append(Move(spare.pop(0), name))
-                lacking -= 1
+        moves = _share(spare, lacking)
         moves.extend(self._retire(by_name, moves, now))
         return moves
 
@@ -172,3 +168,25 @@
             left = [item for item in load.idle[:surplus] if item not in taken]
             retired.extend(Move(machine, target) for machine in left)
         return retired
+
+
+def _share(spare: Sequence[str], lacking: Mapping[str, int]) -> list[Move]:
+    """Gives spare machines to the pools that lack some, one each by turns.
+
+    A turn lacks a hundred machines and more, all that there are. Served first,
+    it left the other pools without the one or two that their lasting tasks
+    needed to get off machines that went into upkeep, for 13 s.
+    """
+    moves: list[Move] = []
+    left = dict(lacking)
+    machines = iter(spare)
+    while left:
+        for name in sorted(left):
+            machine = next(machines, None)
+            if machine is None:
+                return moves
+            moves.append(Move(machine, name))
+            left[name] -= 1
+            if not left[name]:
+                del left[name]
+    return moves
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -65,16 +65,31 @@
     """Stops the lasting tasks of an instance, as many as their jobs bear.
 
     They start elsewhere once their end is listed. Short tasks are left to
-    finish. An instance that leaves by itself takes its tasks with it anyway,
-    so there no bound is kept.
+    finish. A task for which no other instance has room goes on: stopped, it
+    would wait while its own instance stands half empty. An instance that
+    leaves by itself takes its tasks with it anyway, so there no bound is kept.
     """
+    others = core.pool_instances(instance.registration.service)
     for run in list(instance.runs.values()):
         if not run.step.long_running or run.stopping is not None:
             continue
-        if instance.registration.draining or may_end(core, [run]):
+        draining = instance.registration.draining
+        if draining or _may_leave(core, run, others, now):
             core.stop_run(instance, run, now, "its instance is emptied")
 
 
+def _may_leave(
+    core: cores.Core,
+    run: rooms.Run,
+    others: Iterable[rooms.Instance],
+    now: float,
+) -> bool:
+    """Whether a run may be ended here, to go on at another instance."""
+    if not may_end(core, [run]):
+        return False
+    return any(other.takes_over(run, now) for other in others)
+
+
 def evacuate_all(core: cores.Core, now: float) -> None:
     """Empties the instances that are wanted empty or leave by themselves."""
     for instance in list(core.instances.values()):
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -1,5 +1,6 @@
 """The owner's task that reads the list of machines and orders their upkeep."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -87,7 +88,7 @@
         machines: fleet.Machines,
         board: WaveBoard,
         recorder: recorders.Recorder,
-        bounds: deployments.Bounds,
+        settings: deployments.Deployment,
         clock: clocks.Clock,
         wake: gevent.event.Event,
         emit: Callable[[object], None],
@@ -97,13 +98,25 @@
         self._machines = machines
         self._board = board
         self._recorder = recorder
-        self._bounds = bounds
+        self._bounds = settings.bounds
         self._clock = clock
         self._wake = wake
         self._waves: dict[str, waves.Wave] = {}
         self._listed: dict[str, fleet.Machine] = {}
         self._emptying: dict[str, float] = {}
-        self._mover = mover.Mover(core, machines, recorder, clock, emit)
+        self._mover = mover.Mover(
+            core,
+            machines,
+            recorder,
+            settings.machine_orders_per_s,
+            clock,
+            emit,
+        )
+
+    @property
+    def mover(self) -> mover.Mover:
+        """Decides and orders moves; its owner runs it in a task of its own."""
+        return self._mover
 
     def run(self) -> None:
         """Reads the list and acts on it until the term is over."""
@@ -155,7 +168,7 @@
             for item in wave.machines.values():
                 if item.phase in (waves.Phase.ORDERED, waves.Phase.IN_DOUBT):
                     busy.add(item.machine)
-        self._mover.step(self._listed, busy)
+        self._mover.listed(self._listed, busy)
 
     def _begin(self, order: fleet.WaveOrder, now: float) -> None:
         wall_ms = self._clock.wall() * 1000
@@ -191,12 +204,7 @@
         finished = _finished(wave)
         if finished != before:
             self._board.save_finished(wave.order.name, finished)
-        behind = self._behind(wave, now)
-        for name in waves.next_machines(
-            wave, self._listed, self._cost, wave.order.max_count
-        ):
-            if behind or self._may_spare(name):
-                self._emptying.setdefault(name, now)
+        self._choose(wave, now)
         for name, since in sorted(self._emptying.items(), key=_by_start):
             if name in wave.machines:
                 self._go_on(wave, name, now - since, now)
@@ -236,17 +244,69 @@
         instance = self._instance(machine)
         return 0.0 if instance is None else float(instance.used_cpu)
 
-    def _may_spare(self, machine: str) -> bool:
-        """Whether a machine's pool does without it at present."""
-        pool = self._listed[machine].pool
-        known = self._core.pools.get(pool)
-        if known is None or known.standby:
-            return True
-        serving = sum(
-            item.usable(self._clock.monotonic())
-            for item in self._core.pool_instances(pool)
+    def _surplus(self) -> collections.Counter[str]:
+        """Returns by how much each pool has more instances than it needs.
+
+        Those that are being emptied serve no more, also those chosen just
+        now: a pool that could spare one machine lost all of its own at once.
+        """
+        now = self._clock.monotonic()
+        emptied = {
+            self._listed[name].instance
+            for name in self._emptying
+            if name in self._listed
+        }
+        surplus = collections.Counter(
+            instance.registration.service
+            for instance in self._core.instances.values()
+            if instance.usable(now) and instance.name not in emptied
         )
-        return serving > self._mover.wanted.get(pool, 0)
+        surplus.subtract(self._mover.wanted)
+        return surplus
+
+    def _works(self, machine: str) -> str:
+        """Returns the pool that a machine serves; empty for one on standby."""
+        pool = self._core.pools.get(self._listed[machine].pool)
+        return "" if pool is None or pool.standby else pool.name
+
+    def _choose(self, wave: waves.Wave, now: float) -> None:
+        """Chooses the machines to empty, as many as their pools can spare."""
+        behind = self._behind(wave, now)
+        if not behind and not self._mover.wanted:
+            # A new owner does not know yet what its pools need.
+            return
+        surplus = self._surplus()
+        if not behind:
+            self._give_back(wave, surplus)
+        for name in waves.next_machines(
+            wave, self._listed, self._cost, wave.order.max_count
+        ):
+            pool = self._works(name)
+            if name in self._emptying or (
+                pool and surplus[pool] <= 0 and not behind
+            ):
+                continue
+            self._emptying[name] = now
+            surplus[pool] -= 1
+
+    def _give_back(
+        self, wave: waves.Wave, surplus: collections.Counter[str]
+    ) -> None:
+        """Lets machines work on that their pool needs after all.
+
+        A turn may begin while machines are being emptied. Kept from work until
+        the wave needs its last seconds, they stood half empty for 20 s while
+        work waited beside them. Those that have waited least go first.
+        """
+        newest = sorted(self._emptying.items(), key=_by_start, reverse=True)
+        for name, _ in newest:
+            if name not in wave.machines or name not in self._listed:
+                continue
+            pool = self._works(name)
+            waiting = wave.machines[name].phase is waves.Phase.WAITING
+            if waiting and pool and surplus[pool] < 0:
+                del self._emptying[name]
+                surplus[pool] += 1
 
     def _behind(self, wave: waves.Wave, now: float) -> bool:
         """Whether the rest of a wave takes longer than the time it has."""
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -1,10 +1,21 @@
-"""Orders the moves of machines that were decided, and follows them."""
+"""Orders the moves of machines that were decided, and follows them.
+
+Load pattern: a queue's turn begins within a moment and wants dozens of
+machines, each of which serves 1.5 s after its order at the earliest. Given one
+after the other, orders of 16 ms each and the readings of the list between them
+spread the arrival of 128 machines over 4 s of a turn of 8 s. So moves are
+decided from the tasks that wait, more often than the list is read, and many
+orders are under way at once.
+"""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
+import gevent.pool
+
 from vanillaswitch.coordination.fleet import capacity
 from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import events
@@ -13,6 +24,17 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 
+STEP_S = 0.1
+"""How often moves are decided: a tenth of the time that a machine needs to
+arrive, so that deciding adds little to it."""
+
+MAX_ORDERS = 16
+"""Orders under way at once. At 16 ms each they would make 1,000 a second, so
+the platform's own limit binds; what it turns away is decided again."""
+
+RETRY_S = 0.4
+"""Pause after an order that got no answer or was turned away."""
+
 ARRIVAL_S = 3.0
 """A machine that was moved counts for its new pool for so long before its
 instance has to be seen: the move, its start and its first heartbeat."""
@@ -29,11 +51,13 @@
 
     Attributes:
         certain: the platform accepted it.
+        in_doubt: a copy of it was sent and may take effect at any moment.
     """
 
     move: capacity.Move
     at: float
     certain: bool
+    in_doubt: bool = False
 
 
 class Mover:
@@ -44,16 +68,33 @@
         core: cores.Core,
         machines: fleet.Machines,
         recorder: recorders.Recorder,
+        orders_per_s: float,
         clock: clocks.Clock,
         emit: Callable[[object], None],
     ):
+        """Makes a mover that knows no machine yet.
+
+        Args:
+            core: what runs where and what waits.
+            machines: takes the orders.
+            recorder: says whether the term is certain.
+            orders_per_s: how many orders the platform accepts.
+            clock: paces the decisions.
+            emit: takes events.
+        """
+        self._orders_a_step = max(1, int(orders_per_s * STEP_S))
+        self._paused_until = 0.0
         self._emit = emit
         self._core = core
         self._machines = machines
         self._recorder = recorder
         self._clock = clock
         self._capacity = capacity.Capacity()
+        self._listed: Mapping[str, fleet.Machine] = {}
+        self._busy: frozenset[str] = frozenset()
         self._ordered: dict[str, _Ordered] = {}
+        self._under_way: set[str] = set()
+        self._orders = gevent.pool.Pool(MAX_ORDERS)
         self._impossible: set[capacity.Move] = set()
 
     @property
@@ -61,30 +102,51 @@
         """Machines that each pool needs."""
         return self._capacity.wanted
 
-    def step(
-        self, listed: Mapping[str, fleet.Machine], busy: Iterable[str]
+    def listed(
+        self, machines: Mapping[str, fleet.Machine], busy: Iterable[str]
     ) -> None:
-        """Decides and orders moves.
+        """Takes note of the list of machines.
 
         Args:
-            listed: the machines as just listed.
+            machines: as just listed, by name.
             busy: machines that a wave is about to take.
         """
+        self._listed = machines
+        self._busy = frozenset(busy)
+        self._settle(machines, self._clock.monotonic())
+
+    def run(self) -> None:
+        """Decides and orders moves until the term is over."""
+        while not self._recorder.deposed:
+            self._step()
+            self._clock.sleep(STEP_S)
+
+    def _step(self) -> None:
+        if not self._listed:
+            # What a machine can carry is not known before the first reading.
+            return
         now = self._clock.monotonic()
-        self._settle(listed, now)
-        for order in list(self._ordered.values()):
-            if not order.certain:
-                self._order(order.move, listed, now)
-        loads = self._loads(listed, set(busy) | set(self._ordered))
-        for move in self._capacity.plan(loads, now):
-            if move not in self._impossible:
-                self._order(move, listed, now)
+        loads = self._loads(self._listed, self._busy | self._ordered.keys())
+        again = [
+            order.move for order in self._ordered.values() if order.in_doubt
+        ]
+        decided = [
+            move
+            for move in self._capacity.plan(loads, now)
+            if move not in self._impossible
+        ]
+        if now < self._paused_until:
+            return
+        for move in (again + decided)[: self._orders_a_step]:
+            self._begin(move, now)
 
     def _settle(self, listed: Mapping[str, fleet.Machine], now: float) -> None:
         """Forgets orders whose effect the list and the instances show."""
         for name, order in list(self._ordered.items()):
             machine = listed.get(name)
             expired = order.certain and now - order.at > EXPIRY_S
+            if name in self._under_way:
+                continue
             if machine is None or expired:
                 del self._ordered[name]
                 continue
@@ -106,7 +168,7 @@
         return late or (instance is not None and instance.adopted)
 
     def _loads(
-        self, listed: Mapping[str, fleet.Machine], busy: set[str]
+        self, listed: Mapping[str, fleet.Machine], busy: Collection[str]
     ) -> list[capacity.PoolLoad]:
         return [
             self._load(pool, listed, busy) for pool in self._core.pools.values()
@@ -116,7 +178,7 @@
         self,
         pool: fleet.Pool,
         listed: Mapping[str, fleet.Machine],
-        busy: set[str],
+        busy: Collection[str],
     ) -> capacity.PoolLoad:
         have = 0
         idle: list[str] = []
@@ -170,23 +232,39 @@
         instance = self._instance(machine)
         return instance is not None and instance.adopted and not instance.runs
 
-    def _order(
-        self,
-        move: capacity.Move,
-        listed: Mapping[str, fleet.Machine],
-        now: float,
-    ) -> None:
+    def _begin(self, move: capacity.Move, now: float) -> None:
+        """Gives an order, in a task of its own, unless one is under way."""
+        machine = self._listed.get(move.machine)
+        if machine is None or move.machine in self._under_way:
+            return
         if not self._recorder.may_order():
             return
-        instance = self._instance(listed[move.machine])
+        instance = self._instance(machine)
         if instance is not None:
             if instance.runs:
                 return
             # Nothing may be started there from here on.
             instance.leaving = True
-        outcome = self._machines.move(
-            move.machine, move.pool, self._recorder.newest
-        )
+        self._ordered.setdefault(move.machine, _Ordered(move, now, False))
+        self._under_way.add(move.machine)
+        self._orders.spawn(self._order, move, instance, now)
+
+    def _order(
+        self,
+        move: capacity.Move,
+        instance: rooms.Instance | None,
+        now: float,
+    ) -> None:
+        try:
+            # The pool may have made this order wait for others.
+            if self._recorder.may_order():
+                outcome = self._machines.move(
+                    move.machine, move.pool, self._recorder.newest
+                )
+            else:
+                outcome = fleet.NoAnswer(False, "the term is not certain")
+        finally:
+            self._under_way.discard(move.machine)
         self._emit(
             events.MachineMoved(
                 move.machine,
@@ -201,10 +279,23 @@
             # It may be carried out at any moment. The same order is sent
             # again with a higher token until it is answered, which also
             # voids the first copy where tokens are checked.
-            self._ordered[move.machine] = _Ordered(move, now, False)
+            self._ordered[move.machine] = _Ordered(move, now, False, True)
+            self._pause(now)
+        elif isinstance(outcome, fleet.NoAnswer):
+            self._pause(now)
+            if not self._ordered[move.machine].in_doubt:
+                self._refused(move, outcome, instance)
         else:
             self._refused(move, outcome, instance)
 
+    def _pause(self, now: float) -> None:
+        """Gives no orders for a moment to a platform that is in trouble.
+
+        Without this each decision would send dozens of orders anew, of which
+        every one counts against the platform's limit.
+        """
+        self._paused_until = now + RETRY_S
+
     def _refused(
         self,
         move: capacity.Move,
--- a/src/vanillaswitch/coordination/fleet/orders.py
+++ b/src/vanillaswitch/coordination/fleet/orders.py
@@ -138,7 +138,7 @@
         entry = self.book.get(run.task.job_id)
         task = entry.task(run.task) if entry else None
         room = any(
-            other is not instance and other.usable(now) and other.fits(run.need)
+            other is not instance and other.takes_over(run, now)
             for other in others
         )
         if task is None or not room:
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -123,7 +123,7 @@
             outside.machines,
             outside.waves,
             recorder,
-            settings.bounds,
+            settings,
             clock,
             self._wake,
             emit,
@@ -230,6 +230,7 @@
                 self._jobs.run,
                 self._cancels.run,
                 self._machines.run,
+                self._machines.mover.run,
                 self._remove_old,
             )
         ]
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -153,6 +153,16 @@
             and self._gpu + need.gpu <= capacity.gpu
         )
 
+    def takes_over(self, run: Run, now: float) -> bool:
+        """Whether it may run now what another instance runs."""
+        if not self.usable(now) or not self.fits(run.need):
+            return False
+        apart = run.step.anti_affinity
+        if apart and self.count_of(run.task) >= apart:
+            return False
+        requires = run.step.requires
+        return not requires or requires in self.registration.labels
+
     def could_fit(self, need: fleet.Resources) -> bool:
         """Whether it would have room if it ran nothing."""
         capacity = self.registration.capacity
--- a/src/vanillaswitch/platform/settings.py
+++ b/src/vanillaswitch/platform/settings.py
@@ -124,7 +124,7 @@
         heartbeat_s=fields.seconds("heartbeat_ms", 1.5),
         writes_per_s=fields.number("platform.writes_per_s", 100.0),
         reads_per_s=fields.number("platform.reads_per_s", 100.0),
-        machine_calls_per_s=fields.number("cloud_api.rate_per_s", 10.0),
+        machine_orders_per_s=fields.number("cloud_api.duty_per_s", 10.0),
         bounds=_bounds(fields),
     )
 
--- a/src/vanillaswitch/state/deployment.py
+++ b/src/vanillaswitch/state/deployment.py
@@ -66,6 +66,8 @@
         cores: processors that this machine may use.
         orders: how instances take orders.
         contracts: parts of the rules in force.
+        machine_orders_per_s: orders for machines that the platform accepts
+            from all processes together.
     """
 
     process: str
@@ -83,5 +85,5 @@
     heartbeat_s: float
     writes_per_s: float
     reads_per_s: float
-    machine_calls_per_s: float
+    machine_orders_per_s: float
     bounds: Bounds
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -32,7 +32,7 @@
         heartbeat_s=1.5,
         writes_per_s=1.0,
         reads_per_s=1.0,
-        machine_calls_per_s=1.0,
+        machine_orders_per_s=64.0,
         bounds=deployments.Bounds(),
         **dict.fromkeys(unused, ""),  # type: ignore[arg-type]
     )
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -33,6 +33,22 @@
     assert plan.plan(loads, 0.0) == [capacity.Move("b2", "a")]
 
 
+def test_a_large_turn_leaves_other_pools_what_little_they_lack():
+    """Reminders stand still for 13 s while another queue has its turn.
+
+    Their pool lacked one machine, for tasks that had to leave machines due
+    for upkeep; the turn lacked more than there are and got all.
+    """
+    plan = capacity.Capacity()
+    loads = [
+        _load("reminders", 28 * CORE, 1, []),
+        _load("turn", 900 * CORE, 1, []),
+        _load("spare", 0, 3, ["s1", "s2", "s3"], standby=True),
+    ]
+    moves = plan.plan(loads, 0.0)
+    assert sorted(move.pool for move in moves) == ["reminders", "turn", "turn"]
+
+
 def test_a_pool_keeps_the_machines_that_its_lasting_tasks_need():
     plan = capacity.Capacity()
     loads = [
--- a/tests/failures/test_wave_machine_gone.py
+++ b/tests/failures/test_emptied_machines.py
@@ -1,4 +1,4 @@
-"""A machine of a wave leaves while it is being emptied."""
+"""What changes while machines of a wave are being emptied."""
 
 import gevent.event
 
@@ -6,7 +6,7 @@
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.protocol import fleet
-from vanillaswitch.state import deployment as deployments
+from vanillaswitch.protocol import jobs
 
 
 class _Recorder:
@@ -67,6 +67,19 @@
         return fleet.Accepted(0.0)
 
 
+def _task(core, machines, board, clock):
+    return machine_task.MachineTask(
+        core,
+        machines,
+        board,
+        _Recorder(),
+        fleets.deployment(),
+        clock,
+        gevent.event.Event(),
+        lambda _: None,
+    )
+
+
 def test_no_order_is_given_for_a_machine_that_left_while_it_was_emptied():
     """A wave stands still after a machine was taken away for good.
 
@@ -79,21 +92,39 @@
     fleets.run_all(core, fleets.plan(core))
     machines, board = _Machines(["m-1", "m-2"]), _Board()
     clock = clocks.ManualClock()
-    task = machine_task.MachineTask(
-        core,
-        machines,
-        board,
-        _Recorder(),
-        deployments.Bounds(),
-        clock,
-        gevent.event.Event(),
-        lambda _: None,
-    )
+    task = _task(core, machines, board, clock)
     task._emptying["m-1"] = clock.monotonic()
     machines.names = ["m-2"]
     for _ in range(40):
         assert task._read()
         task._step()
+        task.mover._step()
         clock.advance(0.25)
     assert machines.ordered == ["m-2"]
     assert board.reports[-1] == ("wave/1", True)
+
+
+def test_a_machine_that_is_being_emptied_works_on_when_its_pool_needs_it():
+    """Quotes wait beside half empty instances for 20 s.
+
+    Their turn began while machines of their pool were being emptied for
+    upkeep; kept from work until the wave had to hurry, these stood idle.
+    """
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", "i-2")
+    apart = jobs.Step(count=2, cpu=1000, anti_affinity=1)
+    core.job_added(fleets.job(steps=(apart,)), 0.0)
+    fleets.run_all(core, fleets.plan(core))
+    clock = clocks.ManualClock()
+    task = _task(core, _Machines(["m-1", "m-2"]), _Board(), clock)
+    assert task._read()
+    for _ in range(2):
+        task._step()
+        task.mover._step()
+    assert any(instance.cordoned for instance in core.instances.values())
+    turn = fleets.job(2, steps=(jobs.Step(count=20, cpu=1000),))
+    core.job_added(turn, 0.1)
+    fleets.plan(core)
+    task.mover._step()
+    task._step()
+    assert not any(instance.cordoned for instance in core.instances.values())
--- a/tests/failures/test_fleet_failures.py
+++ b/tests/failures/test_fleet_failures.py
@@ -96,6 +96,26 @@
     assert len(batch.starts) == 2
 
 
+def test_a_lasting_task_without_room_elsewhere_is_not_sent_away():
+    """A reminder stands still for 15 s while machines are in upkeep.
+
+    Its instance was being emptied, so its task was stopped; the rest of the
+    pool was full, and nothing may start on an instance that is being emptied.
+    """
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", cpu=4000)
+    lasting = jobs.Step(count=1, long_running=True, may_miss=1)
+    core.job_added(fleets.job(steps=(lasting,)), 0.0)
+    fleets.run_all(core, fleets.plan(core), percent=100.0)
+    instance = core.instances["i-1"]
+    instance.cordoned = True
+    evacuation.evacuate(core, instance, 3.0)
+    assert not core.take_stops()
+    fleets.adopt(core, "i-2", now=3.0)
+    evacuation.evacuate(core, instance, 3.1)
+    assert len(core.take_stops()) == 1
+
+
 def test_ends_are_not_acknowledged_before_they_are_written():
     """A finished charge runs again after its owner was lost.
 
