--- /dev/null
+++ b/standins/turns.py
@@ -0,0 +1,259 @@
+"""Replays a queue's turn on the owner's decisions, without input or output.
+
+Load pattern: a queue asks several times its mean for some seconds. Its pool is
+small when the turn begins; machines from elsewhere arrive a few seconds later
+and then are a little more than what is asked for, so the backlog of the first
+seconds decides how many of the later jobs are in time.
+
+Instances run each task for its true duration; the owner is told estimates that
+are off. Nothing fails here: the replay compares orders of the queue.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import heapq
+import math
+import random
+
+from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+TICK_S = 0.02
+"""Time between two plans; about what a transaction and a start take."""
+
+QUEUE = "quotes"
+STRETCH = 1.6
+TARGET_MS = 600.0
+LATE_FACTOR = 3.0
+LATE_SHARE = 1 / 14
+"""A late job is worth so much of what one in time is."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Turn:
+    """One turn and the machines that it meets.
+
+    Attributes:
+        length_s: how long the queue asks.
+        jobs_per_s: how much it asks.
+        instances: how many its pool has when the turn begins.
+        more: how many it has once others have arrived.
+        more_at_s: when that is.
+        task_ms: mean duration of a task.
+        task_cpu: mean thousandths of a core of a task.
+        estimate_off: spread of the logarithm of estimate over duration.
+    """
+
+    length_s: float = 8.0
+    jobs_per_s: float = 70.0
+    instances: int = 6
+    more: int = 60
+    more_at_s: float = 2.6
+    task_ms: float = 640.0
+    task_cpu: float = 1500.0
+    estimate_off: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What became of the jobs of a turn, as shares.
+
+    Attributes:
+        credit: of what all jobs in time would be worth.
+        in_time: jobs that met their objective.
+        late: jobs that ended within three times their objective.
+        large_in_time: the same as ``in_time`` of the largest tenth.
+        last_s: when the last job ended.
+    """
+
+    credit: float
+    in_time: float
+    late: float
+    large_in_time: float
+    last_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Made:
+    """A job with what its client does not know.
+
+    Attributes:
+        durations: true seconds of a task, by step.
+    """
+
+    job: jobs.Job
+    at: float
+    durations: tuple[float, ...]
+
+    @property
+    def work(self) -> float:
+        """Core-seconds."""
+        return sum(
+            step.count * step.cpu / 1000 * duration
+            for step, duration in zip(
+                self.job.steps, self.durations, strict=True
+            )
+        )
+
+    @property
+    def objective_s(self) -> float:
+        """Within which it should end."""
+        return STRETCH * sum(self.durations) + TARGET_MS / 1000
+
+
+def _spread(
+    rng: random.Random, mean: float, sigma: float, most: float
+) -> float:
+    drawn = rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+    return min(drawn, most)
+
+
+def _jobs(turn: Turn, rng: random.Random) -> Iterator[_Made]:
+    at = rng.expovariate(turn.jobs_per_s)
+    number = 0
+    while at < turn.length_s:
+        number += 1
+        steps = []
+        durations = []
+        for index in range(rng.choice((1, 1, 1, 2, 2, 3))):
+            duration = _spread(rng, turn.task_ms, 0.5, 2.5 * turn.task_ms)
+            estimate = duration * rng.lognormvariate(0.0, turn.estimate_off)
+            steps.append(
+                jobs.Step(
+                    count=max(1, round(_spread(rng, 8, 0.6, 32))),
+                    cpu=round(
+                        _spread(rng, turn.task_cpu, 0.45, 3 * turn.task_cpu)
+                    ),
+                    mem_mb=round(_spread(rng, 3200, 0.6, 9500)),
+                    estimate_ms=round(estimate),
+                    after=(index - 1,) if index else (),
+                )
+            )
+            durations.append(duration / 1000)
+        job = jobs.Job(
+            f"{number:016x}",
+            QUEUE,
+            QUEUE,
+            "text",
+            tuple(steps),
+            round(at * 1000),
+        )
+        yield _Made(job, at, tuple(durations))
+        at += rng.expovariate(turn.jobs_per_s)
+
+
+class _Pool:
+    """Instances that run what they are told to."""
+
+    def __init__(self, core: cores.Core):
+        self._core = core
+        self._running: list[tuple[float, int, str, jobs.TaskName, int]] = []
+        self._ends = dict[str, int]()
+        self._count = 0
+
+    @property
+    def busy(self) -> bool:
+        """Whether anything runs."""
+        return bool(self._running)
+
+    def grow(self, size: int, now: float) -> None:
+        """Adds instances until there are so many."""
+        for index in range(len(self._ends), size):
+            name = f"i-{index}"
+            room = fleet.Resources(16_000, 65_536)
+            self._core.registered(
+                fleet.Registration(name, QUEUE, "a", "z", False, room, ("a",)),
+                now,
+            )
+            self._core.held(name, fleet.Held(0.0, (), ()), now, now)
+            self._ends[name] = 0
+
+    def start(
+        self, instance: str, task: jobs.TaskName, run: int, ends_at: float
+    ) -> None:
+        """Runs a task."""
+        self._count += 1
+        heapq.heappush(
+            self._running, (ends_at, self._count, instance, task, run)
+        )
+
+    def end(self, now: float) -> None:
+        """Lists the tasks that are done."""
+        while self._running and self._running[0][0] <= now:
+            _, _, instance, task, run = heapq.heappop(self._running)
+            self._ends[instance] += 1
+            end = fleet.End(self._ends[instance], task, run, fleet.How.DONE, "")
+            self._core.held(instance, fleet.Held(0.0, (), (end,)), now, now)
+
+
+def _core(order: str) -> cores.Core:
+    core = cores.Core(queue_order.ORDERS.get(order), lambda _: None)
+    queue = fleet.Queue(
+        QUEUE, "", "/", QUEUE, stretch=STRETCH, target_ms=TARGET_MS
+    )
+    pool = fleet.Pool(QUEUE, guarded=False, standby=False)
+    core.configured(fleet.FleetConfig(1, (queue,), {QUEUE: pool}, 0))
+    return core
+
+
+def replay(order: str, turn: Turn, seed: int) -> Outcome:
+    """Plays one turn with one order of the queue."""
+    core = _core(order)
+    pool = _Pool(core)
+    made = list(_jobs(turn, random.Random(seed)))
+    by_id = {item.job.job_id: item for item in made}
+    waiting = list(reversed(made))
+    ended: dict[str, float] = {}
+    now = 0.0
+    while waiting or core.book.live:
+        now += TICK_S
+        pool.grow(turn.more if now >= turn.more_at_s else turn.instances, now)
+        pool.end(now)
+        while waiting and waiting[-1].at <= now:
+            core.job_added(waiting.pop().job, now)
+        core.plan(now, now * 1000)
+        batch = core.take_batch(len(made))
+        for start in batch.starts:
+            core.may_send(start)
+            duration = by_id[start.task.job_id].durations[start.task.step]
+            pool.start(start.instance, start.task, start.run, now + duration)
+        for entry in batch.entries:
+            if entry.ended is not None:
+                ended[entry.job.job_id] = now
+    return _judge(made, ended)
+
+
+def _judge(made: list[_Made], ended: dict[str, float]) -> Outcome:
+    mean = sum(item.work for item in made) / len(made)
+    large = sorted(made, key=lambda item: -item.work)[: len(made) // 10]
+    owed = earned = 0.0
+    in_time: set[str] = set()
+    late = 0
+    for item in made:
+        worth = 0.3 + 0.7 * item.work / mean
+        age = ended[item.job.job_id] - item.at
+        owed += worth
+        if age <= item.objective_s:
+            earned += worth
+            in_time.add(item.job.job_id)
+        elif age <= LATE_FACTOR * item.objective_s:
+            earned += worth * LATE_SHARE
+            late += 1
+    return Outcome(
+        earned / owed,
+        len(in_time) / len(made),
+        late / len(made),
+        sum(item.job.job_id in in_time for item in large) / len(large),
+        max(ended.values()),
+    )
+
+
+def compare(
+    orders: list[str], turn: Turn, seeds: range
+) -> dict[str, list[Outcome]]:
+    """Plays the same turns with each order."""
+    return {
+        order: [replay(order, turn, seed) for seed in seeds] for order in orders
+    }
