Soak real processes with faults from outside

Change: soak/ runs three machines' processes, a stand-in platform and four instances behind relays that cut, reset, delay, silence or pass one way; four clients hand in, ask, cancel and send copies late; 19 faults come as they like and overlap; what clients were answered and what instances were told is checked while it runs, and all accepted jobs have to end afterwards. Not covered: waves and moves (the stand-in has none), clocks that jump, instances that crash.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Runs soaks from the command line: ``python -m soak --seeds 1:51``."""
+
+import pathlib
+import random
+import sys
+import tempfile
+
+import click
+
+from soak import run
+
+
+def _seeds(text: str, fresh: int) -> list[int]:
+    if fresh:
+        return [random.SystemRandom().randrange(1, 10**6) for _ in range(fresh)]
+    first, _, last = text.partition(":")
+    return list(range(int(first), int(last or int(first) + 1)))
+
+
+@click.command()
+@click.option("--seeds", default="1:4", help="FIRST:BEHIND, or one seed.")
+@click.option("--fresh", default=0, help="So many seeds drawn now instead.")
+@click.option("--seconds", default=20.0, help="How long faults come.")
+@click.option("--keep", type=click.Path(), help="Folder for the logs.")
+def main(seeds: str, fresh: int, seconds: float, keep: str | None) -> None:
+    """Runs a soak for each seed and prints what was broken."""
+    failed = 0
+    for seed in _seeds(seeds, fresh):
+        folder = pathlib.Path(
+            tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep)
+        )
+        result = run.soak(seed, seconds, folder)
+        handed_in, accepted, completed = result.jobs
+        click.echo(
+            f"seed {seed}: {handed_in} jobs, {accepted} accepted, "
+            f"{completed} completed; {len(result.faults)} faults; "
+            f"{len(result.broken)} broken"
+        )
+        if result.broken:
+            failed += 1
+            click.echo(
+                f"  logs: {folder}\n  faults: {', '.join(result.faults)}"
+            )
+            for line in result.broken[:20]:
+                click.echo(f"  {line}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,142 @@
+"""Clients that hand in jobs, ask for them and cancel some."""
+
+import itertools
+import json
+
+import gevent
+
+from soak import promises as promise_lib
+from soak import world as worlds
+from standins import edge_processes
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.platform import job_body
+from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import minions
+from vanillaswitch.transport import plain_http
+
+TIMEOUT_S = 3.0
+TRIES = 4
+CANCEL_SHARE = 0.15
+LATE_COPY_SHARE = 0.1
+"""So many hand-ins arrive once more after they were accepted."""
+
+PAUSE_S = 0.15
+"""Mean pause between two actions of a client."""
+
+_OK, _GONE, _BUSY, _AWAY = 200, 410, 429, 503
+
+BODIES = (
+    {"spec": "a", "steps": [{"count": 2, "cpu": 3000, "mem_mb": 2000}]},
+    {
+        "spec": "b",
+        "steps": [
+            {"count": 3, "cpu": 2000, "mem_mb": 500, "estimate_ms": 400},
+            {"count": 2, "cpu": 6000, "mem_mb": 500, "after": [0]},
+        ],
+    },
+    {"spec": "c", "steps": [{"count": 1, "cpu": 16000, "mem_mb": 30000}]},
+)
+
+
+class Client:
+    """One client; it keeps its connections until they break."""
+
+    def __init__(self, world: worlds.World, numbers: "itertools.count[int]"):
+        self._world = world
+        self._random = world.random
+        self._numbers = numbers
+        self._promises = world.promises
+        self._mine: list[promise_lib.JobRecord] = []
+
+    def run(self) -> None:
+        """Works until it is killed."""
+        with plain_http.open_client(clocks.SystemClock()) as client:
+            while True:
+                self._act(client)
+                gevent.sleep(self._random.expovariate(1 / PAUSE_S))
+
+    def _act(self, client: plain_http.PlainClient) -> None:
+        accepted = [item for item in self._mine if item.accepted_at is not None]
+        if not accepted or self._random.random() < 0.5:
+            self._hand_in(client)
+            return
+        record = self._random.choice(accepted)
+        if not record.cancel_sent and self._random.random() < CANCEL_SHARE:
+            self._cancel(client, record)
+        elif self._random.random() < LATE_COPY_SHARE:
+            self._send(client, record)
+        else:
+            ask(client, self._world, record)
+
+    def _hand_in(self, client: plain_http.PlainClient) -> None:
+        body = self._random.choice(BODIES)
+        job_id = f"{next(self._numbers):016x}"
+        job = job_body.parse(
+            json.dumps(body).encode(), job_id, "quotes", "pool", 0
+        )
+        record = promise_lib.JobRecord(job)
+        # Known before it is sent: its tasks may start before the answer.
+        self._promises.records[job_id] = record
+        self._mine.append(record)
+        for _ in range(TRIES):
+            if self._send(client, record) == _OK:
+                return
+            gevent.sleep(self._random.random() * 0.5)
+
+    def _send(
+        self, client: plain_http.PlainClient, record: promise_lib.JobRecord
+    ) -> int:
+        body = next(item for item in BODIES if item["spec"] == record.job.spec)
+        status, _ = call(client, self._world, "POST", record.job, body)
+        if status == _OK:
+            record.accepted_at = record.accepted_at or self._world.promises.now
+        elif status in (_BUSY, _AWAY):
+            record.refusals += 1
+        else:
+            record.unknown += 1
+        return status
+
+    def _cancel(
+        self, client: plain_http.PlainClient, record: promise_lib.JobRecord
+    ) -> None:
+        record.cancel_sent = True
+        status, _ = call(client, self._world, "DELETE", record.job)
+        if status in (_OK, _GONE):
+            record.cancelled_at = self._world.promises.now
+
+
+def call(
+    client: plain_http.PlainClient,
+    world: worlds.World,
+    method: str,
+    job: jobs.Job,
+    body: object = None,
+) -> tuple[int, bytes]:
+    """Calls any machine; returns status and body, 0 without an answer."""
+    edge = world.random.choice(world.edges)
+    data = b"" if body is None else json.dumps(body).encode()
+    sent = client.call(
+        edge.entry, method, f"/q/{job.job_id}", data, timeout_s=TIMEOUT_S
+    )
+    if isinstance(sent, minions.Answered):
+        return sent.answer.status, sent.answer.body
+    return 0, b""
+
+
+def ask(
+    client: plain_http.PlainClient,
+    world: worlds.World,
+    record: promise_lib.JobRecord,
+) -> None:
+    """Asks for an accepted job and has the answer judged."""
+    status, body = call(client, world, "GET", record.job)
+    if status == _OK:
+        world.promises.answered(record, json.loads(body)["state"])
+    elif status == _GONE:
+        world.promises.answered(record, None)
+
+
+def is_ready(client: plain_http.PlainClient, edge: edge_processes.Edge) -> bool:
+    """Whether the balancer would send clients to a machine."""
+    sent = client.call(edge.ready, "GET", "/-/ready", timeout_s=1.0)
+    return isinstance(sent, minions.Answered) and sent.answer.status == _OK
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,153 @@
+"""What goes wrong in a soak: each fault begins, lasts and is taken back.
+
+Faults overlap as they come. One that ends a process starts it again after a
+pause, as the platform does.
+"""
+
+from collections.abc import Callable
+import signal
+
+import gevent
+
+from soak import world as worlds
+from standins import edge_processes
+from standins import relays
+from vanillaswitch.internal import registry
+
+Fault = Callable[[worlds.World, float], None]
+"""Harms a world for so many seconds."""
+
+FAULTS: registry.Registry[Fault] = registry.Registry("fault of a soak")
+
+RESTART_S = 0.3
+"""Pause before a process that ended is started again."""
+
+GRACE_S = 6.0
+"""Time from a request to stop until a process is killed."""
+
+SERIES = 3
+"""Signals of one kind that come in a row."""
+
+
+def _any_edge(world: worlds.World) -> edge_processes.Edge:
+    return world.random.choice(world.edges)
+
+
+def _start_again(edge: edge_processes.Edge) -> None:
+    gevent.sleep(RESTART_S)
+    if not edge.runs:
+        edge.restart()
+
+
+@FAULTS.register("kill")
+def kill(world: worlds.World, seconds: float) -> None:
+    """Kills one process; its machine is dark for the time."""
+    edge = _any_edge(world)
+    edge.kill()
+    gevent.sleep(seconds)
+    _start_again(edge)
+
+
+@FAULTS.register("kill-all")
+def kill_all(world: worlds.World, seconds: float) -> None:
+    """Kills all processes at once."""
+    for edge in world.edges:
+        edge.kill()
+    gevent.sleep(min(1.0, seconds))
+    for edge in world.edges:
+        _start_again(edge)
+
+
+@FAULTS.register("stop-in-turn")
+def stop_in_turn(world: worlds.World, seconds: float) -> None:
+    """Tells one process after the other to stop, and starts it again."""
+    for edge in world.random.sample(world.edges, len(world.edges)):
+        edge.send(signal.SIGTERM)
+        with gevent.Timeout(GRACE_S, False):
+            while edge.runs:
+                gevent.sleep(0.05)
+        edge.kill()
+        _start_again(edge)
+        gevent.sleep(seconds / len(world.edges))
+
+
+@FAULTS.register("freeze")
+def freeze(world: worlds.World, seconds: float) -> None:
+    """Stops a process and lets it go on, a few times."""
+    edge = _any_edge(world)
+    for _ in range(SERIES):
+        edge.send(signal.SIGSTOP)
+        gevent.sleep(seconds / SERIES)
+        edge.send(signal.SIGCONT)
+        gevent.sleep(0.1)
+
+
+@FAULTS.register("reload")
+def reload(world: worlds.World, seconds: float) -> None:
+    """Tells all processes that their settings changed."""
+    for edge in world.edges:
+        edge.send(signal.SIGHUP)
+        gevent.sleep(seconds / len(world.edges))
+
+
+@FAULTS.register("store-refuses")
+def store_refuses(world: worlds.World, seconds: float) -> None:
+    """The store answers that nothing was done."""
+    world.platform.rows.down = True
+    gevent.sleep(seconds)
+    world.platform.rows.down = False
+
+
+@FAULTS.register("store-loses-answers")
+def store_loses_answers(world: worlds.World, seconds: float) -> None:
+    """The store writes and does not answer."""
+    world.platform.rows.lose_answers = True
+    gevent.sleep(seconds)
+    world.platform.rows.lose_answers = False
+
+
+@FAULTS.register("store-forgets")
+def store_forgets(world: worlds.World, seconds: float) -> None:
+    """The store drops its history, again and again."""
+    for _ in range(SERIES):
+        world.platform.rows.forget()
+        gevent.sleep(seconds / SERIES)
+
+
+@FAULTS.register("configure")
+def configure(world: worlds.World, seconds: float) -> None:
+    """The operators write configurations in quick succession."""
+    for _ in range(SERIES):
+        world.configure()
+        gevent.sleep(seconds / SERIES)
+
+
+def _harm(link: relays.Relay, harm: relays.Harm, seconds: float) -> None:
+    link.harm(harm)
+    gevent.sleep(seconds)
+    link.harm(relays.Harm.NONE)
+
+
+def _register_links() -> None:
+    """Registers each harm of a link for both kinds of links."""
+    for harm in relays.Harm:
+        if harm is relays.Harm.NONE:
+            continue
+
+        def store(
+            world: worlds.World, seconds: float, harm: relays.Harm = harm
+        ) -> None:
+            link = world.store_links[_any_edge(world).name]
+            _harm(link, harm, seconds)
+
+        def instance(
+            world: worlds.World, seconds: float, harm: relays.Harm = harm
+        ) -> None:
+            links = list(world.instance_links.values())
+            _harm(world.random.choice(links), harm, seconds)
+
+        FAULTS.register(f"store-link-{harm}")(store)
+        FAULTS.register(f"instance-link-{harm}")(instance)
+
+
+_register_links()
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,164 @@
+"""What callers and instances must see, whatever fails.
+
+Everything is judged from outside: what clients were answered, and what
+instances were told to start and listed as ended.
+"""
+
+import dataclasses
+
+from standins import edge_http
+from standins import leased_instance
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+CANCEL_S = 3.0
+"""Time in which the tasks of a cancelled job start no more."""
+
+CAPACITY = fleet.Resources(16_000, 32_768)
+"""Room of each instance of the stand-in platform."""
+
+
+@dataclasses.dataclass
+class JobRecord:
+    """A job and what its client was told.
+
+    Attributes:
+        accepted_at: when the first acceptance arrived; None for never.
+        refusals: hand-ins that were answered "not run".
+        unknown: hand-ins without such an answer or an acceptance.
+        cancelled_at: when the acknowledgement of its cancel arrived.
+        shown: the newest state that was read.
+    """
+
+    job: jobs.Job
+    accepted_at: float | None = None
+    refusals: int = 0
+    unknown: int = 0
+    cancel_sent: bool = False
+    cancelled_at: float | None = None
+    shown: str = ""
+
+
+class Promises(edge_http.Observer):
+    """Collects what is seen, and says what was broken."""
+
+    def __init__(self, clock: "Clock"):
+        self._clock = clock
+        self._broken: list[str] = []
+        self._instances: dict[str, leased_instance.LeasedInstance] = {}
+        self._started: dict[jobs.TaskName, int] = {}
+        self.records: dict[str, JobRecord] = {}
+
+    @property
+    def now(self) -> float:
+        """Seconds since the soak began."""
+        return self._clock.now
+
+    @property
+    def broken(self) -> list[str]:
+        """What was broken, in order."""
+        return self._broken
+
+    def watch(self, model: leased_instance.LeasedInstance) -> None:
+        """Watches one more instance."""
+        self._instances[model.registration.instance] = model
+
+    def breach(self, promise: str, text: str) -> None:
+        """Takes note of a broken promise."""
+        self._broken.append(f"{self._clock.now:.2f} s {promise}: {text}")
+
+    def need(self, order: fleet.Start) -> fleet.Resources:
+        """Returns the room that a task takes."""
+        record = self.records.get(order.task.job_id)
+        if record is None:
+            return fleet.Resources(0, 0)
+        step = record.job.steps[order.task.step]
+        return fleet.Resources(step.cpu, step.mem_mb)
+
+    def started(self, instance: str, order: fleet.Start) -> None:
+        """Judges a start by all that was seen before it."""
+        record = self.records.get(order.task.job_id)
+        task = order.task
+        self._started[task] = self._started.get(task, 0) + 1
+        if record is None or task.step >= len(record.job.steps):
+            self.breach("asked", f"{task} was never handed in")
+            return
+        if order.spec != record.job.spec:
+            self.breach("asked", f"{task} with another spec")
+        self._judge_cancel(record, task)
+        self._judge_once(instance, task)
+        self._judge_order(record, task)
+        used = self._instances[instance].used
+        if used.cpu > CAPACITY.cpu or used.mem_mb > CAPACITY.mem_mb:
+            self.breach("room", f"{instance} holds {used}")
+
+    def _judge_cancel(self, record: JobRecord, task: jobs.TaskName) -> None:
+        since = record.cancelled_at
+        if since is not None and self._clock.now > since + CANCEL_S:
+            self.breach("cancel", f"{task} started after its cancel")
+
+    def _judge_once(self, instance: str, task: jobs.TaskName) -> None:
+        for name, model in self._instances.items():
+            if name != instance and model.up and task in model.running:
+                self.breach("once", f"{task} on {instance} and {name}")
+        if self._is_done(task):
+            self.breach("once", f"{task} on {instance} after it was done")
+
+    def _judge_order(self, record: JobRecord, task: jobs.TaskName) -> None:
+        for number in record.job.steps[task.step].after:
+            for index in range(record.job.steps[number].count):
+                name = dataclasses.replace(task, step=number, index=index)
+                if not self._has_ended_done(name):
+                    self.breach("order", f"{task} before {name}")
+
+    def _is_done(self, task: jobs.TaskName) -> bool:
+        """Whether an end as done was taken note of."""
+        return any(
+            end.task == task and end.how is fleet.How.DONE
+            for model in self._instances.values()
+            for end in model.noted
+        )
+
+    def _has_ended_done(self, task: jobs.TaskName) -> bool:
+        return any(
+            end.task == task and end.how is fleet.How.DONE
+            for model in self._instances.values()
+            for end in model.listed
+        )
+
+    def answered(self, record: JobRecord, state: str | None) -> None:
+        """Judges the state of an accepted job; None when it is unknown."""
+        job_id = record.job.job_id
+        if state is None:
+            self.breach("kept", f"{job_id} was accepted and is not known")
+            return
+        record.shown = state
+        if state == jobs.JobState.FAILED:
+            self.breach("kept", f"{job_id} failed and no task of it did")
+        if state == jobs.JobState.CANCELLED and not record.cancel_sent:
+            self.breach("kept", f"{job_id} was cancelled by nobody")
+        if state == jobs.JobState.COMPLETED and not self._all_done(record):
+            self.breach("shown", f"{job_id} as completed too early")
+
+    def _all_done(self, record: JobRecord) -> bool:
+        return all(
+            self._has_ended_done(jobs.TaskName(record.job.job_id, 0, at, index))
+            for at, step in enumerate(record.job.steps)
+            for index in range(step.count)
+        )
+
+    def judge_refusals(self) -> None:
+        """Finds jobs that ran although every hand-in was refused."""
+        ran = {task.job_id for task in self._started}
+        for record in self.records.values():
+            refused = record.refusals and not record.unknown
+            accepted = record.accepted_at is not None
+            if refused and not accepted and record.job.job_id in ran:
+                self.breach("refused", f"{record.job.job_id} ran")
+
+
+@dataclasses.dataclass
+class Clock:
+    """Seconds since the soak began; moved by the world."""
+
+    now: float = 0.0
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,121 @@
+"""One soak: load and faults for a while, then everything has to end."""
+
+import dataclasses
+import itertools
+import pathlib
+
+import gevent
+
+from soak import clients
+from soak import faults
+from soak import promises as promise_lib
+from soak import world as worlds
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import jobs
+from vanillaswitch.transport import plain_http
+
+CLIENTS = 4
+GAP_S = 1.0
+"""Mean pause between the beginnings of two faults; they last up to
+``LONGEST_S``, so that some three overlap."""
+
+LONGEST_S = 4.0
+SETTLE_S = 30.0
+"""Within this all accepted jobs have to end once nothing is harmed: a lease
+of 6 s may lapse twice, and a queue of jobs runs."""
+
+WARM_UP_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What a soak found.
+
+    Attributes:
+        broken: broken promises; empty when all were kept.
+        jobs: handed in, accepted and completed.
+        faults: names in the order in which they began.
+    """
+
+    seed: int
+    broken: tuple[str, ...]
+    jobs: tuple[int, int, int]
+    faults: tuple[str, ...]
+
+
+def soak(seed: int, seconds: float, folder: pathlib.Path) -> Result:
+    """Runs one soak; logs of the processes are left in the folder."""
+    with worlds.running(seed, folder) as world:
+        _await_ready(world)
+        numbers = itertools.count(seed * 1_000_000 + 1)
+        working = [
+            gevent.spawn(clients.Client(world, numbers).run)
+            for _ in range(CLIENTS)
+        ]
+        begun = _harm(world, seconds)
+        gevent.killall(working)
+        world.heal()
+        _bring_to_an_end(world)
+        world.promises.judge_refusals()
+        records = world.promises.records.values()
+        accepted = [item for item in records if item.accepted_at is not None]
+        completed = [
+            item for item in accepted if item.shown == jobs.JobState.COMPLETED
+        ]
+        return Result(
+            seed,
+            tuple(world.promises.broken),
+            (len(records), len(accepted), len(completed)),
+            tuple(begun),
+        )
+
+
+def _await_ready(world: worlds.World) -> None:
+    with (
+        gevent.Timeout(WARM_UP_S),
+        plain_http.open_client(clocks.SystemClock()) as client,
+    ):
+        for edge in world.edges:
+            while not clients.is_ready(client, edge):
+                gevent.sleep(0.1)
+
+
+def _harm(world: worlds.World, seconds: float) -> list[str]:
+    begun: list[str] = []
+    lasting = []
+    until = world.promises.now + seconds
+    while world.promises.now < until:
+        name = world.random.choice(faults.FAULTS.names)
+        length = world.random.uniform(0.3, LONGEST_S)
+        begun.append(name)
+        fault = faults.FAULTS.get(name)
+        lasting.append(gevent.spawn(fault, world, length))
+        gevent.sleep(world.random.expovariate(1 / GAP_S))
+    for task in lasting:
+        # A fault that itself failed must not pass for one that did no harm.
+        task.get()
+    return begun
+
+
+def _bring_to_an_end(world: worlds.World) -> None:
+    """Asks for all accepted jobs until they have ended."""
+    open_records = [
+        record
+        for record in world.promises.records.values()
+        if record.accepted_at is not None
+    ]
+    until = world.promises.now + SETTLE_S
+    with plain_http.open_client(clocks.SystemClock()) as client:
+        while open_records and world.promises.now < until:
+            for record in open_records:
+                clients.ask(client, world, record)
+            open_records = [item for item in open_records if not _ended(item)]
+            gevent.sleep(0.3)
+    for record in open_records:
+        world.promises.breach(
+            "finished", f"{record.job.job_id} is {record.shown or 'not shown'}"
+        )
+
+
+def _ended(record: promise_lib.JobRecord) -> bool:
+    return bool(record.shown) and jobs.JobState(record.shown).ended
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,102 @@
+"""The processes, the platform and the links of one soak."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+
+import gevent
+
+from soak import promises as promise_lib
+from standins import edge_http
+from standins import edge_processes
+from standins import relays
+
+EDGES = 3
+INSTANCES = 4
+TASK_S = 0.4
+"""How long each task runs; several holds of an instance."""
+
+CLOCK_S = 0.02
+"""How often the soak's clock is read."""
+
+
+@dataclasses.dataclass
+class World:
+    """All that faults may harm, and what watches it.
+
+    Attributes:
+        store_links: by machine, the way to the store and the machine list.
+        instance_links: by instance, the way of all machines to it.
+        random: where all choices of the soak come from.
+    """
+
+    platform: edge_http.EdgePlatform
+    edges: list[edge_processes.Edge]
+    store_links: dict[str, relays.Relay]
+    instance_links: dict[str, relays.Relay]
+    promises: promise_lib.Promises
+    random: random.Random
+    version: int = 1
+
+    def configure(self) -> None:
+        """Writes the operators' next configuration."""
+        self.version += self.random.randint(1, 5)
+        document = edge_processes.config(self.version)
+        self.platform.rows.write("op", "config", document)
+
+    def heal(self) -> None:
+        """Takes all harm away and starts what does not run."""
+        self.platform.rows.down = False
+        self.platform.rows.lose_answers = False
+        links = [*self.store_links.values(), *self.instance_links.values()]
+        for link in links:
+            link.harm(relays.Harm.NONE)
+        for edge in self.edges:
+            if not edge.runs:
+                edge.restart()
+
+
+def _keep_time(clock: promise_lib.Clock) -> None:
+    began = time.monotonic()
+    while True:
+        clock.now = time.monotonic() - began
+        gevent.sleep(CLOCK_S)
+
+
+@contextlib.contextmanager
+def running(seed: int, folder: pathlib.Path) -> Iterator[World]:
+    """Yields a running world and ends all its processes by their ids."""
+    with contextlib.ExitStack() as stack:
+        clock = promise_lib.Clock()
+        timer = gevent.spawn(_keep_time, clock)
+        stack.callback(timer.kill)
+        promises = promise_lib.Promises(clock)
+        platform = edge_http.EdgePlatform(INSTANCES, TASK_S, promises)
+        platform.rows.write("op", "config", edge_processes.config())
+        instance_links = {}
+        for instance in platform.instances:
+            link = stack.enter_context(relays.run(instance.address))
+            instance.front = link.address
+            instance_links[instance.model.registration.instance] = link
+            promises.watch(instance.model)
+        stack.enter_context(platform.serving())
+        edges = []
+        store_links = {}
+        for number in range(EDGES):
+            name = f"edge-{number}"
+            link = stack.enter_context(relays.run(platform.address))
+            store_links[name] = link
+            edge = edge_processes.Edge(name, folder, link.address, link.address)
+            stack.callback(edge.kill)
+            edges.append(edge)
+        yield World(
+            platform,
+            edges,
+            store_links,
+            instance_links,
+            promises,
+            random.Random(seed),
+        )
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -25,14 +25,39 @@
 HEARTBEAT_S = 0.5
 """How often instances write to the store."""
 
+CLOCK_S = 0.05
+"""How often the clock of an instance goes on, by which its leases lapse."""
+
+
+class Observer:
+    """Watches the orders that instances carry out; this one ignores them."""
+
+    def need(self, order: fleet.Start) -> fleet.Resources:
+        """Returns the room that a task takes."""
+        del order
+        return fleet.Resources(0, 0)
+
+    def started(self, instance: str, order: fleet.Start) -> None:
+        """Takes note of a start that took effect."""
+
+
+_UNWATCHED = Observer()
+
 
 class Instance:
     """A leased instance on a port of its own, whose tasks end by themselves."""
 
     def __init__(
-        self, name: str, service: str, rack: str, task_s: float, rows: Any
+        self,
+        name: str,
+        service: str,
+        rack: str,
+        task_s: float,
+        rows: Any,
+        observer: Observer = _UNWATCHED,
     ):
         self._rows = rows
+        self._observer = observer
         self._task_s = task_s
         self._server = sockets.HttpServer(
             sockets.listen("127.0.0.1:0"), self._application
@@ -48,13 +73,19 @@
             ("a", rack),
         )
         self.model = leased_instance.LeasedInstance(registration)
+        self.front = self.address
+
+    @property
+    def address(self) -> str:
+        """Where it serves; ``front`` is where it says so."""
+        return self._server.bound
 
     def document(self, sequence: int) -> dict[str, Any]:
         """Returns what it writes to the store."""
         registration = self.model.registration
         return {
             "service": registration.service,
-            "address": registration.address,
+            "address": self.front,
             "zone": registration.zone,
             "state": "ready",
             "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
@@ -65,6 +96,18 @@
     def run(self) -> None:
         """Serves and writes heartbeats for good."""
         self._server.start()
+        ticking = gevent.spawn(self._tick)
+        try:
+            self._beat()
+        finally:
+            ticking.kill()
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(CLOCK_S)
+            self.model.advance(CLOCK_S * 1000)
+
+    def _beat(self) -> None:
         sequence = 0
         while True:
             sequence += 1
@@ -104,8 +147,9 @@
             body["deadline_ms"],
         )
         before = len(self.model.started)
-        outcome = self.model.start(order, fleet.Resources(0, 0))
+        outcome = self.model.start(order, self._observer.need(order))
         if len(self.model.started) > before:
+            self._observer.started(self.model.registration.instance, order)
             gevent.spawn_later(self._task_s, self._finish, task, body["run"])
         return outcome
 
@@ -131,14 +175,23 @@
 class EdgePlatform:
     """Store and machines on one port, and the instances."""
 
-    def __init__(self, instances: int, task_s: float):
+    def __init__(
+        self, instances: int, task_s: float, observer: Observer = _UNWATCHED
+    ):
         self.rows = rows_module.MemoryRows()
         self._server = sockets.HttpServer(
             sockets.listen("127.0.0.1:0"), self._application
         )
         self._server.environ["SERVER_NAME"] = "platform"
         self.instances = [
-            Instance(f"i-{number}", "pool", f"r{number}", task_s, self.rows)
+            Instance(
+                f"i-{number}",
+                "pool",
+                f"r{number}",
+                task_s,
+                self.rows,
+                observer,
+            )
             for number in range(instances)
         ]
 
--- a/standins/leased_instance.py
+++ b/standins/leased_instance.py
@@ -27,6 +27,8 @@
     Attributes:
         up: it answers; else it has crashed with all it ran.
         started: every start that took effect, in order.
+        listed: every end, in order.
+        noted: ends that were taken note of, in order.
     """
 
     def __init__(
@@ -38,6 +40,8 @@
         self.running: dict[jobs.TaskName, ModelRun] = {}
         self._max_hold_ms = max_hold_ms
         self._token = 0
+        self.listed: list[fleet.End] = []
+        self.noted: list[fleet.End] = []
         self._ended: list[fleet.End] = []
         self._ends = 0
         self._highest: dict[jobs.TaskName, int] = {}
@@ -109,6 +113,7 @@
         if deadline_ms is not None:
             self._extend(deadline_ms)
         self._acknowledged = max(self._acknowledged, seen)
+        self.noted.extend(end for end in self._ended if end.number <= seen)
         self._ended = [end for end in self._ended if end.number > seen]
         running = tuple(
             fleet.Running(run.task, run.run, "", run.percent)
@@ -120,7 +125,9 @@
         """Ends a run."""
         run = self.running.pop(task)
         self._ends += 1
-        self._ended.append(fleet.End(self._ends, task, run.run, how, ""))
+        end = fleet.End(self._ends, task, run.run, how, "")
+        self._ended.append(end)
+        self.listed.append(end)
 
     def crash(self) -> None:
         """Ends it with all it ran and listed."""
--- a/standins/relays.py
+++ b/standins/relays.py
@@ -1,68 +1,130 @@
-"""A relay to the platform that can be cut, for some processes alone."""
+"""A relay on loopback whose connections can be harmed while it runs."""
 
+from collections.abc import Iterator
 import contextlib
+import enum
+import struct
 
 import gevent
+from gevent import socket
 import gevent.server
 
 from vanillaswitch.transport import sockets
 
 _BLOCK_BYTES = 65_536
 _CONNECT_S = 5.0
+_PAUSE_S = 0.02
+"""How often a held block looks whether its link is whole again."""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Lingering of no time: closing sends a reset."""
+
+
+class Harm(enum.StrEnum):
+    """What a relay does to what passes it."""
+
+    NONE = "none"
+    CUT = "cut"
+    RESET = "reset"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one-way"
 
 
 class Relay:
-    """Passes bytes on in both directions until it is cut."""
+    """Passes bytes on in both directions, as its harm says.
+
+    With ``DELAY`` each block waits; with ``SILENT`` nothing passes; with
+    ``ONE_WAY`` what is asked passes and no answer comes back. Blocks that are
+    held back pass once the harm is over.
+    """
+
+    def __init__(self, target: str, delay_s: float = 0.3):
+        """Makes a relay that is not listening yet.
 
-    def __init__(self, target):
+        Args:
+            target: "ip:port" to pass on to.
+            delay_s: how long ``DELAY`` holds a block.
+        """
         self._target = target
-        self._open = set()
-        self._whole = True
+        self._delay_s = delay_s
+        self._open: set[socket.socket] = set()
+        self._harm = Harm.NONE
         self._server = gevent.server.StreamServer(
             sockets.listen("127.0.0.1:0"), self._serve
         )
 
     @property
-    def address(self):
+    def address(self) -> str:
         """The "ip:port" that it listens on."""
         host, port = self._server.socket.getsockname()
         return f"{host}:{port}"
 
-    def start(self):
+    def start(self) -> None:
         """Begins to accept connections."""
         self._server.start()
 
-    def cut(self):
+    def harm(self, harm: Harm) -> None:
+        """Harms what passes from now on; ``NONE`` makes it whole."""
+        self._harm = harm
+        if harm in (Harm.CUT, Harm.RESET):
+            self._close(reset=harm is Harm.RESET)
+
+    def cut(self) -> None:
         """Closes all connections; new ones are closed at once."""
-        self._whole = False
-        for connection in list(self._open):
-            connection.close()
+        self.harm(Harm.CUT)
 
-    def stop(self):
+    def stop(self) -> None:
         """Closes all, the port too."""
         self.cut()
         self._server.stop()
 
-    def _serve(self, near, _address):
-        if not self._whole:
+    def _close(self, reset: bool) -> None:
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                if reset:
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                    )
+                connection.close()
+
+    def _serve(self, near: socket.socket, _address: object) -> None:
+        if self._harm in (Harm.CUT, Harm.RESET):
             return
-        far = sockets.connect(self._target, _CONNECT_S)
+        try:
+            far = sockets.connect(self._target, _CONNECT_S)
+        except OSError:
+            # The other end is gone; so is this connection.
+            return
+        far.settimeout(None)
         self._open |= {near, far}
-        back = gevent.spawn(_pass_on, far, near)
-        _pass_on(near, far)
-        back.kill()
-        far.close()
-        self._open -= {near, far}
-
-
-def _pass_on(source, target):
-    with contextlib.suppress(OSError):
-        while data := source.recv(_BLOCK_BYTES):
-            target.sendall(data)
+        back = gevent.spawn(self._pass_on, far, near, True)
+        try:
+            self._pass_on(near, far, False)
+        finally:
+            back.kill()
+            far.close()
+            self._open -= {near, far}
+
+    def _pass_on(
+        self, source: socket.socket, target: socket.socket, back: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(_BLOCK_BYTES):
+                self._hold(back)
+                target.sendall(data)
+
+    def _hold(self, back: bool) -> None:
+        if self._harm is Harm.DELAY:
+            gevent.sleep(self._delay_s)
+        while self._harm is Harm.SILENT or (
+            back and self._harm is Harm.ONE_WAY
+        ):
+            gevent.sleep(_PAUSE_S)
 
 
 @contextlib.contextmanager
-def run(target):
+def run(target: str) -> Iterator[Relay]:
     """Yields a running relay to "ip:port"."""
     relay = Relay(target)
     relay.start()
--- a/tests/failures/test_edge_process.py
+++ b/tests/failures/test_edge_process.py
@@ -2,23 +2,19 @@
 
 import base64
 import contextlib
-import itertools
 import json
-import os
 import pathlib
 import signal
-import subprocess
-import sys
 import time
 
 import gevent
 import pytest
 
 from standins import edge_http
+from standins import edge_processes
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import minions
 from vanillaswitch.transport import plain_http
-from vanillaswitch.transport import sockets
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
 _JOB = "0123456789abcdef"
@@ -28,80 +24,19 @@
 _WAIT_S = 20.0
 
 
-def _config(version=1):
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": "quotes",
-                "host": "127.0.0.1",
-                "path_prefix": "/q/",
-                "service": "pool",
-                "max_attempts": 2,
-            }
-        ],
-        "services": [{"name": "pool"}],
-    }
-
-
-_PORTS = itertools.count(20_000 + os.getpid() % 90 * 100)
-"""Below the ports that the kernel hands to connections: one of those that was
-free a moment ago may be taken by anybody's connection, and the process then
-can't start."""
-
-
-def _is_free(port):
-    try:
-        sockets.listen(f"127.0.0.1:{port}").close()
-    except OSError:
-        return False
-    return True
-
-
-def _free_ports(count):
-    """Returns the first of ``count`` ports in a row that are free."""
-    while True:
-        first = next(_PORTS)
-        ports = range(first, first + count)
-        if all(_is_free(port) for port in ports):
-            for _ in ports:
-                next(_PORTS)
-            return first
-
-
-class _Edge:
-    """One process and where it is reached."""
-
-    def __init__(self, outside, folder, name):
-        entry = _free_ports(4)
-        ready, internal = entry + 1, entry + 2
-        self.entry = f"127.0.0.1:{entry}"
-        self.ready = f"127.0.0.1:{ready}"
-        file = folder / f"{name}.conf"
-        file.write_text(
-            f"node_name={name}\nip=127.0.0.1\n"
-            f"listen.frontend={self.entry}\nlisten.ready={self.ready}\n"
-            f"internal_ports={internal},{internal + 1}\n"
-            f"platform.address={outside.address}\n"
-            f"cloud_api.address={outside.address}\n"
-        )
-        self.process = subprocess.Popen(
-            [sys.executable, str(_ROOT / "deploy" / "edge.py")],
-            env={**os.environ, "VANILLASWITCH_SETTINGS": str(file)},
-            stdout=subprocess.DEVNULL,
-        )
-
-
 @contextlib.contextmanager
 def _edges(folder, count=2, task_s=0.2):
     outside = edge_http.EdgePlatform(2, task_s)
-    outside.rows.write("op", "config", _config())
+    outside.rows.write("op", "config", edge_processes.config())
     with (
         outside.serving(),
         plain_http.open_client(clocks.SystemClock()) as client,
     ):
         edges = [
-            _Edge(outside, folder, f"edge-{number}") for number in range(count)
+            edge_processes.Edge(
+                f"edge-{number}", folder, outside.address, outside.address
+            )
+            for number in range(count)
         ]
         try:
             for edge in edges:
@@ -109,8 +44,7 @@
             yield outside, client, edges
         finally:
             for edge in edges:
-                edge.process.kill()
-                edge.process.wait()
+                edge.kill()
 
 
 def _until(holds):
--- a/tests/failures/test_process_config.py
+++ b/tests/failures/test_process_config.py
@@ -6,9 +6,9 @@
 import gevent
 import pytest
 
+from standins import relays
 from tests.common import control_deployments as control_lib
 from tests.common import deployments
-from tests.common import relays
 
 URGENT = "urgent-closing"
 PATIENT = "patient-closing"
--- /dev/null
+++ b/tests/failures/test_soak.py
@@ -0,0 +1,142 @@
+"""The soak itself: a short run, and that its checks see what is broken."""
+
+import dataclasses
+
+import pytest
+
+from soak import promises as promise_lib
+from soak import run
+from standins import leased_instance
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+SHORT_S = 6.0
+SEEDS = (1, 7)
+"""Between them they kill, freeze, stop in turn, and harm links and store."""
+
+_STEPS = (
+    jobs.Step(count=1, cpu=9000),
+    jobs.Step(count=1, cpu=1000, after=(0,)),
+)
+_JOB = jobs.Job("0" * 16, "quotes", "pool", "a", _STEPS, 0)
+_FIRST = jobs.TaskName(_JOB.job_id, 0, 0, 0)
+_SECOND = dataclasses.replace(_FIRST, step=1)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_short_soak_breaks_no_promise(seed, tmp_path):
+    result = run.soak(seed, SHORT_S, tmp_path)
+    assert not result.broken
+    handed_in, accepted, completed = result.jobs
+    assert handed_in >= accepted >= completed > 0
+
+
+class _World:
+    """Two instances that start what they are told to, without an owner."""
+
+    def __init__(self):
+        self.clock = promise_lib.Clock()
+        self.promises = promise_lib.Promises(self.clock)
+        self.record = promise_lib.JobRecord(_JOB, accepted_at=0.0)
+        self.promises.records[_JOB.job_id] = self.record
+        self.models = {}
+        for name in ("i-0", "i-1"):
+            model = leased_instance.LeasedInstance(
+                fleet.Registration(
+                    name, "pool", "", "", False, promise_lib.CAPACITY, ()
+                )
+            )
+            self.models[name] = model
+            self.promises.watch(model)
+
+    def start(self, name, task=_FIRST, run_number=1, spec="a"):
+        order = fleet.Start(task, run_number, spec, "", 1, 60_000)
+        self.models[name].start(order, self.promises.need(order))
+        self.promises.started(name, order)
+
+    def end(self, name, task=_FIRST, seen=1):
+        self.models[name].end(task, fleet.How.DONE)
+        self.models[name].hold(1, seen, None)
+
+    def kinds(self):
+        return [line.split()[2].rstrip(":") for line in self.promises.broken]
+
+
+def test_one_run_after_the_other_breaks_nothing():
+    world = _World()
+    world.start("i-0")
+    world.end("i-0")
+    world.start("i-1", _SECOND)
+    world.end("i-1", _SECOND)
+    world.promises.answered(world.record, "completed")
+    world.promises.judge_refusals()
+    assert not world.promises.broken
+
+
+def test_two_runs_at_once_are_seen():
+    world = _World()
+    world.start("i-0")
+    world.start("i-1", run_number=2)
+    assert world.kinds() == ["once"]
+
+
+def test_a_start_after_a_noted_end_is_seen():
+    world = _World()
+    world.start("i-0")
+    world.end("i-0")
+    world.start("i-1", run_number=2)
+    assert world.kinds() == ["once"]
+
+
+def test_a_step_before_its_turn_is_seen():
+    world = _World()
+    world.start("i-0", _SECOND)
+    assert world.kinds() == ["order"]
+
+
+def test_an_overfull_instance_is_seen():
+    world = _World()
+    other = dataclasses.replace(_JOB, job_id="1" * 16)
+    world.promises.records[other.job_id] = promise_lib.JobRecord(other)
+    world.start("i-0")
+    world.start("i-0", dataclasses.replace(_FIRST, job_id=other.job_id))
+    assert world.kinds() == ["room"]
+
+
+def test_a_start_long_after_a_cancel_is_seen():
+    world = _World()
+    world.record.cancelled_at = 0.0
+    world.clock.now = promise_lib.CANCEL_S + 0.1
+    world.start("i-0")
+    assert world.kinds() == ["cancel"]
+
+
+def test_what_nobody_handed_in_is_seen():
+    world = _World()
+    world.start("i-0", dataclasses.replace(_FIRST, job_id="2" * 16))
+    world.start("i-1", spec="b")
+    assert world.kinds() == ["asked", "asked"]
+
+
+def test_a_refusal_that_is_not_true_is_seen():
+    world = _World()
+    world.record.accepted_at = None
+    world.record.refusals = 1
+    world.start("i-0")
+    world.promises.judge_refusals()
+    assert world.kinds() == ["refused"]
+
+
+@pytest.mark.parametrize(
+    ("state", "kind"),
+    [
+        (None, "kept"),
+        ("failed", "kept"),
+        ("cancelled", "kept"),
+        ("completed", "shown"),
+    ],
+)
+def test_an_untrue_state_is_seen(state, kind):
+    world = _World()
+    world.promises.answered(world.record, state)
+    assert world.kinds() == [kind]
