Split the driving of waves from the reading of the list

Reading it for the split showed a fault that moves side by side had made possible: each reading of the list gave an instance work again once its machine's upkeep was done, also while an order to move that machine was under way; what started there was thrown away. Ruled out: dropping the reset altogether (an upkeep that was done for an earlier owner leaves its instance running, which has to work on). Change: wave_driver.py drives waves; it takes back only what it sent away itself.

--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import machine_task
+from vanillaswitch.coordination.fleet import wave_driver
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
@@ -98,7 +98,7 @@
         """Returns the waves that are ordered."""
         return tuple(self._waves.values())
 
-    def begin(self, wave: str, now_ms: float) -> machine_task.WaveRecord | None:
+    def begin(self, wave: str, now_ms: float) -> wave_driver.WaveRecord | None:
         """Returns what is recorded of a wave; records its beginning."""
         key = f"{FINISHED_TABLE}/{wave}"
 
@@ -111,7 +111,7 @@
         if isinstance(read, platform.Unavailable) or not read.rows:
             return None
         row = read.rows[0].value
-        return machine_task.WaveRecord(
+        return wave_driver.WaveRecord(
             tuple(row.get("machines", ())), float(row.get("began_ms", now_ms))
         )
 
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -26,6 +26,7 @@
 from vanillaswitch.coordination.fleet import sharing
 from vanillaswitch.coordination.fleet import succession
 from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet import wave_driver
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
@@ -62,7 +63,7 @@
     advisor: fleet.Advisor
     registrations: str
     registration: Callable[[str, Mapping[str, Any]], fleet.Registration]
-    waves: machine_task.WaveBoard
+    waves: wave_driver.WaveBoard
 
 
 class Owner:
--- a/tests/failures/test_emptied_machines.py
+++ b/tests/failures/test_emptied_machines.py
@@ -5,6 +5,8 @@
 from tests.common import clocks
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import machine_task
+from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.coordination.fleet import waves
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -28,7 +30,7 @@
 
     def begin(self, wave, now_ms):
         del wave
-        return machine_task.WaveRecord((), now_ms)
+        return wave_driver.WaveRecord((), now_ms)
 
     def save_finished(self, wave, machines):
         del wave, machines
@@ -93,7 +95,7 @@
     machines, board = _Machines(["m-1", "m-2"]), _Board()
     clock = clocks.ManualClock()
     task = _task(core, machines, board, clock)
-    task._emptying["m-1"] = clock.monotonic()
+    task._driver._emptying["m-1"] = clock.monotonic()
     machines.names = ["m-2"]
     for _ in range(40):
         assert task._read()
@@ -128,3 +130,23 @@
     task.mover._step()
     task._step()
     assert not any(instance.cordoned for instance in core.instances.values())
+
+
+def test_a_machine_on_its_way_to_another_pool_gets_no_work():
+    """Quotes are thrown away by a move that was ordered before they started.
+
+    Its upkeep was done, so with each reading of the list its instance was
+    given work again, also while an order to move it was under way.
+    """
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", "i-2")
+    clock = clocks.ManualClock()
+    task = _task(core, _Machines(["m-1", "m-2"]), _Board(), clock)
+    assert task._read()
+    task._step()
+    for item in task._driver._waves["wave/1"].machines.values():
+        item.phase = waves.Phase.DONE
+    core.instances["i-1"].leaving = True
+    assert task._read()
+    task._step()
+    assert core.instances["i-1"].leaving
