Let lasting tasks leave machines as soon as these are due for upkeep

(2) 48 orders of upkeep were refused as busy: the list still showed machines as up that had just been ordered to another pool. Change: lasting tasks leave due machines from the beginning of a wave, for machines that are not due, while short tasks go on there; machines on their way elsewhere are not chosen for upkeep, and those reserved for upkeep not moved, by what is known now instead of at the last reading; due machines stand by first and are moved to other pools last.

--- a/src/vanillaswitch/coordination/fleet/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -50,7 +50,8 @@
         least: machines that it needs whatever the load, for tasks that may
             not share an instance.
         have: machines that are up or on their way to it.
-        idle: machines of it that run nothing.
+        idle: machines of it that run nothing; the first are best to move to
+            another pool, the last to stand by.
         machine_cpu: thousandths of a core of one machine.
         standby: its machines are off.
     """
@@ -164,9 +165,14 @@
             load = loads.get(name)
             if load is None or now - since < IDLE_S:
                 continue
-            surplus = load.have - self._wanted[name]
-            left = [item for item in load.idle[:surplus] if item not in taken]
-            retired.extend(Move(machine, target) for machine in left)
+            left = [item for item in load.idle if item not in taken]
+            leaving = len(load.idle) - len(left)
+            surplus = load.have - self._wanted[name] - leaving
+            # The last ones: see ``PoolLoad.idle``.
+            given_up = (
+                left[max(0, len(left) - surplus) :] if surplus > 0 else []
+            )
+            retired.extend(Move(machine, target) for machine in given_up)
         return retired
 
 
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -69,7 +69,11 @@
     would wait while its own instance stands half empty. An instance that
     leaves by itself takes its tasks with it anyway, so there no bound is kept.
     """
-    others = core.pool_instances(instance.registration.service)
+    others = [
+        other
+        for other in core.pool_instances(instance.registration.service)
+        if other is not instance and (instance.cordoned or not other.due)
+    ]
     for run in list(instance.runs.values()):
         if not run.step.long_running or run.stopping is not None:
             continue
@@ -91,7 +95,14 @@
 
 
 def evacuate_all(core: cores.Core, now: float) -> None:
-    """Empties the instances that are wanted empty or leave by themselves."""
+    """Empties the instances that are wanted empty or leave by themselves.
+
+    Lasting tasks leave an instance as soon as its machine is due, while it
+    goes on with short ones: a job spares one or two of them at a time, so the
+    last machines of a wave were emptied one after the other, 1.2 s each, when
+    its time was over.
+    """
     for instance in list(core.instances.values()):
-        if instance.cordoned or instance.registration.draining:
+        draining = instance.registration.draining
+        if instance.cordoned or instance.due or draining:
             evacuate(core, instance, now)
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -45,6 +45,7 @@
             machines,
             recorder,
             settings.machine_orders_per_s,
+            lambda: self._driver.reserved,
             clock,
             emit,
         )
@@ -55,6 +56,7 @@
             recorder,
             settings.bounds,
             lambda: self._mover.wanted,
+            lambda: self._mover.moving,
             clock,
             emit,
         )
@@ -102,4 +104,4 @@
         self._driver.step(self._listed)
         evacuation.evacuate_all(self._core, self._clock.monotonic())
         self._wake.set()
-        self._mover.listed(self._listed, self._driver.taken)
+        self._mover.listed(self._listed)
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -21,6 +20,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import recorder as recorders
 from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet import waves
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 
@@ -69,6 +69,7 @@
         machines: fleet.Machines,
         recorder: recorders.Recorder,
         orders_per_s: float,
+        upkeep: Callable[[], waves.Reserved],
         clock: clocks.Clock,
         emit: Callable[[object], None],
     ):
@@ -79,10 +80,12 @@
             machines: takes the orders.
             recorder: says whether the term is certain.
             orders_per_s: how many orders the platform accepts.
+            upkeep: returns the machines that waves have a claim on.
             clock: paces the decisions.
             emit: takes events.
         """
         self._orders_a_step = max(1, int(orders_per_s * STEP_S))
+        self._upkeep = upkeep
         self._paused_until = 0.0
         self._emit = emit
         self._core = core
@@ -91,7 +94,6 @@
         self._clock = clock
         self._capacity = capacity.Capacity()
         self._listed: Mapping[str, fleet.Machine] = {}
-        self._busy: frozenset[str] = frozenset()
         self._ordered: dict[str, _Ordered] = {}
         self._under_way: set[str] = set()
         self._orders = gevent.pool.Pool(MAX_ORDERS)
@@ -102,17 +104,14 @@
         """Machines that each pool needs."""
         return self._capacity.wanted
 
-    def listed(
-        self, machines: Mapping[str, fleet.Machine], busy: Iterable[str]
-    ) -> None:
-        """Takes note of the list of machines.
+    @property
+    def moving(self) -> Collection[str]:
+        """Machines whose move was ordered and is not over."""
+        return self._ordered.keys()
 
-        Args:
-            machines: as just listed, by name.
-            busy: machines that a wave is about to take.
-        """
+    def listed(self, machines: Mapping[str, fleet.Machine]) -> None:
+        """Takes note of the list of machines, by name."""
         self._listed = machines
-        self._busy = frozenset(busy)
         self._settle(machines, self._clock.monotonic())
 
     def run(self) -> None:
@@ -126,7 +125,7 @@
             # What a machine can carry is not known before the first reading.
             return
         now = self._clock.monotonic()
-        loads = self._loads(self._listed, self._busy | self._ordered.keys())
+        loads = self._loads(self._upkeep())
         again = [
             order.move for order in self._ordered.values() if order.in_doubt
         ]
@@ -167,23 +166,16 @@
         late = now - order.at > ARRIVAL_S
         return late or (instance is not None and instance.adopted)
 
-    def _loads(
-        self, listed: Mapping[str, fleet.Machine], busy: Collection[str]
-    ) -> list[capacity.PoolLoad]:
-        return [
-            self._load(pool, listed, busy) for pool in self._core.pools.values()
-        ]
+    def _loads(self, upkeep: waves.Reserved) -> list[capacity.PoolLoad]:
+        return [self._load(pool, upkeep) for pool in self._core.pools.values()]
 
     def _load(
-        self,
-        pool: fleet.Pool,
-        listed: Mapping[str, fleet.Machine],
-        busy: Collection[str],
+        self, pool: fleet.Pool, upkeep: waves.Reserved
     ) -> capacity.PoolLoad:
         have = 0
         idle: list[str] = []
         cpu = 0
-        for machine in listed.values():
+        for machine in self._listed.values():
             order = self._ordered.get(machine.name)
             place = order.move.pool if order else machine.pool
             if place != pool.name:
@@ -193,8 +185,11 @@
                 have += 1
             elif self._counts(machine, pool):
                 have += 1
-                if machine.name not in busy and self._idle(machine, pool):
+                taken = machine.name in upkeep.taken
+                if not taken and self._idle(machine, pool):
                     idle.append(machine.name)
+        # Upkeep of a machine that serves no pool costs nobody anything.
+        idle.sort(key=lambda name: name in upkeep.due)
         instances = self._core.pool_instances(pool.name)
         used = sum(instance.used_cpu for instance in instances)
         return capacity.PoolLoad(
--- a/src/vanillaswitch/coordination/fleet/wave_driver.py
+++ b/src/vanillaswitch/coordination/fleet/wave_driver.py
@@ -82,6 +82,7 @@
         recorder: recorders.Recorder,
         bounds: deployments.Bounds,
         wanted: Callable[[], Mapping[str, int]],
+        moving: Callable[[], Collection[str]],
         clock: clocks.Clock,
         emit: Callable[[object], None],
     ):
@@ -95,6 +96,7 @@
             bounds: how long upkeep takes.
             wanted: returns the machines that each pool needs; empty while
                 that is not known.
+            moving: returns the machines on their way to another pool.
             clock: tells the time.
             emit: takes events.
         """
@@ -104,6 +106,7 @@
         self._recorder = recorder
         self._bounds = bounds
         self._wanted = wanted
+        self._moving = moving
         self._clock = clock
         self._emit = emit
         self._waves: dict[str, waves.Wave] = {}
@@ -112,14 +115,17 @@
         self._sent_away: set[str] = set()
 
     @property
-    def taken(self) -> set[str]:
-        """Machines that are emptied for a wave, or in upkeep."""
+    def reserved(self) -> waves.Reserved:
+        """Machines that waves have a claim on."""
         taken = set(self._emptying)
+        due = set()
         for wave in self._waves.values():
             for item in wave.machines.values():
                 if item.phase in (waves.Phase.ORDERED, waves.Phase.IN_DOUBT):
                     taken.add(item.machine)
-        return taken
+                elif item.phase is waves.Phase.WAITING:
+                    due.add(item.machine)
+        return waves.Reserved(frozenset(taken), frozenset(due))
 
     def step(self, listed: Mapping[str, fleet.Machine]) -> None:
         """Goes on with all waves.
@@ -247,7 +253,11 @@
         if not behind:
             self._give_back(wave, surplus)
         for name in waves.next_machines(
-            wave, self._listed, self._cost, wave.order.max_count
+            wave,
+            self._listed,
+            self._cost,
+            wave.order.max_count,
+            self._moving(),
         ):
             pool = self._works(name)
             if name in self._emptying or (
@@ -335,12 +345,7 @@
         An instance that still runs after its machine's upkeep was found done
         is given work again.
         """
-        pending = {
-            name
-            for wave in self._waves.values()
-            for name, item in wave.machines.items()
-            if item.phase is waves.Phase.WAITING
-        }
+        pending = self.reserved.due
         finished = set().union(*map(_finished, self._waves.values()))
         for name, machine in self._listed.items():
             instance = self._core.instances.get(machine.instance)
--- a/src/vanillaswitch/coordination/fleet/waves.py
+++ b/src/vanillaswitch/coordination/fleet/waves.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -38,6 +39,19 @@
     ordered_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Reserved:
+    """Machines that waves have a claim on.
+
+    Attributes:
+        taken: emptied for their upkeep, or in it.
+        due: their upkeep has not begun.
+    """
+
+    taken: frozenset[str] = frozenset()
+    due: frozenset[str] = frozenset()
+
+
 @dataclasses.dataclass
 class Wave:
     """A wave under way.
@@ -100,6 +114,7 @@
     listed: Mapping[str, fleet.Machine],
     cost: Callable[[str], float],
     ahead: int,
+    moving: Collection[str] = (),
 ) -> Sequence[str]:
     """Returns the machines to empty now, the cheapest first.
 
@@ -108,11 +123,13 @@
         listed: the machines as last listed.
         cost: what is thrown away when a machine goes now.
         ahead: how many to empty beyond those that may go at once.
+        moving: machines on their way to another pool, whatever is listed.
     """
     waiting = [
         item.machine
         for item in wave.machines.values()
         if item.phase is Phase.WAITING
+        and item.machine not in moving
         and listed[item.machine].state is fleet.MachineState.UP
     ]
     room = wave.order.max_count - down(wave) + ahead
--- a/tests/cover/test_fleet_waves.py
+++ b/tests/cover/test_fleet_waves.py
@@ -89,3 +89,16 @@
         assert wave.completed
     if wave.completed:
         assert all(lives.values())
+
+
+def test_a_machine_on_its_way_to_another_pool_is_not_chosen():
+    """Orders of upkeep are refused as busy, dozens of them in a row.
+
+    The list showed machines as up that had just been ordered elsewhere.
+    """
+    wave = _wave(count=2)
+    listed = {name: _machine(name) for name in wave.machines}
+    chosen = waves.next_machines(
+        wave, listed, lambda _: 0.0, ahead=0, moving={"m-0"}
+    )
+    assert list(chosen) == ["m-1"]
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -9,6 +9,7 @@
 from tests.common import clocks
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import mover
+from vanillaswitch.coordination.fleet import waves
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -64,16 +65,18 @@
         fleets.plan(core)
         self.machines = _Machines(outcome)
         self.recorder = _Recorder()
+        self.upkeep = waves.Reserved()
         self._clock = clocks.ManualClock()
         self._mover = mover.Mover(
             core,
             self.machines,
             self.recorder,
             orders_per_s,
+            lambda: self.upkeep,
             self._clock,
             lambda _: None,
         )
-        self._mover.listed(_standby(12), ())
+        self._mover.listed(_standby(12))
 
     def step(self, seconds=mover.STEP_S):
         """Decides once and lets the orders that follow go out."""
@@ -145,6 +148,18 @@
     assert len(world.machines.ordered) == 36
 
 
+def test_machines_that_are_due_for_upkeep_move_last():
+    world = _World(fleet.Accepted(0.0), orders_per_s=30.0)
+    world.upkeep = waves.Reserved(
+        taken=frozenset({"m-0"}),
+        due=frozenset(f"m-{index}" for index in range(1, 9)),
+    )
+    world.step()
+    assert sorted(world.machines.ordered) == ["m-10", "m-11", "m-9"]
+    world.step()
+    assert "m-0" not in world.machines.ordered
+
+
 def test_an_owner_that_is_fenced_ends_its_term():
     world = _World(fleet.Refused(fleet.Reason.FENCED))
     world.answer()
--- a/tests/failures/test_emptied_machines.py
+++ b/tests/failures/test_emptied_machines.py
@@ -4,6 +4,7 @@
 
 from tests.common import clocks
 from tests.common import fleets
+from vanillaswitch.coordination.fleet import evacuation
 from vanillaswitch.coordination.fleet import machine_task
 from vanillaswitch.coordination.fleet import wave_driver
 from vanillaswitch.coordination.fleet import waves
@@ -150,3 +151,25 @@
     assert task._read()
     task._step()
     assert core.instances["i-1"].leaving
+
+
+def test_lasting_tasks_leave_machines_that_are_due_before_these_are_emptied():
+    """A wave ends 6 s late because of the tasks that last.
+
+    Their job spares one at a time, and the machines that run most of them were
+    chosen last, when the time of the wave was nearly over.
+    """
+    lasting = jobs.Step(count=2, cpu=100, long_running=True, may_miss=1)
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1")
+    core.job_added(fleets.job(steps=(lasting,)), 0.0)
+    fleets.run_all(core, fleets.plan(core), percent=100.0)
+    core.instances["i-1"].due = True
+    fleets.adopt(core, "i-2")
+    core.instances["i-2"].due = True
+    evacuation.evacuate_all(core, 3.0)
+    assert not core.take_stops()
+    core.instances["i-2"].due = False
+    evacuation.evacuate_all(core, 3.1)
+    assert len(core.take_stops()) == 1
+    assert core.instances["i-1"].usable(3.1)
