Keep an instance free for a lasting task that waits in a full pool

Change: the instance with the most room, of those where the task fits beside what lasts, gets no short task until it fits; emptied machines stop a lasting task when such a place exists.

--- a/src/vanillaswitch/coordination/fleet/book.py
+++ b/src/vanillaswitch/coordination/fleet/book.py
@@ -48,9 +48,13 @@
 
 
 class OpenStep:
-    """A step of one occurrence whose tasks may run."""
+    """A step of one occurrence whose tasks may run.
 
-    __slots__ = ("entry", "number", "occurrence", "step", "tasks")
+    Attributes:
+        held: instance that is kept free for it; empty for none.
+    """
+
+    __slots__ = ("entry", "held", "number", "occurrence", "step", "tasks")
 
     def __init__(
         self, entry: "Entry", occurrence: int, number: int, step: jobs.Step
@@ -59,6 +63,7 @@
         self.occurrence = occurrence
         self.number = number
         self.step = step
+        self.held = ""
         job_id = entry.job.job_id
         self.tasks = [
             Task(jobs.TaskName(job_id, occurrence, number, index))
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -65,33 +65,41 @@
     """Stops the lasting tasks of an instance, as many as their jobs bear.
 
     They start elsewhere once their end is listed. Short tasks are left to
-    finish. A task for which no other instance has room goes on: stopped, it
-    would wait while its own instance stands half empty. An instance that
-    leaves by itself takes its tasks with it anyway, so there no bound is kept.
+    finish. An instance that leaves by itself takes its tasks with it anyway,
+    so there no bound is kept.
     """
     others = [
         other
         for other in core.pool_instances(instance.registration.service)
-        if other is not instance and (instance.cordoned or not other.due)
+        if other is not instance
     ]
     for run in list(instance.runs.values()):
         if not run.step.long_running or run.stopping is not None:
             continue
-        draining = instance.registration.draining
-        if draining or _may_leave(core, run, others, now):
+        if instance.registration.draining:
+            core.stop_run(instance, run, now, "its instance leaves")
+        elif may_end(core, [run]) and _has_place(instance, run, others, now):
             core.stop_run(instance, run, now, "its instance is emptied")
 
 
-def _may_leave(
-    core: cores.Core,
+def _has_place(
+    instance: rooms.Instance,
     run: rooms.Run,
     others: Iterable[rooms.Instance],
     now: float,
 ) -> bool:
-    """Whether a run may be ended here, to go on at another instance."""
-    if not may_end(core, [run]):
-        return False
-    return any(other.takes_over(run, now) for other in others)
+    """Whether a task that is stopped here can go on elsewhere.
+
+    Stopped without one, it would wait while its own instance stands half
+    empty. An instance that is being emptied may wait for the short tasks of
+    another one. One that is only due later has time: its tasks leave it for
+    room that is there, and not for an instance that is due as well.
+    """
+    if instance.cordoned:
+        return any(
+            other.makes_room(run.step, run.task, now) for other in others
+        )
+    return any(not other.due and other.takes_over(run, now) for other in others)
 
 
 def evacuate_all(core: cores.Core, now: float) -> None:
--- a/src/vanillaswitch/coordination/fleet/planning.py
+++ b/src/vanillaswitch/coordination/fleet/planning.py
@@ -63,6 +63,40 @@
             instances = self.pool_instances(service)
             for step in steps:
                 self._place(step, instances, now)
+                held = self._held_for(step, instances, now)
+                instances = [item for item in instances if item is not held]
+
+    def _held_for(
+        self,
+        step: books.OpenStep,
+        instances: Iterable[rooms.Instance],
+        now: float,
+    ) -> rooms.Instance | None:
+        """Returns an instance that gets nothing until a lasting task fits.
+
+        In a full pool each gap is taken at once by a task that is smaller, so
+        a larger one that lasts would wait for as long as small ones come; the
+        instance with the most room is free enough within one short task.
+        """
+        if not step.step.long_running:
+            return None
+        waiting = step.waiting
+        if not waiting:
+            return None
+        need = books.need(step.step)
+        held = max(
+            (
+                instance
+                for instance in instances
+                if instance.makes_room(step.step, waiting[0].name, now)
+            ),
+            # The same one as long as no other has more: two that are held by
+            # turns would both be filled again.
+            key=lambda item: (item.free_share(need), item.name == step.held),
+            default=None,
+        )
+        step.held = held.name if held else ""
+        return held
 
     def _place(
         self,
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -155,13 +155,46 @@
 
     def takes_over(self, run: Run, now: float) -> bool:
         """Whether it may run now what another instance runs."""
-        if not self.usable(now) or not self.fits(run.need):
+        return self.fits(run.need) and self._suits(run.step, run.task, now)
+
+    def makes_room(
+        self, step: jobs.Step, task: jobs.TaskName, now: float
+    ) -> bool:
+        """Whether a task may run here once the short tasks have ended."""
+        capacity = self.registration.capacity
+        cpu, mem_mb, gpu = step.cpu, step.mem_mb, step.gpu
+        for run in self.runs.values():
+            if run.step.long_running:
+                cpu += run.need.cpu
+                mem_mb += run.need.mem_mb
+                gpu += run.need.gpu
+        fits = (
+            cpu <= capacity.cpu
+            and mem_mb <= capacity.mem_mb
+            and gpu <= capacity.gpu
+        )
+        return fits and self._suits(step, task, now)
+
+    def free_share(self, need: fleet.Resources) -> float:
+        """Returns which part of a need it has free of what it lacks most."""
+        capacity = self.registration.capacity
+        shares = [
+            free / wanted
+            for free, wanted in (
+                (capacity.cpu - self._cpu, need.cpu),
+                (capacity.mem_mb - self._mem, need.mem_mb),
+                (capacity.gpu - self._gpu, need.gpu),
+            )
+            if wanted
+        ]
+        return min(shares, default=1.0)
+
+    def _suits(self, step: jobs.Step, task: jobs.TaskName, now: float) -> bool:
+        if not self.usable(now):
             return False
-        apart = run.step.anti_affinity
-        if apart and self.count_of(run.task) >= apart:
+        if step.anti_affinity and self.count_of(task) >= step.anti_affinity:
             return False
-        requires = run.step.requires
-        return not requires or requires in self.registration.labels
+        return not step.requires or step.requires in self.registration.labels
 
     def could_fit(self, need: fleet.Resources) -> bool:
         """Whether it would have room if it ran nothing."""
--- a/tests/cover/test_fleet_core.py
+++ b/tests/cover/test_fleet_core.py
@@ -62,6 +62,30 @@
     assert len(fleets.plan(core).starts) == 2
 
 
+def test_small_tasks_do_not_keep_a_lasting_one_from_its_room():
+    """A reminder waits for as long as quotes come.
+
+    The pool is full of small tasks; each gap that one leaves was taken by the
+    next of them, and the reminder needs two such gaps on one instance.
+    """
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", "i-2")
+    small = (jobs.Step(count=8, cpu=1000),)
+    core.job_added(fleets.job(1, steps=small), 0.0)
+    first = fleets.plan(core)
+    assert len(first.starts) == 8
+    lasting = (jobs.Step(count=1, cpu=2000, long_running=True),)
+    core.job_added(fleets.job(2, steps=lasting), 1.0)
+    core.job_added(fleets.job(3, steps=small), 1.0)
+    started = []
+    for number, index in enumerate((0, 4, 1), 1):
+        end = _end(first, index, fleet.How.DONE, number)
+        core.held(first.starts[index].instance, fleets.held((end,)), 2.0, 2.0)
+        started += fleets.plan(core).starts
+    assert any(start.task.job_id == fleets.job(2).job_id for start in started)
+    assert any(start.task.job_id == fleets.job(3).job_id for start in started)
+
+
 def test_a_gang_starts_whole_or_not_at_all():
     core = fleets.new_core()
     fleets.adopt(core, "i-1", cpu=1500)
