--- a/soak/clients.py
+++ b/soak/clients.py
@@ -87,13 +87,16 @@
         self, client: plain_http.PlainClient, record: promise_lib.JobRecord
     ) -> int:
         body = next(item for item in BODIES if item["spec"] == record.job.spec)
+        # The soak may end while the call is under way: what comes of it is
+        # not known then, and the job may run after an earlier refusal.
+        record.unknown += 1
         status, _ = call(client, self._world, "POST", record.job, body)
         if status == _OK:
+            record.unknown -= 1
             record.accepted_at = record.accepted_at or self._world.promises.now
         elif status in (_BUSY, _AWAY):
+            record.unknown -= 1
             record.refusals += 1
-        else:
-            record.unknown += 1
         return status
 
     def _cancel(
