Give pools with machines due for upkeep some others meanwhile

Ruled out: evacuation alone (no instance has a place), the order within the wave's limit of 32 at once. Change: such a pool gets up to three machines besides what it needs; machines with lasting tasks are emptied before those with short ones only.

--- a/src/vanillaswitch/coordination/fleet/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -58,6 +58,8 @@
             another pool, the last to stand by.
         machine_cpu: thousandths of a core of one machine.
         task_s: mean estimate of its tasks that end by themselves, seconds.
+        extra: machines that it gets besides what it needs, in place of those
+            that are emptied for upkeep.
         standby: its machines are off.
     """
 
@@ -68,6 +70,7 @@
     idle: Sequence[str]
     machine_cpu: int
     task_s: float = 0.0
+    extra: int = 0
     standby: bool = False
 
 
@@ -107,14 +110,18 @@
         }
         spare = self._spare(by_name, now)
         lacking = {
-            name: self._wanted[name] - load.have
+            name: -self._surplus(load)
             for name, load in by_name.items()
-            if self._wanted[name] > load.have
+            if self._surplus(load) < 0
         }
         moves = _share(spare, lacking)
         moves.extend(self._retire(by_name, moves, now))
         return moves
 
+    def _surplus(self, load: PoolLoad) -> int:
+        """Returns how many machines a pool has too many; below 0, lacks."""
+        return load.have - self._wanted[load.name] - load.extra
+
     def _machines(self, load: PoolLoad, now: float) -> int:
         growth = self._growth(load, now)
         ahead_s = min(max(LOOK_AHEAD_S, load.task_s), LONGEST_LOOK_AHEAD_S)
@@ -145,7 +152,7 @@
             if load.standby:
                 standby.extend(load.idle)
                 continue
-            surplus = load.have - self._wanted[name]
+            surplus = self._surplus(load)
             if surplus <= 0:
                 self._spare_since.pop(name, None)
                 continue
@@ -174,7 +181,7 @@
                 continue
             left = [item for item in load.idle if item not in taken]
             leaving = len(load.idle) - len(left)
-            surplus = load.have - self._wanted[name] - leaving
+            surplus = self._surplus(load) - leaving
             # The last ones: see ``PoolLoad.idle``.
             given_up = (
                 left[max(0, len(left) - surplus) :] if surplus > 0 else []
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -35,6 +35,12 @@
 RETRY_S = 0.4
 """Pause after an order that got no answer or was turned away."""
 
+UPKEEP_EXTRA = 3
+"""Machines that a pool gets besides, while machines of it are due for upkeep.
+Where lasting tasks may not share an instance, none can be emptied without
+another one for them; a machine is back 2 to 4 s after it was chosen, so three
+at a time are ten in the 12 s that a wave has at least for a pool's own."""
+
 ARRIVAL_S = 3.0
 """A machine that was moved counts for its new pool for so long before its
 instance has to be seen: the move, its start and its first heartbeat."""
@@ -173,6 +179,7 @@
         self, pool: fleet.Pool, upkeep: waves.Reserved
     ) -> capacity.PoolLoad:
         have = 0
+        due = 0
         idle: list[str] = []
         cpu = 0
         for machine in self._listed.values():
@@ -181,6 +188,7 @@
             if place != pool.name:
                 continue
             cpu = max(cpu, machine.capacity.cpu)
+            due += machine.name in upkeep.due
             if order is not None:
                 have += 1
             elif self._counts(machine, pool):
@@ -203,6 +211,7 @@
             idle=idle,
             machine_cpu=cpu,
             task_s=load.task_s,
+            extra=0 if pool.standby else min(due, UPKEEP_EXTRA),
             standby=pool.standby,
         )
 
--- a/src/vanillaswitch/coordination/fleet/wave_driver.py
+++ b/src/vanillaswitch/coordination/fleet/wave_driver.py
@@ -25,6 +25,9 @@
 BEHIND_WAIT_S = 0.6
 """The same while the wave is behind its time."""
 
+SHORT_ONLY_COST = 1e9
+"""Above the thousandths of a core of any machine."""
+
 ROUND_OVERHEAD_S = 0.6
 """Time of a round of upkeep beside the upkeep itself: reading the list until
 it shows the end, and stopping what still runs."""
@@ -214,9 +217,17 @@
         return self._core.instances.get(listed.instance)
 
     def _cost(self, machine: str) -> float:
-        """Returns the work that runs on a machine, in thousandths of a core."""
+        """Returns a machine's place in the order of upkeep, lowest first.
+
+        Idle machines go first. Those whose lasting tasks have to find another
+        place need the most time and go before those that only have to let
+        short tasks end, which takes seconds at any moment of the wave.
+        """
         instance = self._instance(machine)
-        return 0.0 if instance is None else float(instance.used_cpu)
+        if instance is None or not instance.runs:
+            return 0.0
+        lasting = any(run.step.long_running for run in instance.runs.values())
+        return instance.used_cpu + (0.0 if lasting else SHORT_ONLY_COST)
 
     def _surplus(self) -> collections.Counter[str]:
         """Returns by how much each pool has more instances than it needs.
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -8,9 +8,9 @@
 MOVE_S = 1.5
 
 
-def _load(name, need, have, idle, least=1, standby=False, task_s=0.0):
+def _load(name, need, have, idle, least=1, standby=False, task_s=0.0, extra=0):
     return capacity.PoolLoad(
-        name, need, least, have, tuple(idle), MACHINE, task_s, standby
+        name, need, least, have, tuple(idle), MACHINE, task_s, extra, standby
     )
 
 
@@ -62,6 +62,19 @@
     assert not plan.plan(loads, 21.0)
 
 
+def test_a_pool_with_machines_due_for_upkeep_gets_some_besides():
+    """Waves end late where lasting tasks may not share an instance.
+
+    The pool had as many machines as it had such tasks, so none could be
+    emptied before the wave had to hurry.
+    """
+    plan = capacity.Capacity()
+    spare = _load("spare", 0, 5, [f"s{n}" for n in range(5)], standby=True)
+    loads = [_load("a", 0, 4, [], least=4, extra=3), spare]
+    assert len(plan.plan(loads, 0.0)) == 3
+    assert plan.wanted["a"] == 4
+
+
 def test_a_machine_is_given_up_only_after_a_while():
     plan = capacity.Capacity()
     loads = [
