Count a lasting task by its need when room for it is looked for

Cause: reading the diff: a lasting task that fills takes no processors, and was counted with what it asks for, so it seemed to have no place to go. Unused code (could_fit) beside it. Ruled out: a rule at stake (it was only emptied later than it could be). Change: the need is passed in; the unused method is gone.

--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -97,7 +97,8 @@
     """
     if instance.cordoned:
         return any(
-            other.makes_room(run.step, run.task, now) for other in others
+            other.makes_room(run.step, run.task, run.need, now)
+            for other in others
         )
     return any(not other.due and other.takes_over(run, now) for other in others)
 
--- a/src/vanillaswitch/coordination/fleet/planning.py
+++ b/src/vanillaswitch/coordination/fleet/planning.py
@@ -92,7 +92,7 @@
             (
                 instance
                 for instance in instances
-                if instance.makes_room(step.step, waiting[0].name, now)
+                if instance.makes_room(step.step, waiting[0].name, need, now)
             ),
             # The same one as long as no other has more: two that are held by
             # turns would both be filled again.
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -164,20 +164,22 @@
         return self.fits(run.need) and self._suits(run.step, run.task, now)
 
     def makes_room(
-        self, step: jobs.Step, task: jobs.TaskName, now: float
+        self,
+        step: jobs.Step,
+        task: jobs.TaskName,
+        need: fleet.Resources,
+        now: float,
     ) -> bool:
         """Whether a task may run here once the short tasks have ended."""
         capacity = self.registration.capacity
-        cpu, mem_mb, gpu = step.cpu, step.mem_mb, step.gpu
-        for run in self.runs.values():
-            if run.step.long_running:
-                cpu += run.need.cpu
-                mem_mb += run.need.mem_mb
-                gpu += run.need.gpu
+        lasting = [
+            run.need for run in self.runs.values() if run.step.long_running
+        ]
+        wanted = [need, *lasting]
         fits = (
-            cpu <= capacity.cpu
-            and mem_mb <= capacity.mem_mb
-            and gpu <= capacity.gpu
+            sum(item.cpu for item in wanted) <= capacity.cpu
+            and sum(item.mem_mb for item in wanted) <= capacity.mem_mb
+            and sum(item.gpu for item in wanted) <= capacity.gpu
         )
         return fits and self._suits(step, task, now)
 
@@ -202,15 +204,6 @@
             return False
         return not step.requires or step.requires in self.registration.labels
 
-    def could_fit(self, need: fleet.Resources) -> bool:
-        """Whether it would have room if it ran nothing."""
-        capacity = self.registration.capacity
-        return (
-            need.cpu <= capacity.cpu
-            and need.mem_mb <= capacity.mem_mb
-            and need.gpu <= capacity.gpu
-        )
-
     def count_of(self, task: jobs.TaskName) -> int:
         """Returns how many tasks of this one's step it may run."""
         return self._per_step.get(_step_key(task), 0)
--- a/tests/cover/test_fleet_core.py
+++ b/tests/cover/test_fleet_core.py
@@ -86,6 +86,27 @@
     assert any(start.task.job_id == fleets.job(3).job_id for start in started)
 
 
+def test_room_that_short_tasks_leave_counts_lasting_ones_by_their_need():
+    core = fleets.new_core()
+    fleets.adopt(core, "i-1", cpu=4000)
+    lasting = jobs.Step(count=1, cpu=3000, long_running=True)
+    short = jobs.Step(count=1, cpu=1000)
+    core.job_added(fleets.job(1, steps=(lasting,)), 0.0)
+    core.job_added(fleets.job(2, steps=(short,)), 0.0)
+    fleets.plan(core)
+    instance = core.instances["i-1"]
+    other = jobs.TaskName(fleets.job(3).job_id, 0, 0, 0)
+
+    def has_room(step):
+        return instance.makes_room(step, other, books.need(step), 1.0)
+
+    assert not instance.free_cpu
+    assert has_room(jobs.Step(count=1, cpu=1000, long_running=True))
+    assert not has_room(jobs.Step(count=1, cpu=1001, long_running=True))
+    # What fills takes no processors, whatever it asks for.
+    assert has_room(jobs.Step(count=1, cpu=3000, long_running=True, fills=True))
+
+
 def test_a_gang_starts_whole_or_not_at_all():
     core = fleets.new_core()
     fleets.adopt(core, "i-1", cpu=1500)
