Leave the fleet to strong machines for long enough

A machine with half a core and a link of 5 Mbit/s can become the owner when it finds out a quarter of a second before a strong one; it can't send the starts, goes on writing its row, and stays. Change: what a machine lacks is judged by its link as well as its cores, and a weak one waits 1.35 s instead of 0.29 s. A weak owner still stays when no strong machine was there.

--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/member.py
@@ -17,10 +17,20 @@
 SPREAD_S = 0.15
 """Takers-over wait a random part of this, so that most find it done."""
 
-WEAK_S = 0.6
-"""A machine with less than one core waits longer by this times what it lacks,
-so that a stronger one becomes the owner where there is one: at 1,400 task
-starts a second an owner takes 0.46 of a core, all that the weakest have."""
+WEAK_S = 1.5
+"""A machine that is too weak for a large fleet waits longer by this times what
+it lacks, so that a stronger one becomes the owner where there is one: twice as
+long as others take to find out that there is no owner. A weak owner stays, and
+on a played day with 179 instances it served 0.23 of the work, a strong one
+0.99."""
+
+ENOUGH_CORES = 1.0
+"""At 1,400 task starts a second an owner takes 0.46 of a core; half a core is
+all that weak machines have."""
+
+ENOUGH_MBPS = 50.0
+"""Starts of 2.4 KB each, 540 a second, with the lists and accounts of 179
+instances are some 15 Mbit/s in the mean and three times that in a turn."""
 
 LEAVE_S = 1.0
 """Longest wait for the owner's last write on leaving."""
@@ -174,8 +184,8 @@
             return False
         if not self._succession.may_take_over(self._clock.monotonic()):
             return False
-        weakness = max(0.0, 1.0 - self._settings.cores)
-        self._clock.sleep(self._rng.random() * SPREAD_S + weakness * WEAK_S)
+        wait_s = self._rng.random() * SPREAD_S
+        self._clock.sleep(wait_s + weakness(self._settings) * WEAK_S)
         return True
 
     def _take_over(self) -> None:
@@ -213,3 +223,10 @@
             self._emit_owner("ended", self._me.holder, recorder.token, age_s)
         if not recorder.deposed:
             recorder.release(LEAVE_S)
+
+
+def weakness(settings: deployments.Deployment) -> float:
+    """Returns what a machine lacks to own a large fleet, from 0 to 1."""
+    cores = settings.cores / ENOUGH_CORES
+    link = settings.link_mbps / ENOUGH_MBPS
+    return max(0.0, 1.0 - min(cores, link))
--- a/src/vanillaswitch/platform/settings.py
+++ b/src/vanillaswitch/platform/settings.py
@@ -119,6 +119,7 @@
         advice_address=fields.text("advice", ""),
         cores=fields.number("limits.cpu_share", 1.0)
         * fields.number("limits.cpu_cores", 1.0),
+        link_mbps=fields.number("limits.link_mbps", 1000.0),
         orders=fields.text("orders", KNOWN_ORDERS),
         contracts=fields.items("contracts"),
         heartbeat_s=fields.seconds("heartbeat_ms", 1.5),
--- a/src/vanillaswitch/state/deployment.py
+++ b/src/vanillaswitch/state/deployment.py
@@ -64,6 +64,7 @@
         machines_address: "ip:port" of the platform's list of machines.
         advice_address: "ip:port" of the advising service; may be empty.
         cores: processors that this machine may use.
+        link_mbps: bandwidth of its link, Mbit/s.
         orders: how instances take orders.
         contracts: parts of the rules in force.
         machine_orders_per_s: orders for machines that the platform accepts
@@ -80,6 +81,7 @@
     machines_address: str
     advice_address: str
     cores: float
+    link_mbps: float
     orders: str
     contracts: tuple[str, ...]
     heartbeat_s: float
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -27,6 +27,7 @@
         process="edge-1",
         internal_address="10.0.0.1:1",
         cores=1.0,
+        link_mbps=1000.0,
         orders="request",
         contracts=(),
         heartbeat_s=1.5,
--- a/tests/cover/test_edge_platform.py
+++ b/tests/cover/test_edge_platform.py
@@ -230,11 +230,13 @@
         "node_name=edge-1\nip=10.0.0.1\nlisten.frontend=10.0.0.1:1\n"
         "listen.ready=10.0.0.1:2\ninternal_ports=7060,7075\n"
         "platform.address=10.0.0.9:1\ncontracts=base,sched\n"
+        "limits.cpu_share=0.5\nlimits.cpu_cores=3\nlimits.link_mbps=5\n"
         "bounds.drain_ms=2500\nbounds.enforce_fencing=false\nnew.field=1\n"
     )
     read = settings.load(file)
     assert read.internal_address == "10.0.0.1:7060"
     assert read.contracts == ("base", "sched")
+    assert (read.cores, read.link_mbps) == (1.5, 5.0)
     assert read.bounds.drain_s == 2.5
     assert not read.bounds.fenced
 
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -1,13 +1,17 @@
 """All processes of the system are lost and come back."""
 
+import dataclasses
 import errno
 import random
 import types
 
+import pytest
+
 from tests.common import clocks
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import member as members
 from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet import succession
 from vanillaswitch.protocol import platform
 
 
@@ -35,13 +39,13 @@
     pass
 
 
-def _take_over_time(probe):
+def _take_over_time(probe, **limits):
     clock = clocks.ManualClock()
     table = _Table(clock)
     member = members.Member(
         types.SimpleNamespace(table=table),
         types.SimpleNamespace(config=object()),
-        fleets.deployment(),
+        dataclasses.replace(fleets.deployment(), **limits),
         "new",
         clock,
         random.Random(1),
@@ -71,3 +75,21 @@
     """Two processes own the fleet in turn since a new one can't reach it."""
     waited = _take_over_time(lambda _: errno.ETIMEDOUT)
     assert waited >= 1.6
+
+
+@pytest.mark.parametrize("limits", [{"cores": 0.5}, {"link_mbps": 5.0}])
+def test_a_weak_machine_leaves_the_fleet_to_a_stronger_one(limits):
+    """Quotes wait for a whole day after all processes began anew.
+
+    The first to find that nobody owned the fleet was a machine with half a
+    core and a slow link, a moment before stronger ones; it could not send the
+    starts of so many tasks, and as it went on writing its row it stayed.
+    """
+    finds_out_late = succession.READ_EVERY_S + members.SPREAD_S
+    waited = _take_over_time(lambda _: errno.ECONNREFUSED, **limits)
+    assert waited >= finds_out_late
+
+
+def test_machines_that_are_all_weak_have_an_owner_soon():
+    waited = _take_over_time(lambda _: errno.ECONNREFUSED, cores=0.1)
+    assert waited <= members.WEAK_S + members.SPREAD_S
