Send copies of a write side by side while its answer is overdue

Cause: a store that carries writes out and loses their answers held each write for the whole limit of a call (1.5 s). The owner's writes took effect, but nobody saw one within a term: asked by the others it gave way, and its successor met the same (four owners in six seconds). A client whose job was stored in milliseconds waited two seconds and was told "not known".

Ruled out: a shorter fixed limit. A store sixty times slower (0.42 s a write) would be sent everything several times, for as long as it is slow.

Change: `PromptTable` returns "not known" once an answer is overdue and lets the call go on behind; callers settle it as any lost answer, by the same transaction again. While a call waits, others use connections of their own. A write counts as renewed from its first copy.

--- a/src/vanillaswitch/coordination/fleet/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/recorder.py
@@ -116,7 +116,7 @@
 
     @property
     def confirmed_at(self) -> float:
-        """Monotonic seconds at which the newest write was sent."""
+        """Monotonic seconds at which the newest write was first sent."""
         return self._confirmed_at
 
     @property
@@ -174,12 +174,12 @@
         began = self._clock.monotonic()
         wait = FIRST_WAIT_S
         while not self._deposed:
-            sent_at = self._clock.monotonic()
             outcome = self._table.commit(transaction)
             version = _effect(outcome, token)
             if version is not None:
                 self._version = version
-                self._confirmed_at = sent_at
+                # Which copy took effect is not known: the first, at worst.
+                self._confirmed_at = began
                 return Written(version)
             if isinstance(outcome, platform.Conflict):
                 break
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import json
 from typing import Any
 import urllib.parse
@@ -34,6 +35,11 @@
 FEED_SLACK_S = 1.0
 """How much longer than its wait a call for changes may take."""
 
+SUSPECT_S = 0.1
+"""While a call has waited so long for its answer, others go on connections of
+their own: the kept ones may have gone silent together, and each would hold
+the call that meets it up to its time limit. An idle store answers in 7 ms."""
+
 SPREAD = 8
 """Parts of a table that clients write to. A store 60 times slower takes five
 transactions a second in a part; hand-ins of a turn, some 25 a second, would
@@ -125,6 +131,8 @@
         self._clock = clock
         self._silent = False
         self._unanswered_since: float | None = None
+        self._under_way: dict[int, float] = {}
+        self._ids = itertools.count()
 
     @property
     def unanswered_s(self) -> float:
@@ -236,7 +244,7 @@
             "GET",
             f"/-/rows-feed?{query}",
             timeout_s=wait_s + FEED_SLACK_S,
-            fresh=self._silent,
+            fresh=self._distrusts_kept(),
         )
         if isinstance(reply, calls.Reply):
             self._unanswered_since = None
@@ -269,6 +277,17 @@
             return platform.Unavailable(f"status {reply.status}")
         return reply.body
 
+    def _distrusts_kept(self) -> bool:
+        """Whether kept connections may have gone silent.
+
+        One of the same age as they are has: a call on it got no answer, or
+        still waits for one.
+        """
+        oldest = min(self._under_way.values(), default=None)
+        if oldest is None:
+            return self._silent
+        return self._silent or self._clock.monotonic() - oldest > SUSPECT_S
+
     def _call(
         self,
         method: str,
@@ -278,17 +297,21 @@
     ) -> calls.Reply | calls.NoReply:
         if self._unanswered_since is None:
             self._unanswered_since = self._clock.monotonic()
-        # After a call without an answer the next one goes on a new
-        # connection: kept ones of the same age may have gone silent too.
-        reply = calls.call(
-            self._client,
-            self._address,
-            method,
-            target,
-            body,
-            timeout_s=timeout_s,
-            fresh=self._silent,
-        )
+        fresh = self._distrusts_kept()
+        number = next(self._ids)
+        self._under_way[number] = self._clock.monotonic()
+        try:
+            reply = calls.call(
+                self._client,
+                self._address,
+                method,
+                target,
+                body,
+                timeout_s=timeout_s,
+                fresh=fresh,
+            )
+        finally:
+            del self._under_way[number]
         self._silent = isinstance(reply, calls.NoReply)
         if not self._silent:
             self._unanswered_since = None
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from vanillaswitch.coordination import prompt_table
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet import intake
@@ -30,6 +31,7 @@
 from vanillaswitch.platform import settings as platform_settings
 from vanillaswitch.platform import store as stores
 from vanillaswitch.platform import upstreams
+from vanillaswitch.protocol import platform
 from vanillaswitch.state import deployment as deployments
 from vanillaswitch.transport import caller_http
 from vanillaswitch.transport import plain_http
@@ -107,10 +109,11 @@
     settings: deployments.Deployment,
     client: plain_http.PlainClient,
     store: stores.Store,
+    table: platform.Table,
     operator_view: operators.Operators,
 ) -> owners.Outside:
     return owners.Outside(
-        table=store,
+        table=table,
         feed=store,
         upstreams=upstreams.HttpUpstreams(client),
         machines=machines.HttpMachines(
@@ -124,7 +127,7 @@
 
 
 def _operators(
-    store: stores.Store, told: telemetry.Telemetry
+    table: platform.Table, told: telemetry.Telemetry
 ) -> operators.Operators:
     form = operators.Format(
         config_key=operator.CONFIG_KEY,
@@ -134,7 +137,7 @@
         wave=operator.wave,
         wave_status=operator.wave_status,
     )
-    return operators.Operators(store, form, told.emit)
+    return operators.Operators(table, form, told.emit)
 
 
 def _warn_of_unknown(settings: deployments.Deployment) -> None:
@@ -158,8 +161,9 @@
         client = stack.enter_context(plain_http.open_client(clock))
         store = stores.Store(client, settings.store_address, clock)
         told = telemetry.Telemetry(logs.event)
-        view = _operators(store, told)
-        outside = _outside(settings, client, store, view)
+        table = prompt_table.PromptTable(store, clock)
+        view = _operators(table, told)
+        outside = _outside(settings, client, store, table, view)
         link = owner_link.OwnerLink(
             clock,
             boot,
@@ -200,7 +204,7 @@
         )
         ready = functools.partial(_ready, state, view, member, clock)
         handler = jobs_http.JobsHttp(
-            intake.Intake(store, clock, boot, lambda: store.unanswered_s),
+            intake.Intake(table, clock, boot, lambda: store.unanswered_s),
             link,
             lambda: view.config,
             clock,
