Let a new owner serve what it can read while a part of the store is away

Cause: a term began with reading four tables. Where one of eight parts of the table of jobs answered 503, all of it was thrown away, the fleet given up, and the next process did the same: ten terms in three seconds, no owner for as long as the part was away. The log did not say which table or why.

Ruled out: waiting for all parts within the term. Nothing new would start and, unheld, what runs would lapse.

Ends of such jobs are kept and not acknowledged until their job is back. Each lost table is told with its parts and the reason.

Hand-ins to a part that is away are still refused.

--- a/src/vanillaswitch/coordination/fleet/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/accounts.py
@@ -34,7 +34,7 @@
         for end in held.ended:
             if end.number > instance.last_end:
                 instance.last_end = end.number
-                self._ended(instance, end, now)
+                self._end_heard(instance, end, now)
         listed = set()
         for row in held.running:
             listed.add((row.task, row.run))
@@ -44,6 +44,20 @@
                 self._missing(instance, run, began_at)
         instance.adopted = True
 
+    def _end_heard(
+        self, instance: rooms.Instance, end: fleet.End, now: float
+    ) -> None:
+        """Takes note of an end, or keeps it until its job can be read.
+
+        Noted now, it would be forgotten by its instance and say nothing to
+        the job, whose task would run a second time.
+        """
+        if end.task.job_id in self.unread:
+            instance.unread_ends.append(end)
+            instance.remove((end.task, end.run))
+        else:
+            self._ended(instance, end, now)
+
     def _listed(
         self, instance: rooms.Instance, row: fleet.Running, now: float
     ) -> None:
@@ -66,6 +80,8 @@
         It may be listed by an answer that was on its way while its end was
         taken note of: such a run is over and takes no room.
         """
+        if row.task.job_id in self.unread:
+            return self._found_unread(instance, row, now)
         entry = self.book.get(row.task.job_id)
         if entry is None or row.task.step >= len(entry.job.steps):
             step = jobs.Step(count=1)
@@ -82,6 +98,22 @@
         self.stop_run(instance, run, now, "not in the book")
         return run
 
+    def _found_unread(
+        self, instance: rooms.Instance, row: fleet.Running, now: float
+    ) -> rooms.Run:
+        """Accounts for a run whose job can't be read yet; it goes on.
+
+        What it needs is not known. All the room that is free now would be too
+        little: other runs may turn out to have never begun, and give theirs
+        back.
+        """
+        step = jobs.Step(count=1)
+        whole = instance.registration.capacity
+        run = rooms.Run(row.task, row.run, step, whole, now)
+        run.sent = run.unread = True
+        instance.add(run)
+        return run
+
     def _missing(
         self,
         instance: rooms.Instance,
@@ -144,6 +176,57 @@
             instance.lapses_at = lapses_at
         return unlisted
 
+    def inherit_late(
+        self, entry: books.Entry, now: float, lapses_at: float
+    ) -> None:
+        """Accounts for the runs of a job that could not be read before.
+
+        Where an instance has answered meanwhile, its accounts tell of each
+        run: it is listed, its end was, or it never began and its order is
+        void, since this owner's token is higher.
+        """
+        for step in entry.open.values():
+            for task in step.tasks:
+                if task.state is books.TaskState.ASSIGNED:
+                    self._inherit_late(step, task, now, lapses_at)
+        for instance in self.instances.values():
+            self._note_unread_ends(instance, entry.job.job_id, now)
+            for run in list(instance.runs.values()):
+                if run.unread and run.task.job_id == entry.job.job_id:
+                    self.stop_run(instance, run, now, "not in the book")
+
+    def _inherit_late(
+        self,
+        step: books.OpenStep,
+        task: books.Task,
+        now: float,
+        lapses_at: float,
+    ) -> None:
+        instance = self.instances.get(task.instance)
+        if instance is None:
+            self._add_unlisted(task.instance, now)
+            instance = self.instances[task.instance]
+            instance.lapses_at = lapses_at
+        found = instance.remove((task.name, task.run))
+        self._inherit(step, task, now)
+        run = instance.runs[task.name, task.run]
+        if found is not None:
+            run.confirmed, run.inherited = found.confirmed, False
+            run.percent, run.percent_at = found.percent, found.percent_at
+            run.saved, run.gauge = found.saved, found.gauge
+        elif instance.adopted and not any(
+            (end.task, end.run) == run.key for end in instance.unread_ends
+        ):
+            self._release(instance, run)
+
+    def _note_unread_ends(
+        self, instance: rooms.Instance, job_id: str, now: float
+    ) -> None:
+        ends = [e for e in instance.unread_ends if e.task.job_id == job_id]
+        for end in ends:
+            instance.unread_ends.remove(end)
+            self._ended(instance, end, now)
+
     def _add_unlisted(self, name: str, now: float) -> None:
         """Adds an instance of which nothing but its id is known.
 
--- a/src/vanillaswitch/coordination/fleet/book.py
+++ b/src/vanillaswitch/coordination/fleet/book.py
@@ -299,6 +299,11 @@
         )
 
 
+def has_ended(document: Mapping[str, Any]) -> bool:
+    """Whether the job had ended whose row ``Entry.pack`` returned."""
+    return bool(document.get("ended"))
+
+
 def need(step: jobs.Step) -> fleet.Resources:
     """Returns what a task of a step takes of an instance's room."""
     return fleet.Resources(0 if step.fills else step.cpu, step.mem_mb, step.gpu)
--- a/src/vanillaswitch/coordination/fleet/core.py
+++ b/src/vanillaswitch/coordination/fleet/core.py
@@ -60,6 +60,34 @@
         entry.version = version
         self.book.add(entry)
 
+    def restore_late(
+        self,
+        job: jobs.Job,
+        document: Mapping[str, object],
+        version: int,
+        now: float,
+        lapses_at: float,
+    ) -> None:
+        """Takes in a job whose own row could not be read before.
+
+        Args:
+            job: the job; it is no longer among those that are unread.
+            document: its progress as an earlier owner wrote it.
+            version: of that row.
+            now: monotonic seconds.
+            lapses_at: by then the lease of all that runs on an instance that
+                can't be reached has lapsed.
+        """
+        self.restore(job, document, version, now)
+        entry = self.book.get(job.job_id)
+        if entry is None or entry.ended is not None:
+            return
+        self.inherit_late(entry, now, lapses_at)
+        self._changed = True
+        if job.job_id in self._early_cancels:
+            self._early_cancels.remove(job.job_id)
+            self._cancel(entry, now)
+
     def cancelled(self, job_id: str, now: float) -> None:
         """Takes note that a client cancelled a job.
 
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/evacuation.py
@@ -40,6 +40,9 @@
     """Whether these runs may be ended together by our own doing."""
     ending: dict[tuple[str, int, int], set[int]] = {}
     for run in runs:
+        if run.unread:
+            # How many of its step may be away is not known.
+            return False
         if run.step.may_miss and run.stopping is None:
             name = run.task
             key = (name.job_id, name.occurrence, name.step)
--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -196,7 +196,7 @@
     """Something that this process needs was lost or is back.
 
     Attributes:
-        state: "lost" or "back".
+        state: "lost", "lost in part" or "back".
     """
 
     name: str
--- a/src/vanillaswitch/coordination/fleet/follow.py
+++ b/src/vanillaswitch/coordination/fleet/follow.py
@@ -1,4 +1,8 @@
-"""Keeps a copy of a table fresh by its changes."""
+"""Keeps a copy of a table fresh by its changes.
+
+A table may be away in part: what could be read is used, and the missing parts
+are read as soon as they are back.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -14,7 +18,7 @@
 configurations and cancels have to be in force within 2 to 3 s."""
 
 RETRY_S = 0.25
-"""Pause after a call that failed."""
+"""Pause after a call that failed, and between looks for missing parts."""
 
 OnSnapshot = Callable[[feeds.Snapshot], None]
 OnChanges = Callable[[Iterable[feeds.Change]], None]
@@ -55,6 +59,7 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._version: int | None = None
+        self._missing: tuple[str, ...] = ()
         self._failing = False
         self._back_at = 0.0
 
@@ -68,9 +73,15 @@
         """Whether the last call failed."""
         return self._failing
 
+    @property
+    def whole(self) -> bool:
+        """Whether every part of the table has been read."""
+        return self._version is not None and not self._missing
+
     def start_from(self, snapshot: feeds.Snapshot) -> None:
         """Continues from a snapshot that was read before."""
         self._version = snapshot.version
+        self._missed(snapshot)
 
     def run(self) -> None:
         """Follows the table for good."""
@@ -84,7 +95,10 @@
     def _step(self) -> bool:
         if self._version is None:
             return self._read_all()
-        outcome = self._feed.changes(self._table, self._version, self._wait_s)
+        if self._missing:
+            self._read_missing()
+        wait_s = RETRY_S if self._missing else self._wait_s
+        outcome = self._feed.changes(self._table, self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
             self._failed(outcome.reason)
             return False
@@ -105,9 +119,26 @@
             return False
         self._answered()
         self._version = outcome.version
+        self._missed(outcome)
         self._on_snapshot(outcome)
         return True
 
+    def _read_missing(self) -> None:
+        """Reads the parts that were away; changes since then come as usual."""
+        outcome = self._feed.snapshot(self._table, self._missing)
+        if isinstance(outcome, platform.Unavailable):
+            return
+        self._missed(outcome)
+        self._on_changes(outcome.rows)
+
+    def _missed(self, snapshot: feeds.Snapshot) -> None:
+        if snapshot.missing:
+            parts = ", ".join(snapshot.missing)
+            self._tell("lost in part", f"{parts}: {snapshot.reason}")
+        elif self._missing:
+            self._tell("back", "all parts are read")
+        self._missing = snapshot.missing
+
     def _failed(self, reason: str) -> None:
         if not self._failing:
             self._tell("lost", reason)
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/owner.py
@@ -14,6 +14,7 @@
 from vanillaswitch.coordination.fleet import advice_task
 from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet import instance_task
 from vanillaswitch.coordination.fleet import instance_tasks
@@ -42,11 +43,20 @@
 """Jobs restored before other tasks get a turn: some 10 ms of work on half a
 core, in which the lease could not be renewed."""
 
+LOAD_S = 6.0
+"""A term whose rows can't be read for so long is given up: if only this
+process's readings fail, another one may have them. Given up at once, terms of
+some 0.1 s followed each other for half a minute while a part was away."""
+
 TICK_S = 0.1
 """How often the owner looks for what time alone brings: due occurrences,
 lapsed leases, suspensions that end."""
 
 
+TABLES = 4
+"""Tables that a new owner reads: instances, jobs, progress and cancels."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Outside:
     """What an owner talks to.
@@ -88,6 +98,7 @@
         self._loaded = False
         self._finishing = False
         self._removed: list[books.Entry] = []
+        self._unread: dict[str, feeds.Change] = {}
         self._recording = False
         self._wake = gevent.event.Event()
         self._core = cores.Core(
@@ -163,11 +174,19 @@
         """Reads what earlier owners left; False when it can't be read.
 
         The lease is renewed meanwhile: reading some thousand jobs takes longer
-        than an owner may be silent.
+        than an owner may be silent, and a table may be away for seconds while
+        the owner's row is served.
         """
         renewing = gevent.spawn(self._renew)
+        until = self._clock.monotonic() + LOAD_S
         try:
-            return self._read_all()
+            while not self._recorder.deposed:
+                if self._read_all():
+                    return True
+                if self._clock.monotonic() >= until:
+                    return False
+                self._clock.sleep(follow.RETRY_S)
+            return False
         finally:
             self._loaded = True
             renewing.join()
@@ -178,18 +197,17 @@
             self._clock.sleep(succession.RENEW_S / 2)
 
     def _read_all(self) -> bool:
-        feed = self._outside.feed
-        found = [
-            feed.snapshot(table)
+        read = [
+            snapshot
             for table in (
                 self._outside.registrations,
                 recorders.JOB_TABLE,
                 recorders.PROGRESS_TABLE,
                 recorders.CANCEL_TABLE,
             )
+            if (snapshot := self._snapshot(table)) is not None
         ]
-        read = [item for item in found if isinstance(item, feeds.Snapshot)]
-        if len(read) < len(found):
+        if len(read) < TABLES:
             return False
         listed, accepted, progress, cancelled = read
         now = self._clock.monotonic()
@@ -200,14 +218,39 @@
             self._restore(row, rows.pop(row.key, None), now)
             if number % RESTORE_AT_ONCE == 0:
                 self._clock.sleep(0)
-        self._removed = [_orphan(row) for row in rows.values()]
+        self._unread = rows
         self._jobs.start_from(accepted)
+        self._judge_unread()
         lapses = instance_task.inherited_lapse_at(now)
         self._core.inherit_runs(now, lapses)
         self._some_cancels(cancelled.rows)
         self._cancels.start_from(cancelled)
         return True
 
+    def _snapshot(self, table: str) -> feeds.Snapshot | None:
+        outcome = self._outside.feed.snapshot(table)
+        if isinstance(outcome, feeds.Snapshot):
+            return outcome
+        self._emit(events.Dependency(f"table {table}", "lost", outcome.reason))
+        return None
+
+    def _judge_unread(self) -> None:
+        """Tells jobs that can't be read yet from jobs that were removed.
+
+        While a part of the table of jobs is away, a row of progress without
+        its job may be either. What runs for one that has not ended must go on
+        untouched: stopped, or started a second time, it would break what its
+        client was promised by the owner before.
+        """
+        if self._jobs.whole:
+            self._removed.extend(_orphan(row) for row in self._unread.values())
+            self._unread = {}
+        self._core.unread = {
+            key
+            for key, row in self._unread.items()
+            if row.value is not None and not books.has_ended(row.value)
+        }
+
     def _restore(
         self, row: feeds.Change, progress: feeds.Change | None, now: float
     ) -> None:
@@ -263,11 +306,32 @@
     def _some_jobs(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
-            if change.value is not None:
-                job = job_rows.unpack(change.value)
-                self._core.job_added(job, now, self._clock.wall() * 1000)
+            if change.value is None:
+                continue
+            progress = self._unread.pop(change.key, None)
+            if progress is not None:
+                self._restore_late(change, progress, now)
+                continue
+            job = job_rows.unpack(change.value)
+            self._core.job_added(job, now, self._clock.wall() * 1000)
+        if self._unread:
+            self._judge_unread()
         self._wake.set()
 
+    def _restore_late(
+        self, row: feeds.Change, progress: feeds.Change, now: float
+    ) -> None:
+        if row.value is None or progress.value is None:
+            return
+        self._core.unread = set(self._core.unread) - {row.key}
+        self._core.restore_late(
+            job_rows.unpack(row.value),
+            progress.value,
+            progress.version,
+            now,
+            instance_task.inherited_lapse_at(now),
+        )
+
     def _some_cancels(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -27,6 +27,8 @@
         sent: its start was recorded and may be sent.
         confirmed: the instance has accepted it or lists it.
         inherited: an earlier owner recorded it; not yet seen by this one.
+        unread: its job lies in a part of the store that is away. What it
+            needs is not known, so it takes a whole instance.
         stopping: it is to be stopped, since this monotonic second.
         stop_sent_at: when the last order to stop it was sent.
         void_since: since then it is certain that it can't start any more.
@@ -48,6 +50,7 @@
     sent: bool = False
     confirmed: bool = False
     inherited: bool = False
+    unread: bool = False
     stopping: float | None = None
     stop_sent_at: float = 0.0
     void_since: float | None = None
@@ -80,7 +83,8 @@
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
         suspended_until: it gets no work until then, since it failed some.
-        last_end: number of the last end that was taken note of.
+        last_end: number of the last end that was heard of.
+        unread_ends: those among them whose jobs can't be read yet.
         clock_ms: its clock at ``clock_at``.
         clock_at: monotonic seconds at which ``clock_ms`` arrived.
         speed: work done a second as against what tasks were estimated at.
@@ -107,6 +111,7 @@
         self.paced_at = 0.0
         self.calm_since = now
         self.last_end = 0
+        self.unread_ends: list[fleet.End] = []
         self.clock_ms = 0.0
         self.clock_at = now
         self.lapses_at = now
@@ -133,6 +138,13 @@
         """Thousandths of a core that are taken."""
         return self._cpu
 
+    @property
+    def noted_end(self) -> int:
+        """Number of the last end up to which all were taken note of."""
+        if self.unread_ends:
+            return self.unread_ends[0].number - 1
+        return self.last_end
+
     @property
     def short_load(self) -> fleet.Load:
         """What its tasks take that end by themselves."""
--- a/src/vanillaswitch/coordination/fleet/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/term_state.py
@@ -1,6 +1,7 @@
 """The state of one term of ownership, and what its decisions leave to do."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 
@@ -56,6 +57,8 @@
         instances: by id.
         queues: by name, as configured now.
         pools: by name, as configured now.
+        unread: jobs of which only progress is known: their own rows lie in
+            a part of the store that is away.
         waiting_cpu: processors that ready tasks wait for, by pool.
         waiting_load: those of them that end by themselves, by pool.
     """
@@ -75,6 +78,7 @@
         self.instances: dict[str, rooms.Instance] = {}
         self.queues: Mapping[str, fleet.Queue] = {}
         self.pools: Mapping[str, fleet.Pool] = {}
+        self.unread: Collection[str] = frozenset()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         self._ticket_until: dict[tuple[str, int, int], float] = {}
         self.waiting_cpu: Mapping[str, int] = {}
@@ -179,7 +183,8 @@
         starts = [s for s in self._starts if s.task.job_id in ids]
         self._starts = [s for s in self._starts if s.task.job_id not in ids]
         seen = {
-            name: instance.last_end for name, instance in self.instances.items()
+            name: instance.noted_end
+            for name, instance in self.instances.items()
         }
         if self.book.has_dirty:
             # Some of these ends are not in this batch.
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -195,25 +195,33 @@
         logs.error("the store refused a transaction: {}", reply)
         return platform.Unavailable(f"status {reply.status}")
 
-    def snapshot(self, table: str) -> feeds.Snapshot | platform.Unavailable:
-        """Reads all rows of a table.
+    def snapshot(
+        self, table: str, parts: tuple[str, ...] = ()
+    ) -> feeds.Snapshot | platform.Unavailable:
+        """Reads all rows of a table, or only those in some of its parts.
 
         Pages and parts are read at different moments, so a row may be newer
         than the version of the oldest; changes from there on repeat it.
         """
-        calls_ = [
-            gevent.spawn(self._all, table, part) for part in _parts(table)
-        ]
-        gevent.joinall(calls_, raise_error=True)
+        wanted = parts or _parts(table)
+        readings = [gevent.spawn(self._all, table, part) for part in wanted]
+        gevent.joinall(readings, raise_error=True)
         rows: list[feeds.Change] = []
         versions: list[int] = []
-        for call in calls_:
-            read = call.value
+        missing: dict[str, str] = {}
+        for part, reading in zip(wanted, readings, strict=True):
+            read = reading.value
             if isinstance(read, platform.Unavailable):
-                return read
+                missing[part] = read.reason
+                continue
             versions.append(read.version)
             rows.extend(_change(table, raw) for raw in read.rows)
-        return feeds.Snapshot(tuple(rows), min(versions))
+        reason = next(iter(missing.values()), "")
+        if not versions:
+            return platform.Unavailable(reason)
+        return feeds.Snapshot(
+            tuple(rows), min(versions), tuple(missing), reason
+        )
 
     def _all(self, table: str, part: str) -> _Read | platform.Unavailable:
         """Reads all pages of one part."""
--- a/src/vanillaswitch/protocol/feeds.py
+++ b/src/vanillaswitch/protocol/feeds.py
@@ -37,10 +37,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
-    """All rows of a table as of one version."""
+    """The rows of a table as of one version.
+
+    Attributes:
+        missing: parts of the table that could not be read; what lies in them
+            is not among the rows.
+        reason: why the first of them could not be.
+    """
 
     rows: tuple[Change, ...]
     version: int
+    missing: tuple[str, ...] = ()
+    reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,8 +59,14 @@
 class Feed(Protocol):
     """Reads of whole tables and of their changes."""
 
-    def snapshot(self, table: str) -> Snapshot | platform.Unavailable:
-        """Reads all rows of a table."""
+    def snapshot(
+        self, table: str, parts: tuple[str, ...] = ()
+    ) -> Snapshot | platform.Unavailable:
+        """Reads all rows of a table, or only those in some of its parts.
+
+        Returns:
+            ``Unavailable`` where no part could be read.
+        """
 
     def changes(
         self, table: str, after: int, wait_s: float
--- a/tests/cover/test_fleet_owners.py
+++ b/tests/cover/test_fleet_owners.py
@@ -44,6 +44,7 @@
         self.stops: list[term_state.StopOrder] = []
         self.recorded: dict[str, int] = {}
         self.unanswered: set[rooms.RunKey] = set()
+        self.unread: set[str] = set()
 
 
 class Owners(stateful.RuleBasedStateMachine):
@@ -84,13 +85,49 @@
     @stateful.rule()
     def take_over(self) -> None:
         """Another process becomes the owner and reads what was written."""
+        self._take_over(set())
+
+    @stateful.rule(part=st.integers(0, 2))
+    def take_over_in_part(self, part: int) -> None:
+        """The same, while a part of the table of jobs is away."""
+        numbered = enumerate(sorted(self.jobs))
+        self._take_over({job for at, job in numbered if at % 3 == part})
+
+    @stateful.rule()
+    def part_is_back(self) -> None:
+        """The owner reads the jobs that it could not read before."""
+        term = self.terms[-1]
+        while term.unread:
+            job_id = min(term.unread)
+            term.unread.discard(job_id)
+            job, row = self.jobs[job_id], self.rows.get(job_id)
+            if row is None:
+                term.core.job_added(job, self.now)
+                continue
+            term.core.unread = self._unread_with_rows(term)
+            lapses_at = instance_task.inherited_lapse_at(self.now)
+            term.core.restore_late(job, row, 1, self.now, lapses_at)
+
+    def _unread_with_rows(self, term: Term) -> set[str]:
+        """Returns jobs of which the owner knows progress and no more."""
+        return {
+            job_id
+            for job_id in term.unread
+            if job_id in self.rows and not self.rows[job_id]["ended"]
+        }
+
+    def _take_over(self, unread: set[str]) -> None:
         self.token += 1
         core = fleets.new_core()
         term = Term(core, self.token)
         for item in self._up():
             core.registered(item.registration, self.now)
+        term.unread = unread
+        core.unread = self._unread_with_rows(term)
         for job in self.jobs.values():
             row = self.rows.get(job.job_id)
+            if job.job_id in unread:
+                continue
             if row is None:
                 core.job_added(job, self.now)
             else:
@@ -453,6 +490,26 @@
         machine.completed_is_true()
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_a_history_with_parts_away_keeps_the_rules(seed):
+    """A job runs twice, or its end is forgotten, after a change of owner.
+
+    The new owner can read what runs where, but not the job's own row: a part
+    of the store is away. It must neither stop nor start those tasks, nor
+    acknowledge their ends, until the part is back.
+    """
+    chooser = random.Random(seed)
+    machine = Owners()
+    events = _events(machine, chooser)
+    events[lambda: machine.take_over_in_part(chooser.randrange(3))] = 1.0
+    events[machine.part_is_back] = 1.0
+    for _ in range(300):
+        chooser.choices(list(events), list(events.values()))[0]()
+        machine.notes_ends()
+        machine.room_is_kept()
+        machine.completed_is_true()
+
+
 def test_histories_complete_jobs_too():
     completed = 0
     for seed in range(10):
--- a/tests/failures/test_long_take_over.py
+++ b/tests/failures/test_long_take_over.py
@@ -61,8 +61,8 @@
     def __init__(self, clock):
         self._clock = clock
 
-    def snapshot(self, table):
-        del table
+    def snapshot(self, table, parts=()):
+        del table, parts
         self._clock.sleep(0.3)
         return feeds.Snapshot((), 1)
 
--- /dev/null
+++ b/tests/failures/test_part_of_store_away.py
@@ -0,0 +1,195 @@
+"""A store that is away in part while the fleet changes its owner."""
+
+import types
+
+from tests.common import clocks as manual
+from tests.common import fleets
+from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet import job_rows
+from vanillaswitch.coordination.fleet import owner as owners
+from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
+
+_TASK = jobs.TaskName(fleets.job(1).job_id, 0, 0, 0)
+
+
+class _Table:
+    """Takes every commit."""
+
+    def __init__(self):
+        self.commits = 0
+
+    def commit(self, transaction):
+        del transaction
+        self.commits += 1
+        return platform.Committed(self.commits)
+
+
+class _Feed:
+    """Tables in two parts; the second one of "job" may be away."""
+
+    def __init__(self):
+        self.away = 0
+        self.readings = 0
+        self.rows = {
+            "servers": [feeds.Change("i-1", {}, 1)],
+            "progress": [],
+            "cancel": [],
+            "job": [],
+        }
+
+    def snapshot(self, table, parts=()):
+        rows = tuple(self.rows[table])
+        if table != "job":
+            return feeds.Snapshot(rows, 1)
+        self.readings += 1
+        if self.away:
+            self.away -= 1
+            if parts:
+                return platform.Unavailable("status 503")
+            return feeds.Snapshot(rows[:1], 1, ("second",), "status 503")
+        return feeds.Snapshot(rows[1:] if parts else rows, 1)
+
+    def changes(self, table, after, wait_s):
+        del table, wait_s
+        return feeds.Changes((), after)
+
+
+def _assigned(job, instance):
+    """Returns the row of a job one task of which runs on an instance."""
+    core = fleets.new_core()
+    fleets.adopt(core, instance)
+    core.job_added(job, 0.0)
+    core.plan(0.0, fleets.WALL_MS)
+    return core.take_batch(10).entries[0].pack()
+
+
+def _owner(feed, clock):
+    table = _Table()
+    recorder = recorders.Recorder(
+        table, clock, recorders.OwnerRow("edge-1", "a:1", "boot-1")
+    )
+    recorder.take_over(0, 0.0)
+    outside = types.SimpleNamespace(
+        table=table,
+        feed=feed,
+        upstreams=None,
+        machines=None,
+        advisor=None,
+        registrations="servers",
+        registration=lambda name, _: fleets.registration(name),
+        waves=None,
+    )
+    return owners.Owner(
+        outside,
+        recorder,
+        fleets.deployment(),
+        lambda: fleets.config(),
+        clock,
+        lambda _: None,
+    )
+
+
+def _feed_with_two_jobs():
+    feed = _Feed()
+    running, waiting = fleets.job(1), fleets.job(2)
+    feed.rows["job"] = [
+        feeds.Change(job.job_id, job_rows.pack(job), 1)
+        for job in (waiting, running)
+    ]
+    feed.rows["progress"] = [
+        feeds.Change(running.job_id, _assigned(running, "i-1"), 1)
+    ]
+    return feed
+
+
+def test_a_new_owner_serves_what_it_can_read():
+    """No task starts for half a minute after a change of owner.
+
+    One of eight parts of the table of jobs answers 503 for seconds. Each new
+    owner gave up at once since it could not read everything, and the next one
+    began: ten terms in three seconds.
+    """
+    feed = _feed_with_two_jobs()
+    feed.away = 1
+    owner = _owner(feed, clocks.SystemClock())
+    assert owner.load()
+    core = owner.core
+    assert [entry.job.job_id for entry in core.book] == [fleets.job(2).job_id]
+    running = fleet.Running(_TASK, 1, "", 40.0)
+    core.held("i-1", fleets.held((), (running,)), 0.0, 0.0)
+    assert not core.take_stops(), "what runs for an unread job was stopped"
+    core.plan(0.0, fleets.WALL_MS)
+    assert not core.take_batch(10).starts, "its room was given away"
+
+
+def test_an_end_is_kept_until_its_job_can_be_read():
+    """A quote is charged twice after a change of owner.
+
+    Its task ended while its job could not be read. The end was acknowledged,
+    so its instance forgot it, and the task was started again later.
+    """
+    feed = _feed_with_two_jobs()
+    feed.away = 1
+    owner = _owner(feed, clocks.SystemClock())
+    assert owner.load()
+    core = owner.core
+    end = fleet.End(1, _TASK, 1, fleet.How.DONE, "")
+    core.held("i-1", fleets.held((end,)), 0.0, 0.0)
+    assert core.take_batch(10).seen == {"i-1": 0}
+    owner._jobs._step()
+    entry = core.book.get(_TASK.job_id)
+    assert entry.task(_TASK).state == "d"
+    core.plan(0.0, fleets.WALL_MS)
+    batch = core.take_batch(10)
+    assert batch.seen == {"i-1": 1}
+    assert _TASK not in [start.task for start in batch.starts]
+
+
+def test_a_term_outlasts_a_table_that_is_away_for_a_moment():
+    """Terms of a tenth of a second follow each other, and nothing starts.
+
+    A table of which nothing can be read for a moment ended the term that had
+    just begun; it is read again within the term, whose lease is renewed.
+    """
+    feed = _feed_with_two_jobs()
+    whole = feed.snapshot
+    failures = [3]
+
+    def snapshot(table, parts=()):
+        if table == "progress" and failures[0]:
+            failures[0] -= 1
+            return platform.Unavailable("status 503")
+        return whole(table, parts)
+
+    feed.snapshot = snapshot
+    owner = _owner(feed, clocks.SystemClock())
+    assert owner.load()
+    assert len(owner.core.book) == 2
+
+
+def test_a_follower_reads_missing_parts_once_they_are_back():
+    """Jobs of one part are not heard of after the history was lost."""
+    feed = _feed_with_two_jobs()
+    feed.away = 2
+    seen, told = [], []
+    follower = follow.Follower(
+        feed,
+        "job",
+        manual.ManualClock(),
+        lambda snapshot: seen.extend(row.key for row in snapshot.rows),
+        lambda rows: seen.extend(row.key for row in rows),
+        told.append,
+    )
+    follower._step()
+    assert len(seen) == 1
+    assert not follower.whole
+    follower._step()
+    follower._step()
+    assert len(seen) == 2
+    assert follower.whole
+    assert [event.state for event in told] == ["lost in part", "back"]
