Hand requests to a process that reaches the store

Cause: a process that the store turns away, or whose path to it is cut, answered every POST with 503 until the client's tries reached another process; its cancels and questions failed likewise.

Ruled out: reporting not ready alone. Clients that are there keep their connections, the balancer needs two misses, and where fewer than half of a zone are ready it asks all of them again. A directory of all processes in the store: rows of processes that are gone would have to be removed.

Change: what this process could not do, or does not know the outcome of after 1.0 s, goes as an errand over the streams to the owner of the fleet or to whoever asked for its place. It is sent only to a process that has said, in the last 0.5 s, that the store answers it: where nobody can help, nothing was sent and "not run" is true. An errand without an answer is "not known", one is never passed on again, and "not done" needs both writes. `Questions` carries all questions between processes.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -191,6 +191,22 @@
     queues: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ErrandSent:
+    """Another process was asked to do at the store what this one could not.
+
+    Attributes:
+        kind: "submit", "cancel" or "state".
+        helper: where that process listens.
+        verdict: what came of it; "unknown" without an answer.
+    """
+
+    job: str
+    kind: str
+    helper: str
+    verdict: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Dependency:
     """Something that this process needs was lost or is back.
--- a/src/vanillaswitch/platform/jobs_http.py
+++ b/src/vanillaswitch/platform/jobs_http.py
@@ -4,6 +4,7 @@
 import re
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet import helped_intake
 from vanillaswitch.coordination.fleet import intake
 from vanillaswitch.coordination.fleet import owner_link
 from vanillaswitch.internal import clock as clocks
@@ -34,7 +35,7 @@
 
     def __init__(
         self,
-        intake_: intake.Intake,
+        intake_: helped_intake.HelpedIntake,
         link: owner_link.OwnerLink,
         config: Callable[[], fleet.FleetConfig | None],
         clock: clocks.Clock,
@@ -79,7 +80,7 @@
         if incoming.method == "POST":
             return self._submit(incoming, queue, job_id, config.version)
         if incoming.method == "GET":
-            return self._state(job_id)
+            return self._state(incoming, job_id)
         if incoming.method == "DELETE":
             return self._cancel(incoming, job_id)
         return _refusal(405, "method", "use POST, GET or DELETE")
@@ -127,10 +128,12 @@
             )
         return _not_taken(verdict)
 
-    def _state(self, job_id: str) -> requests.Reply:
+    def _state(
+        self, incoming: requests.Incoming, job_id: str
+    ) -> requests.Reply:
         state = self._link.state(job_id)
         if state is None:
-            read = self._intake.state(job_id)
+            read = self._intake.state(job_id, self._deadline(incoming))
             if isinstance(read, intake.Unknown):
                 return _refusal(503, "no-store", "come back soon", 1.0)
             state = read
--- a/src/vanillaswitch/protocol/codec.py
+++ b/src/vanillaswitch/protocol/codec.py
@@ -104,7 +104,7 @@
     for kind in (str, int, bool, bytes):
         converter.register_structure_hook(kind, _exactly(kind))
     converter.register_structure_hook(float, _float)
-    for choice in (peers.Role, peers.ClaimState):
+    for choice in (peers.Role, peers.ClaimState, peers.ErrandKind):
         converter.register_structure_hook(choice, _known(choice))
     return converter
 
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -209,11 +209,13 @@
     Attributes:
         boot: start of the process that the owner's row names.
         patience_s: an owner that wrote more lately goes on.
+        asker: where the sender listens; it can reach the store.
     """
 
     question: str
     boot: str
     patience_s: float
+    asker: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -230,6 +232,68 @@
     ended: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreQuestion:
+    """Asks a process whether the store answers it."""
+
+    question: str
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreStanding:
+    """The answer.
+
+    Attributes:
+        answers: the store has answered the sender lately.
+        owner: where the owner of the fleet listens, as the sender knows it.
+    """
+
+    question: str
+    answers: bool
+    owner: str
+
+
+class ErrandKind(enum.StrEnum):
+    """What a process has another one do at the store."""
+
+    SUBMIT = "submit"
+    CANCEL = "cancel"
+    STATE = "state"
+
+
+@dataclasses.dataclass(frozen=True)
+class Errand:
+    """Asks a process to do at the store what the sender can't.
+
+    Attributes:
+        job_id: whose row is written or read.
+        document: the job as JSON, of a hand-in; else empty.
+        known: it is certain that the job was accepted.
+        patience_s: how long the sender's client still waits.
+    """
+
+    question: str
+    kind: ErrandKind
+    job_id: str
+    document: bytes
+    known: bool
+    patience_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ErrandDone:
+    """What came of it.
+
+    Attributes:
+        verdict: as the sender would tell a client of its own.
+        state: a job's recorded state, where that was asked for.
+    """
+
+    question: str
+    verdict: str
+    state: str = ""
+
+
 Message = (
     Heartbeat
     | ConfigOffer
@@ -245,4 +309,8 @@
     | JobAnswer
     | OwnerQuestion
     | OwnerStanding
+    | StoreQuestion
+    | StoreStanding
+    | Errand
+    | ErrandDone
 )
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -11,13 +11,16 @@
 import gevent
 
 from vanillaswitch.coordination import prompt_table
+from vanillaswitch.coordination.fleet import errands
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet import helped_intake
 from vanillaswitch.coordination.fleet import intake
 from vanillaswitch.coordination.fleet import member as members
 from vanillaswitch.coordination.fleet import operators
 from vanillaswitch.coordination.fleet import owner as owners
 from vanillaswitch.coordination.fleet import owner_link
+from vanillaswitch.coordination.fleet import questions
 from vanillaswitch.coordination.fleet import telemetry
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
@@ -31,6 +34,8 @@
 from vanillaswitch.platform import settings as platform_settings
 from vanillaswitch.platform import store as stores
 from vanillaswitch.platform import upstreams
+from vanillaswitch.protocol import peer_transport
+from vanillaswitch.protocol import peers
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import deployment as deployments
 from vanillaswitch.transport import caller_http
@@ -164,9 +169,11 @@
         table = prompt_table.PromptTable(store, clock)
         view = _operators(table, told)
         outside = _outside(settings, client, store, table, view)
+        asking = questions.Questions(clock, boot)
         link = owner_link.OwnerLink(
-            clock,
+            asking,
             boot,
+            settings.internal_address,
             lambda: member.owner,
             lambda: member.owner_address,
             lambda patience_s: member.yield_term(patience_s),
@@ -182,10 +189,23 @@
             link.term_ended,
             told.emit,
         )
-        link.attach(
+        local = intake.Intake(table, clock, boot, lambda: store.unanswered_s)
+        others = errands.Errands(
+            asking,
+            local,
+            settings.internal_address,
+            lambda: member.owner_address,
+            lambda: member.store_answered_at,
+            clock,
+            told.emit,
+        )
+        asking.attach(
             stack.enter_context(
                 streams.run(
-                    settings.internal_address, link.on_message, clock, rng
+                    settings.internal_address,
+                    functools.partial(_on_message, link, others),
+                    clock,
+                    rng,
                 )
             )
         )
@@ -204,7 +224,7 @@
         )
         ready = functools.partial(_ready, state, view, member, clock)
         handler = jobs_http.JobsHttp(
-            intake.Intake(table, clock, boot, lambda: store.unanswered_s),
+            helped_intake.HelpedIntake(local, others, clock),
             link,
             lambda: view.config,
             clock,
@@ -233,6 +253,19 @@
         yield Edge(server, member, state)
 
 
+def _on_message(
+    link: owner_link.OwnerLink,
+    others: errands.Errands,
+    sender: str | None,
+    message: peers.Message,
+    reply: peer_transport.Reply,
+) -> None:
+    """Hands a message to both that may know it."""
+    del sender
+    link.on_message(message, reply)
+    others.on_message(message, reply)
+
+
 def _flush(clock: clocks.Clock) -> None:
     """Writes gathered lines for good."""
     while True:
