Let a pool's need be taken to grow by half of itself at most

Cause: growth over half a second was followed for up to 2 s, so one large job (104 cores within 0.5 s) made a pool want 52 machines where it had 19 and needed 15; the pool then stood 7 machines too large for 3 to 5 s, after each of some such jobs a turn.

Change: `Policy` holds the figures of `capacity`, `most_growth` is 0.5.

--- a/src/vanillaswitch/coordination/fleet/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/capacity.py
@@ -20,34 +20,46 @@
 import dataclasses
 import math
 
-UTILISATION = 0.9
-"""Share of a pool's processors that is planned to be used: tasks of one to
-five cores do not fill 16 without gaps."""
 
-GROWTH_WINDOW_S = 0.5
-"""Over how long growth is measured; a turn brings some jobs in that time."""
-
-LOOK_AHEAD_S = 0.8
-"""For how long growth is taken to go on at least, about half of a move: short
-tasks that end meanwhile make up for the rest."""
-
-LONGEST_LOOK_AHEAD_S = 2.0
-"""The same for tasks that last longer than a machine takes to arrive (1.5 s of
-move and half a second until it is listed): what starts now still runs then."""
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """Figures by which machines follow the load.
 
-IDLE_S = 1.5
-"""A machine is given up only after its pool could spare it for so long: as
-long as its standing there costs what a move costs."""
+    Attributes:
+        utilisation: share of a pool's processors that is planned to be used:
+            tasks of one to five cores do not fill 16 without gaps.
+        growth_window_s: over how long growth is measured; a turn brings some
+            jobs in that time.
+        look_ahead_s: for how long growth is taken to go on at least, about
+            half of a move: short tasks that end meanwhile make up for the
+            rest.
+        longest_look_ahead_s: the same for tasks that last longer than a
+            machine takes to arrive (1.5 s of move and half a second until it
+            is listed): what starts now still runs then.
+        most_growth: by how much a need may be taken to grow, as a share of
+            what it is now.
+        idle_s: a machine is given up only after its pool could spare it for
+            so long: as long as its standing there costs what a move costs.
+        settle_s: a new owner that sees no work gives no machine up for so
+            long: where operators put machines is the best that is known of
+            the load to come.
+        familiar_s: once there is work, a new owner gives machines up after
+            so long. It hears of all that runs within half a second; some more
+            is for instances that answer late, whose machines seem idle until
+            then.
+    """
 
+    utilisation: float = 0.9
+    growth_window_s: float = 0.5
+    look_ahead_s: float = 0.8
+    longest_look_ahead_s: float = 2.0
+    most_growth: float = 0.5
+    idle_s: float = 1.5
+    settle_s: float = 15.0
+    familiar_s: float = 2.0
 
-SETTLE_S = 15.0
-"""A new owner that sees no work gives no machine up for so long: where
-operators put machines is the best that is known of the load to come."""
 
-FAMILIAR_S = 2.0
-"""Once there is work, a new owner gives machines up after so long. It hears of
-all that runs within half a second; some more is for instances that answer
-late, whose machines seem idle until then."""
+DEFAULT_POLICY = Policy()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,7 +102,8 @@
 class Capacity:
     """Decides moves from the loads as they come in."""
 
-    def __init__(self) -> None:
+    def __init__(self, policy: Policy = DEFAULT_POLICY):
+        self._policy = policy
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._spare_since: dict[str, float] = {}
         self._wanted: dict[str, int] = {}
@@ -135,26 +148,31 @@
     def _knows_load(self, now: float) -> bool:
         """Whether idle machines are known to be idle, not only new to us."""
         began_at = now if self._began_at is None else self._began_at
-        if now - began_at >= SETTLE_S:
+        if now - began_at >= self._policy.settle_s:
             return True
-        return self._busy_at is not None and now - self._busy_at >= FAMILIAR_S
+        if self._busy_at is None:
+            return False
+        return now - self._busy_at >= self._policy.familiar_s
 
     def _surplus(self, load: PoolLoad) -> int:
         """Returns how many machines a pool has too many; below 0, lacks."""
         return load.have - self._wanted[load.name] - load.extra
 
     def _machines(self, load: PoolLoad, now: float) -> int:
-        growth = self._growth(load, now)
-        ahead_s = min(max(LOOK_AHEAD_S, load.task_s), LONGEST_LOOK_AHEAD_S)
-        need = load.need_cpu + growth * ahead_s
-        room = max(1, load.machine_cpu) * UTILISATION
+        policy = self._policy
+        longest_s = policy.longest_look_ahead_s
+        ahead_s = min(max(policy.look_ahead_s, load.task_s), longest_s)
+        grown = self._growth(load, now) * ahead_s
+        need = load.need_cpu + min(grown, policy.most_growth * load.need_cpu)
+        room = max(1, load.machine_cpu) * policy.utilisation
         return max(load.least, math.ceil(need / room))
 
     def _growth(self, load: PoolLoad, now: float) -> float:
         """Returns by how much the need grows a second; not below zero."""
         history = self._history.setdefault(load.name, collections.deque())
         history.append((now, load.need_cpu))
-        while len(history) > 2 and history[1][0] <= now - GROWTH_WINDOW_S:
+        window_s = self._policy.growth_window_s
+        while len(history) > 2 and history[1][0] <= now - window_s:
             history.popleft()
         began, before = history[0]
         if now <= began:
@@ -196,7 +214,7 @@
         retired: list[Move] = []
         for name, since in sorted(self._spare_since.items()):
             load = loads.get(name)
-            if load is None or now - since < IDLE_S:
+            if load is None or now - since < self._policy.idle_s:
                 continue
             left = [item for item in load.idle if item not in taken]
             leaving = len(load.idle) - len(left)
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -82,10 +82,10 @@
         _load("spare", 0, 0, [], standby=True),
     ]
     busy = [_load("a", 28 * CORE, 2, []), loads[1]]
-    plan.plan(busy, -capacity.SETTLE_S)
+    plan.plan(busy, -capacity.DEFAULT_POLICY.settle_s)
     assert not plan.plan(loads, 0.0)
-    assert not plan.plan(loads, capacity.IDLE_S - 0.1)
-    assert plan.plan(loads, capacity.IDLE_S + 0.1)
+    assert not plan.plan(loads, capacity.DEFAULT_POLICY.idle_s - 0.1)
+    assert plan.plan(loads, capacity.DEFAULT_POLICY.idle_s + 0.1)
 
 
 def test_a_new_owner_gives_up_no_machine_before_it_knows_the_load():
@@ -94,9 +94,11 @@
         _load("a", 0, 2, ["a2"]),
         _load("spare", 0, 0, [], standby=True),
     ]
-    times = [float(second) for second in range(int(capacity.SETTLE_S))]
+    times = [
+        float(second) for second in range(int(capacity.DEFAULT_POLICY.settle_s))
+    ]
     assert not any(plan.plan(loads, now) for now in times)
-    assert plan.plan(loads, capacity.SETTLE_S + 1.0)
+    assert plan.plan(loads, capacity.DEFAULT_POLICY.settle_s + 1.0)
 
 
 def _replay(moving: bool) -> tuple[float, float]:
@@ -112,7 +114,7 @@
     arrives: dict[str, float] = {}
     backlog = dict.fromkeys(pools, 0.0)
     plan = capacity.Capacity()
-    plan.plan([], -capacity.SETTLE_S)
+    plan.plan([], -capacity.DEFAULT_POLICY.settle_s)
     waited = seconds = 0.0
     for tick in range(int(32 / STEP_S)):
         now = tick * STEP_S
@@ -198,5 +200,5 @@
         _load("spare", 0, 0, [], standby=True),
     ]
     assert not plan.plan(loads, 0.0)
-    assert not plan.plan(loads, capacity.FAMILIAR_S - 0.1)
-    assert plan.plan(loads, capacity.FAMILIAR_S + 0.1)
+    assert not plan.plan(loads, capacity.DEFAULT_POLICY.familiar_s - 0.1)
+    assert plan.plan(loads, capacity.DEFAULT_POLICY.familiar_s + 0.1)
