Find instances that went dark by the list, and give work to none in doubt

Cause: instances of a rack that went dark were found after 3.0 s (age 2,967 ms in each log): a call that waits 1.0 s for an end may take 1.8 s, and a second one like it had to fail as well. Tasks were given to them all the while, and each then waited for its lease. The list of machines showed it at once and was not asked.

Ruled out: shorter calls for all; each one is priced as a look.

Change: an instance that was listed before, is not in two readings of the list in a row and was not heard of since the first is over. One that left a call unanswered gets no work until it is heard of again, and the next call waits for nothing (0.5 s).

--- a/src/vanillaswitch/coordination/fleet/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/accounts.py
@@ -28,9 +28,9 @@
             return
         instance.heard_at = now
         instance.clock_ms, instance.clock_at = held.clock_ms, now
-        if instance.silent or not instance.adopted:
+        if not instance.adopted or instance.silent or instance.doubtful:
             self._changed = True
-        instance.silent = False
+        instance.silent = instance.doubtful = False
         for end in held.ended:
             if end.number > instance.last_end:
                 instance.last_end = end.number
@@ -132,6 +132,20 @@
         if inherited or void:
             self._release(instance, run)
 
+    def unanswered(self, name: str, began_at: float) -> None:
+        """Takes note that a call to an instance got no answer.
+
+        Until it is heard of again it gets no more work: a rack that went dark
+        was given tasks for 3 s, each of which then waited for its lease.
+
+        Args:
+            name: the instance.
+            began_at: monotonic seconds at which the call was made.
+        """
+        instance = self.instances.get(name)
+        if instance is not None and instance.heard_at < began_at:
+            instance.doubtful = True
+
     def silent(self, name: str, now: float) -> None:
         """Takes note that an instance does not answer."""
         instance = self.instances.get(name)
--- a/src/vanillaswitch/coordination/fleet/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instance_task.py
@@ -43,6 +43,11 @@
 """How much longer than its wait an answer may take; afterwards the connection
 counts as silent and the next call goes on a new one."""
 
+AGAIN_S = 0.5
+"""Limit for the call after one without an answer. It waits for no end, so a
+sound instance answers in milliseconds; one that is gone is silent 1.0 s
+earlier than by two full calls."""
+
 GATHER_S = 0.015
 """Pause between two holds, in which ends gather: tasks of a step end close
 together, and each call costs processor time and counts as a health check."""
@@ -127,10 +132,10 @@
         if instance.last_end > self._recorded:
             self._recorded_event.wait(RECORD_WAIT_S)
 
-    def _hold(self, instance: rooms.Instance, fresh: bool) -> bool:
+    def _hold(self, instance: rooms.Instance, again: bool) -> bool:
         began = self._clock.monotonic()
         wait_s = 0.0
-        if instance.adopted and not instance.silent:
+        if instance.adopted and not instance.silent and not again:
             wait_s = BUSY_WAIT_S if instance.runs else IDLE_WAIT_S
             if instance.last_end > self._recorded:
                 wait_s = 0.0
@@ -141,14 +146,15 @@
             self._recorded,
             self._extend(instance, began),
             wait_s,
-            wait_s + ANSWER_S,
-            fresh,
+            AGAIN_S if again else wait_s + ANSWER_S,
+            again,
         )
         now = self._clock.monotonic()
         if isinstance(outcome, fleet.Held):
             self._core.held(self._name, outcome, began, now)
             self._means.wake.set()
             return True
+        self._core.unanswered(self._name, began)
         self._judge(outcome, now)
         return False
 
@@ -190,6 +196,7 @@
         late = 0
         attempts = 0
         while not self._means.recorder.deposed and self._core.may_send(order):
+            began = self._clock.monotonic()
             outcome = self._start_once(order, attempts > 0)
             now = self._clock.monotonic()
             attempts += 1
@@ -200,6 +207,7 @@
                 return
             if isinstance(outcome, fleet.NoAnswer):
                 sent = sent or outcome.sent
+                self._core.unanswered(self._name, began)
                 if not self._core.start_unanswered(self._name, key, sent, now):
                     return
                 self._clock.sleep(RETRY_S)
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -1,6 +1,7 @@
 """The owner's task that reads the list of machines and acts on it."""
 
 from collections.abc import Callable
+from collections.abc import Set
 
 import gevent.event
 
@@ -39,6 +40,8 @@
         self._recorder = recorder
         self._clock = clock
         self._wake = wake
+        self._seen: Set[str] = frozenset()
+        self._missing_since: dict[str, float] = {}
         self._listed: dict[str, fleet.Machine] = {}
         self._mover = mover.Mover(
             core,
@@ -88,15 +91,25 @@
 
         A machine that runs another instance, or is gone, runs nothing of the
         earlier one: its tasks can start elsewhere at once instead of after
-        their lease. The list is asked only of instances that went quiet
-        before it was read.
+        their lease. Of an instance that went quiet one reading is believed.
+        One that was listed before and is not in two readings in a row, with
+        nothing heard of it since the first, is over as well: a rack that goes
+        dark is found 2 s before its instances are found silent.
         """
         alive = {machine.instance for machine in self._listed.values()}
+        self._missing_since = {
+            name: self._missing_since.get(name, began)
+            for name in self._seen - alive
+            if name in self._core.instances
+        }
+        self._seen = self._core.instances.keys() & (self._seen | alive)
         now = self._clock.monotonic()
         for instance in list(self._core.instances.values()):
             quiet = instance.silent or not instance.listed or instance.leaving
-            heard_since = instance.heard_at >= began
-            if quiet and not heard_since and instance.name not in alive:
+            since = self._missing_since.get(instance.name, began)
+            over = since < began and instance.heard_at < since
+            quiet_over = quiet and instance.heard_at < began
+            if instance.name not in alive and (over or quiet_over):
                 self._core.gone(instance.name, now, "no machine runs it")
                 self._wake.set()
 
--- a/src/vanillaswitch/coordination/fleet/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/rooms.py
@@ -79,6 +79,7 @@
         adopted: it has answered this owner, so that no order of an earlier
             owner can take effect any more.
         silent: it did not answer lately.
+        doubtful: a call to it got no answer and it was not heard of since.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
@@ -99,6 +100,7 @@
         self.listed = True
         self.adopted = False
         self.silent = False
+        self.doubtful = False
         self.cordoned = False
         self.due = False
         self.leaving = False
@@ -156,6 +158,7 @@
             self.adopted
             and self.listed
             and not self.silent
+            and not self.doubtful
             and not self.cordoned
             and not self.leaving
             and not self.registration.draining
