Add a model of the platform that drives the real decisions

`python -m standins.model FILE` compares policies over seeds and sizes, prints a table and draws plots; files are checked, unknown keys refused. numpy draws, hdrhistogram counts, matplotlib draws; both new ones are for development only. `Mover.step` and `MachineTask.look` are public, and a `capacity.Policy` can be handed in.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup lint test demo measure
+.PHONY: setup lint test demo measure experiment
 
 setup: .venv/ready
 
@@ -25,3 +25,9 @@
 
 measure: setup
 	$(BIN)/python -m standins.measure
+
+# Compares policies on the model; see docs/MODEL.md.
+EXPERIMENT ?= standins/model/experiments/turns.toml
+
+experiment: setup
+	$(BIN)/python -m standins.model $(EXPERIMENT) --out docs/measurements/model
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machine_task.py
@@ -5,6 +5,7 @@
 
 import gevent.event
 
+from vanillaswitch.coordination.fleet import capacity
 from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import evacuation
 from vanillaswitch.coordination.fleet import mover
@@ -34,6 +35,7 @@
         clock: clocks.Clock,
         wake: gevent.event.Event,
         emit: Callable[[object], None],
+        policy: capacity.Policy = capacity.DEFAULT_POLICY,
     ):
         self._core = core
         self._machines = machines
@@ -51,6 +53,7 @@
             lambda: self._driver.reserved,
             clock,
             emit,
+            policy,
         )
         self._driver = wave_driver.WaveDriver(
             core,
@@ -72,10 +75,14 @@
     def run(self) -> None:
         """Reads the list and acts on it until the term is over."""
         while not self._recorder.deposed:
-            if self._read():
-                self._step()
+            self.look()
             self._clock.sleep(LIST_S)
 
+    def look(self) -> None:
+        """Reads the list once and acts on it."""
+        if self._read():
+            self._step()
+
     def _read(self) -> bool:
         began = self._clock.monotonic()
         listed = self._machines.list()
--- a/src/vanillaswitch/coordination/fleet/mover.py
+++ b/src/vanillaswitch/coordination/fleet/mover.py
@@ -78,6 +78,7 @@
         upkeep: Callable[[], waves.Reserved],
         clock: clocks.Clock,
         emit: Callable[[object], None],
+        policy: capacity.Policy = capacity.DEFAULT_POLICY,
     ):
         """Makes a mover that knows no machine yet.
 
@@ -89,6 +90,7 @@
             upkeep: returns the machines that waves have a claim on.
             clock: paces the decisions.
             emit: takes events.
+            policy: figures by which machines follow the load.
         """
         self._orders_a_step = max(1, int(orders_per_s * STEP_S))
         self._upkeep = upkeep
@@ -98,7 +100,7 @@
         self._machines = machines
         self._recorder = recorder
         self._clock = clock
-        self._capacity = capacity.Capacity()
+        self._capacity = capacity.Capacity(policy)
         self._listed: Mapping[str, fleet.Machine] = {}
         self._ordered: dict[str, _Ordered] = {}
         self._unseen_since: dict[str, float] = {}
@@ -126,10 +128,11 @@
     def run(self) -> None:
         """Decides and orders moves until the term is over."""
         while not self._recorder.deposed:
-            self._step()
+            self.step()
             self._clock.sleep(STEP_S)
 
-    def _step(self) -> None:
+    def step(self) -> None:
+        """Decides moves once and gives the orders that follow."""
         if not self._listed:
             # What a machine can carry is not known before the first reading.
             return
--- /dev/null
+++ b/standins/model/world.py
@@ -0,0 +1,602 @@
+"""One day in virtual time: the real decisions against modelled machines.
+
+Each tick of 20 ms lets tasks end, jobs come, machines arrive and faults begin
+and end, and then has the owner's decisions plan as the owner's tasks would:
+starts follow a write of the store, ends are heard of as they are listed, moves
+are decided ten times a second. No sockets, no real time; a seed fixes it all.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
+import heapq
+import itertools
+import time
+
+import gevent
+import gevent.event
+from hdrh.histogram import HdrHistogram
+
+from standins import leased_instance
+from standins.model import machines as modelled
+from standins.model import scenario as scenarios
+from standins.model import workload
+from vanillaswitch.coordination.fleet import book as books
+from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.coordination.fleet import instance_task
+from vanillaswitch.coordination.fleet import machine_task
+from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.internal import registry
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+from vanillaswitch.state import deployment as deployments
+
+TICK_S = 0.02
+"""Time between two plans; about what a transaction and a start take."""
+
+TAIL_S = 30.0
+"""Longest time after the last hand-in until the day is over."""
+
+SAMPLE_S = 0.25
+"""Time between two points of the series."""
+
+DOUBT_S = 1.0
+SILENT_S = 2.0
+"""When a call to an instance that went dark has found no answer, and a second
+one as well (see ``instance_task``)."""
+
+PLAN_EVERY_S = 0.1
+"""Time between two plans while nothing happens, as the owner's tick."""
+
+MACHINE_STEP_S = 0.1
+HOLD_EVERY_S = 0.5
+TRY_AGAIN_S = 1.0
+PATIENCE_S = 3.0
+"""Clients that are refused come back after a second, for three seconds."""
+
+LONGEST_START_MS = 60_000
+
+
+@dataclasses.dataclass
+class Clock:
+    """Virtual time; implements ``clocks.Clock`` as far as decisions use it."""
+
+    now: float = 0.0
+
+    def monotonic(self) -> float:
+        """Returns virtual seconds."""
+        return self.now
+
+    def wall(self) -> float:
+        """Returns the same: days begin at the epoch."""
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        """Refuses: nothing that is driven here waits."""
+        raise NotImplementedError(f"a sleep of {seconds} s in virtual time")
+
+
+class _Recorder:
+    """A term that is certain as long as the store is there."""
+
+    def __init__(self, world: "World", token: int):
+        self._world = world
+        self.token = token
+        self.deposed = False
+
+    @property
+    def newest(self) -> int:
+        return self.token
+
+    def may_order(self) -> bool:
+        return not self._world.store_away
+
+    def depose(self) -> None:
+        raise AssertionError("a modelled owner was fenced")
+
+
+class _Board:
+    """The waves of the day."""
+
+    def __init__(self, world: "World"):
+        self._world = world
+        self._finished: dict[str, set[str]] = {}
+        self.completed_at: dict[str, float] = {}
+
+    def orders(self) -> tuple[fleet.WaveOrder, ...]:
+        return tuple(self._world.waves)
+
+    def begin(self, wave: str, now_ms: float) -> wave_driver.WaveRecord:
+        return wave_driver.WaveRecord(
+            tuple(self._finished.get(wave, ())), now_ms
+        )
+
+    def save_finished(self, wave: str, machines: Collection[str]) -> bool:
+        self._finished.setdefault(wave, set()).update(machines)
+        return True
+
+    def report(self, wave: str, completed: bool) -> bool:
+        if completed:
+            self.completed_at.setdefault(wave, self._world.clock.now)
+        return True
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """The fleet at one moment.
+
+    Attributes:
+        wanted: machines' worth of processors that tasks use and wait for.
+        machines: that stand in pools.
+        waiting: jobs without a running task.
+    """
+
+    at: float
+    wanted: float
+    machines: int
+    waiting: int
+
+
+@dataclasses.dataclass
+class Day:
+    """What came of a day.
+
+    Attributes:
+        made: all jobs.
+        ended: when each that was completed was, by its id.
+        at_work: shares of lasting tasks at work, by sample.
+        thrown_away: core-seconds of runs that did not end as done.
+        starts: milliseconds from hand-in to first start.
+        decisions_s: processor time of the decisions.
+        late_waves: tenths of a wave that were late, summed.
+    """
+
+    made: list[workload.Made]
+    seconds: float
+    ended: dict[str, float] = dataclasses.field(default_factory=dict)
+    at_work: list[float] = dataclasses.field(default_factory=list)
+    samples: list[Sample] = dataclasses.field(default_factory=list)
+    machine_seconds: float = 0.0
+    moves: int = 0
+    thrown_away: float = 0.0
+    decisions_s: float = 0.0
+    late_waves: int = 0
+    starts: HdrHistogram = dataclasses.field(
+        default_factory=lambda: HdrHistogram(1, LONGEST_START_MS, 2)
+    )
+
+
+Act = Callable[["World", scenarios.Fault], Callable[[], None]]
+"""Begins a fault and returns what ends it."""
+
+FAULTS: registry.Registry[Act] = registry.Registry("fault of the model")
+
+
+class World:
+    """Plays one day of one policy."""
+
+    def __init__(
+        self,
+        scenario: scenarios.Scenario,
+        policy: scenarios.Policy,
+        size: float,
+        seed: int,
+    ):
+        self.scenario = scenario
+        self.clock = Clock()
+        self.machines = modelled.Machines(scenario, size)
+        self.store_away = False
+        self.owner_lost = False
+        self.waves: list[fleet.WaveOrder] = []
+        self.day = Day(workload.day(scenario, size, seed), scenario.seconds)
+        self._policy = policy
+        self._board = _Board(self)
+        self._made = {made.job.job_id: made for made in self.day.made}
+        self._unstarted = set(self._made)
+        self._coming = list(reversed(self.day.made))
+        self._taken: dict[str, jobs.Job] = {}
+        self._rows: dict[str, dict[str, object]] = {}
+        self._again: list[tuple[float, int, workload.Made]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._noted: dict[str, int] = {}
+        self._spans: dict[rooms.RunKey, tuple[float, float]] = {}
+        self._token = 0
+        self._sampled_at = -SAMPLE_S
+        self._stepped_at = 0.0
+        self._listed_at = 0.0
+        self._held_at = 0.0
+        self._planned_at = 0.0
+        self._core, self._tasks = self._new_owner()
+        for fault in scenario.fault:
+            self._at(fault.at, self._begin, fault)
+        for number, wave in enumerate(scenario.wave, 1):
+            self._at(wave.at, self._order_wave, number, wave)
+
+    def _new_owner(self) -> tuple[cores.Core, machine_task.MachineTask]:
+        self._token += 1
+        core = cores.Core(
+            queue_order.ORDERS.get(self._policy.order), lambda _: None
+        )
+        core.configured(self._config())
+        tasks = machine_task.MachineTask(
+            core,
+            self.machines,
+            self._board,
+            _Recorder(self, self._token),  # type: ignore[arg-type]
+            _settings(self.scenario),
+            self.clock,
+            gevent.event.Event(),
+            lambda _: None,
+            self._policy.capacity,
+        )
+        return core, tasks
+
+    def _config(self) -> fleet.FleetConfig:
+        queues = tuple(
+            fleet.Queue(
+                queue.name,
+                "",
+                "/",
+                queue.name,
+                priority=queue.priority,
+                stretch=queue.stretch,
+                target_ms=queue.target_ms,
+                max_attempts=4,
+            )
+            for queue in self.scenario.queue
+        )
+        names = [queue.name for queue in queues]
+        pools = {name: fleet.Pool(name, False, False) for name in names}
+        pools[modelled.STANDBY] = fleet.Pool(modelled.STANDBY, False, True)
+        return fleet.FleetConfig(1, queues, pools, 0)
+
+    def _at(self, at: float, act: Callable[..., None], *args: object) -> None:
+        heapq.heappush(
+            self._events, (at, next(self._order), lambda: act(*args))
+        )
+
+    def play(self) -> Day:
+        """Plays the day to its end."""
+        end = self.scenario.seconds + TAIL_S
+        while self.clock.now < end and not self._over():
+            self._tick()
+        self.day.machine_seconds = self.machines.seconds
+        self.day.moves = self.machines.moves
+        self.day.late_waves = self._late_waves()
+        return self.day
+
+    def _over(self) -> bool:
+        """Whether all short jobs have ended and no more will come."""
+        short = [made for made in self.day.made if made.durations]
+        return self.clock.now >= self.scenario.seconds and (
+            len(self.day.ended) == len(short)
+        )
+
+    def _late_waves(self) -> int:
+        late = 0
+        for number, wave in enumerate(self.scenario.wave, 1):
+            done_at = self._board.completed_at.get(f"wave-{number}")
+            if done_at is None or done_at > wave.at + wave.for_s:
+                late += 1
+        return late
+
+    def _tick(self) -> None:
+        self.clock.now += TICK_S
+        now = self.clock.now
+        while self._events and self._events[0][0] <= now:
+            heapq.heappop(self._events)[2]()
+        for machine in self.machines.advance(now):
+            assert machine.instance is not None
+            self._at(now + self.scenario.seen_s, self._see, machine.instance)
+        self._hand_in(now)
+        if not self.owner_lost:
+            began = time.process_time()
+            self._decide(now)
+            self.day.decisions_s += time.process_time() - began
+        if now - self._sampled_at >= SAMPLE_S:
+            self._sampled_at = now
+            self._sample(now)
+
+    # Clients.
+
+    def _hand_in(self, now: float) -> None:
+        while self._coming and self._coming[-1].at <= now:
+            self._try(self._coming.pop(), now)
+        while self._again and self._again[0][0] <= now:
+            self._try(heapq.heappop(self._again)[2], now)
+
+    def _try(self, made: workload.Made, now: float) -> None:
+        if not self.store_away:
+            self._taken[made.job.job_id] = made.job
+            if not self.owner_lost:
+                self._core.job_added(made.job, now, now * 1000)
+        elif now + TRY_AGAIN_S <= made.at + PATIENCE_S:
+            again = (now + TRY_AGAIN_S, next(self._order), made)
+            heapq.heappush(self._again, again)
+
+    # The owner.
+
+    def _decide(self, now: float) -> None:
+        core = self._core
+        if now - self._held_at >= HOLD_EVERY_S:
+            self._held_at = now
+            for machine in self.machines.machines.values():
+                if machine.instance is not None and not machine.down:
+                    self._hold(machine.instance)
+        if core.changed or now - self._planned_at >= PLAN_EVERY_S:
+            self._planned_at = now
+            core.lapse(now)
+            core.stop_again(now)
+            core.stop_stalled(now)
+            core.plan(now, now * 1000)
+        for stop in core.take_stops():
+            self._stop(stop)
+        if not self.store_away:
+            self._record(now)
+        if now - self._listed_at >= machine_task.LIST_S:
+            self._listed_at = now
+            self._tasks.look()
+        if now - self._stepped_at >= MACHINE_STEP_S:
+            self._stepped_at = now
+            self._tasks.mover.step()
+            # Orders go out in tasks of their own.
+            gevent.sleep(0)
+            gevent.sleep(0)
+
+    def _record(self, now: float) -> None:
+        batch = self._core.take_batch(len(self._taken) + 1)
+        for entry in batch.entries:
+            self._rows[entry.job.job_id] = entry.pack(now * 1000)
+            entry.shown = entry.state
+            if entry.ended is jobs.JobState.COMPLETED:
+                self.day.ended.setdefault(entry.job.job_id, now)
+        self._noted.update(batch.seen)
+        for start in batch.starts:
+            self._start(start, now)
+
+    def _start(self, order: term_state.StartOrder, now: float) -> None:
+        instance = self._instance(order.instance)
+        machine = self._machine_of(order.instance)
+        if instance is None or machine is None or machine.down:
+            self._at(now + DOUBT_S, self._unanswered, order, now)
+            return
+        if not self._core.may_send(order):
+            return
+        made = self._made[order.task.job_id]
+        step = made.job.steps[order.task.step]
+        known = self._core.instances[order.instance]
+        deadline = known.clock_now_ms(now) + instance_task.HOLD_S * 1000
+        known.lapses_at = max(known.lapses_at, instance_task.lapses_at(now))
+        start = fleet.Start(
+            order.task, order.run, "", "", self._token, int(deadline)
+        )
+        outcome = instance.start(start, books.need(step))
+        if not isinstance(outcome, fleet.Accepted):
+            raise AssertionError(f"a start was refused: {outcome}")
+        self._core.started(order.instance, (order.task, order.run))
+        self._note_start(made, now)
+        if not step.long_running:
+            self._run(instance, machine, order, made, now)
+        else:
+            instance.running[order.task].percent = 100.0
+
+    def _note_start(self, made: workload.Made, now: float) -> None:
+        if made.durations and made.job.job_id in self._unstarted:
+            self._unstarted.discard(made.job.job_id)
+            took_ms = max(1, round((now - made.at) * 1000))
+            self.day.starts.record_value(min(took_ms, LONGEST_START_MS))
+
+    def _run(
+        self,
+        instance: leased_instance.LeasedInstance,
+        machine: modelled.Machine,
+        order: term_state.StartOrder,
+        made: workload.Made,
+        now: float,
+    ) -> None:
+        seconds = made.durations[order.task.step] * machine.slow
+        how = fleet.How.FAILED if machine.failing else fleet.How.DONE
+        if machine.failing:
+            seconds = 0.1
+        cpu = made.job.steps[order.task.step].cpu / 1000
+
+        def end() -> None:
+            run = instance.running.get(order.task)
+            if not instance.up or run is None or run.run != order.run:
+                self.day.thrown_away += cpu * (self.clock.now - now)
+                return
+            if how is fleet.How.FAILED:
+                self.day.thrown_away += cpu * seconds
+            instance.end(order.task, how)
+            if not machine.down:
+                self._hold(instance)
+
+        self._spans[order.task, order.run] = (now, seconds)
+        self._at(now + seconds, end)
+
+    def _unanswered(self, order: term_state.StartOrder, began: float) -> None:
+        self._core.unanswered(order.instance, began)
+        key = (order.task, order.run)
+        self._core.start_unanswered(order.instance, key, True, began + 2.0)
+
+    def _stop(self, order: term_state.StopOrder) -> None:
+        instance = self._instance(order.instance)
+        machine = self._machine_of(order.instance)
+        if instance is None or machine is None or machine.down:
+            return
+        instance.stop(order.task, order.run, self._token)
+        key = (order.task, order.run)
+        self._core.stopped(order.instance, key, self.clock.now)
+        self._hold(instance)
+
+    def _hold(self, instance: leased_instance.LeasedInstance) -> None:
+        if self.owner_lost or not instance.up:
+            return
+        name = instance.registration.instance
+        known = self._core.instances.get(name)
+        if known is None:
+            return
+        now = self.clock.now
+        deadline = None
+        if known.adopted:
+            deadline = int(known.clock_now_ms(now) + instance_task.HOLD_S * 1e3)
+            known.lapses_at = max(known.lapses_at, instance_task.lapses_at(now))
+        self._show_progress(instance, now)
+        held = instance.hold(self._token, self._noted.get(name, 0), deadline)
+        if isinstance(held, fleet.Held):
+            self._core.held(name, held, now, now)
+
+    def _show_progress(
+        self, instance: leased_instance.LeasedInstance, now: float
+    ) -> None:
+        for run in instance.running.values():
+            span = self._spans.get((run.task, run.run))
+            if span is not None:
+                began, seconds = span
+                run.percent = min(99.0, 100 * (now - began) / seconds)
+
+    def _see(self, instance: leased_instance.LeasedInstance) -> None:
+        if instance.up and not self.owner_lost:
+            self._core.registered(instance.registration, self.clock.now)
+            self._hold(instance)
+
+    def _instance(self, name: str) -> leased_instance.LeasedInstance | None:
+        machine = self._machine_of(name)
+        return machine.instance if machine else None
+
+    def _machine_of(self, name: str) -> modelled.Machine | None:
+        for machine in self.machines.machines.values():
+            instance = machine.instance
+            if instance and instance.registration.instance == name:
+                return machine
+        return None
+
+    # Faults and waves.
+
+    def _begin(self, fault: scenarios.Fault) -> None:
+        end = FAULTS.get(fault.kind)(self, fault)
+        self._at(fault.at + fault.for_s, end)
+
+    def hit(self, fault: scenarios.Fault) -> list[modelled.Machine]:
+        """Returns the machines that a fault hits: of one rack first."""
+        pool = [
+            machine
+            for machine in self.machines.machines.values()
+            if machine.instance is not None
+            and fault.queue in ("", machine.pool)
+        ]
+        pool.sort(key=lambda machine: (machine.rack, machine.name))
+        return pool[: fault.count]
+
+    def take_over(self) -> None:
+        """Has another process own the fleet, from the rows alone."""
+        now = self.clock.now
+        self.owner_lost = False
+        self._core, self._tasks = self._new_owner()
+        self._noted = {}
+        for machine in self.machines.machines.values():
+            if machine.instance is not None:
+                self._core.registered(machine.instance.registration, now)
+        for job_id, job in self._taken.items():
+            row = self._rows.get(job_id)
+            if row is None:
+                self._core.job_added(job, now, now * 1000)
+            else:
+                self._core.restore(job, row, 1, now)
+        self._core.inherit_runs(now, instance_task.inherited_lapse_at(now))
+        for machine in self.machines.machines.values():
+            if machine.instance is not None and not machine.down:
+                self._hold(machine.instance)
+
+    def unheard(self, instance: str, began: float) -> None:
+        """Has the owner find that a call to an instance got no answer."""
+        self._at(
+            began + DOUBT_S,
+            lambda: self._core.unanswered(instance, self.clock.now),
+        )
+        self._at(
+            began + SILENT_S,
+            lambda: self._core.silent(instance, self.clock.now),
+        )
+
+    def _order_wave(self, number: int, wave: scenarios.Wave) -> None:
+        names = sorted(self.machines.machines)
+        chosen = names[:: max(1, round(1 / wave.share))]
+        self.waves.append(
+            fleet.WaveOrder(
+                f"wave-{number}",
+                number,
+                tuple(chosen),
+                wave.for_s,
+                wave.count,
+            )
+        )
+
+    # What is seen.
+
+    def _sample(self, now: float) -> None:
+        used = sum(
+            instance.used.cpu
+            for machine in self.machines.machines.values()
+            if (instance := machine.instance) is not None
+        )
+        waiting_cpu = sum(self._core.waiting_cpu.values())
+        pooled = sum(
+            machine.pool != modelled.STANDBY
+            for machine in self.machines.machines.values()
+        )
+        waiting = sum(
+            not entry.started for entry in self._core.book.live.values()
+        )
+        wanted = (used + waiting_cpu) / self.scenario.machine_cpu
+        self.day.samples.append(Sample(now, wanted, pooled, waiting))
+        lasting = sum(
+            made.job.steps[0].count
+            for made in self.day.made
+            if not made.durations
+        )
+        if lasting and now <= self.scenario.seconds:
+            self.day.at_work.append(self._lasting_at_work() / lasting)
+
+    def _lasting_at_work(self) -> int:
+        return sum(
+            not self._made[task.job_id].durations
+            for machine in self.machines.machines.values()
+            if machine.instance is not None
+            for task in machine.instance.running
+        )
+
+
+def _settings(scenario: scenarios.Scenario) -> deployments.Deployment:
+    unused = dict.fromkeys(
+        (
+            "process",
+            "zone",
+            "entry_address",
+            "ready_address",
+            "internal_address",
+            "metrics_address",
+            "store_address",
+            "machines_address",
+            "advice_address",
+        ),
+        "",
+    )
+    return deployments.Deployment(
+        **unused,
+        cores=1.0,
+        link_mbps=1000.0,
+        orders="request",
+        contracts=(),
+        heartbeat_s=1.5,
+        writes_per_s=600.0,
+        reads_per_s=2000.0,
+        machine_orders_per_s=64.0,
+        bounds=deployments.Bounds(
+            move_s=scenario.move_s, upkeep_s=scenario.upkeep_s
+        ),
+    )
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -85,7 +85,7 @@
     def step(self, seconds=mover.STEP_S):
         """Decides once and lets the orders that follow go out."""
         self._clock.advance(seconds)
-        self._mover._step()
+        self._mover.step()
         gevent.sleep(0)
 
     def answer(self):
--- a/tests/failures/test_emptied_machines.py
+++ b/tests/failures/test_emptied_machines.py
@@ -101,7 +101,7 @@
     for _ in range(40):
         assert task._read()
         task._step()
-        task.mover._step()
+        task.mover.step()
         clock.advance(0.25)
     assert machines.ordered == ["m-2"]
     assert board.reports[-1] == ("wave/1", True)
@@ -123,12 +123,12 @@
     assert task._read()
     for _ in range(2):
         task._step()
-        task.mover._step()
+        task.mover.step()
     assert any(instance.cordoned for instance in core.instances.values())
     turn = fleets.job(2, steps=(jobs.Step(count=20, cpu=1000),))
     core.job_added(turn, 0.1)
     fleets.plan(core)
-    task.mover._step()
+    task.mover.step()
     task._step()
     assert not any(instance.cordoned for instance in core.instances.values())
 
