Sort the fleet's folder into rooms: intake, queue, instances, machines, ownership

Cause: 37 files stood side by side in `coordination/fleet`, decisions beside tasks with sockets; a newcomer could not tell the way of a job.

Change: files move, imports follow, nothing else changes. A test says that no decision imports gevent, a clock, a random source or the transport.

Ruled out for now: taking the owner's decisions apart into parts that hold each other by name; they are still one class over six files.

Figures: 37 files in one folder before; 4, and 5, 7, 9, 6 and 6 in the rooms after.

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/instances/__init__.py
@@ -0,0 +1,1 @@
+"""What runs on instances: orders, accounts, ends, and the core of it all."""
--- a/src/vanillaswitch/coordination/fleet/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -1,10 +1,10 @@
 """What instances say of themselves, and what is inferred from silence."""
 
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import endings
-from vanillaswitch.coordination.fleet import progress
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import endings
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import progress
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/src/vanillaswitch/coordination/fleet/advice_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_task.py
@@ -3,8 +3,8 @@
 import gevent
 import gevent.event
 
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import core as cores
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/coordination/fleet/core.py
+++ b/src/vanillaswitch/coordination/fleet/instances/core.py
@@ -17,9 +17,9 @@
 
 from collections.abc import Mapping
 
-from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import planning
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.protocol import jobs
 
 
--- a/src/vanillaswitch/coordination/fleet/endings.py
+++ b/src/vanillaswitch/coordination/fleet/instances/endings.py
@@ -1,9 +1,9 @@
 """How runs, jobs and instances end, and what follows from it."""
 
-from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/src/vanillaswitch/coordination/fleet/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_task.py
@@ -7,11 +7,11 @@
 import gevent.event
 import gevent.lock
 
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import sharing
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import rooms
+from vanillaswitch.coordination.fleet.queue import sharing
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/coordination/fleet/instance_tasks.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_tasks.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from vanillaswitch.coordination.fleet import instance_task
+from vanillaswitch.coordination.fleet.instances import instance_task
 from vanillaswitch.internal import logs
 
 
--- a/src/vanillaswitch/coordination/fleet/listing.py
+++ b/src/vanillaswitch/coordination/fleet/instances/listing.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/coordination/fleet/orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/orders.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
-from vanillaswitch.coordination.fleet import accounts
-from vanillaswitch.coordination.fleet import endings
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import progress
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.instances import accounts
+from vanillaswitch.coordination.fleet.instances import endings
+from vanillaswitch.coordination.fleet.queue import progress
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 
 UNHEALTHY_S = 0.5
--- a/src/vanillaswitch/coordination/fleet/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 import dataclasses
 
-from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import queue_order
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Taking in jobs, cancels and questions, by this process or another."""
--- a/src/vanillaswitch/coordination/fleet/errands.py
+++ b/src/vanillaswitch/coordination/fleet/intake/errands.py
@@ -16,9 +16,9 @@
 import gevent.pool
 
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import intake as intakes
-from vanillaswitch.coordination.fleet import job_rows
-from vanillaswitch.coordination.fleet import questions
+from vanillaswitch.coordination.fleet.intake import intake as intakes
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.intake import questions
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import peer_transport
--- a/src/vanillaswitch/coordination/fleet/helped_intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake/helped_intake.py
@@ -5,8 +5,8 @@
 whoever finds the row says that it was accepted.
 """
 
-from vanillaswitch.coordination.fleet import errands
-from vanillaswitch.coordination.fleet import intake as intakes
+from vanillaswitch.coordination.fleet.intake import errands
+from vanillaswitch.coordination.fleet.intake import intake as intakes
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
 
--- a/src/vanillaswitch/coordination/fleet/intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake/intake.py
@@ -14,8 +14,8 @@
 import itertools
 
 from vanillaswitch.coordination import commits
-from vanillaswitch.coordination.fleet import job_rows
-from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Machines that change their pool or go into upkeep."""
--- a/src/vanillaswitch/coordination/fleet/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/machines/evacuation.py
@@ -7,9 +7,9 @@
 
 from collections.abc import Iterable
 
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import rooms
 
 AT_WORK = 100.0
 """Percent that a lasting task shows while it serves."""
--- a/src/vanillaswitch/coordination/fleet/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machines/machine_task.py
@@ -5,12 +5,12 @@
 
 import gevent.event
 
-from vanillaswitch.coordination.fleet import capacity
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import evacuation
-from vanillaswitch.coordination.fleet import mover
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.machines import capacity
+from vanillaswitch.coordination.fleet.machines import evacuation
+from vanillaswitch.coordination.fleet.machines import mover
+from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/coordination/fleet/wave_driver.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_driver.py
@@ -8,12 +8,12 @@
 import dataclasses
 from typing import Protocol
 
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import evacuation
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import waves
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.machines import evacuation
+from vanillaswitch.coordination.fleet.machines import waves
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 from vanillaswitch.state import deployment as deployments
--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.coordination.fleet.machines import wave_driver
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns the fleet, and what an owner writes."""
--- a/src/vanillaswitch/coordination/fleet/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -6,9 +6,9 @@
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import operators
-from vanillaswitch.coordination.fleet import owner as owners
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import succession
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import platform
--- a/src/vanillaswitch/coordination/fleet/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -11,23 +11,23 @@
 import gevent
 import gevent.event
 
-from vanillaswitch.coordination.fleet import advice_task
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import core as cores
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
-from vanillaswitch.coordination.fleet import instance_task
-from vanillaswitch.coordination.fleet import instance_tasks
-from vanillaswitch.coordination.fleet import job_rows
-from vanillaswitch.coordination.fleet import listing
-from vanillaswitch.coordination.fleet import machine_task
-from vanillaswitch.coordination.fleet import queue_order
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import retention
-from vanillaswitch.coordination.fleet import sharing
-from vanillaswitch.coordination.fleet import succession
-from vanillaswitch.coordination.fleet import term_state
-from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.coordination.fleet.instances import advice_task
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.instances import instance_tasks
+from vanillaswitch.coordination.fleet.instances import listing
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.machines import machine_task
+from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import retention
+from vanillaswitch.coordination.fleet.ownership import succession
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import sharing
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/coordination/fleet/owner_link.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner_link.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from vanillaswitch.coordination.fleet import owner as owners
-from vanillaswitch.coordination.fleet import questions
+from vanillaswitch.coordination.fleet.intake import questions
+from vanillaswitch.coordination.fleet.ownership import owner as owners
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import peer_transport
 from vanillaswitch.protocol import peers
--- a/src/vanillaswitch/coordination/fleet/retention.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/retention.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.protocol import platform
 
 MARGIN_S = 30.0
--- a/src/vanillaswitch/coordination/fleet/succession.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/succession.py
@@ -6,7 +6,7 @@
 write either, and after an outage it has the first turn.
 """
 
-from vanillaswitch.coordination.fleet import recorder
+from vanillaswitch.coordination.fleet.ownership import recorder
 
 RENEW_S = 0.4
 """Longest pause between two writes of the owner; several fit into a term."""
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/queue/__init__.py
@@ -0,0 +1,1 @@
+"""What waits, in which order, and where it finds room."""
--- a/src/vanillaswitch/coordination/fleet/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from vanillaswitch.coordination.fleet import book
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.queue import book
+from vanillaswitch.coordination.fleet.queue import rooms
 
 Chosen = list[tuple[book.Task, rooms.Instance]]
 
--- a/src/vanillaswitch/coordination/fleet/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from vanillaswitch.coordination.fleet import book as books
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import orders
-from vanillaswitch.coordination.fleet import placement
-from vanillaswitch.coordination.fleet import queue_order
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import orders
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import placement
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 
 
--- a/src/vanillaswitch/coordination/fleet/progress.py
+++ b/src/vanillaswitch/coordination/fleet/queue/progress.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 import statistics
 
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.queue import rooms
 
 STALL_S = 2.2
 """A task whose progress stayed the same for so long, over two accounts of its
--- a/src/vanillaswitch/coordination/fleet/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from vanillaswitch.coordination.fleet import book
+from vanillaswitch.coordination.fleet.queue import book
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
--- a/src/vanillaswitch/coordination/fleet/sharing.py
+++ b/src/vanillaswitch/coordination/fleet/queue/sharing.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 import dataclasses
 
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.queue import rooms
 
 HIGH_SHARE = 0.85
 """Fills are slowed when a tail exceeds this share of its target: the figure
--- a/src/vanillaswitch/platform/jobs_http.py
+++ b/src/vanillaswitch/platform/jobs_http.py
@@ -4,9 +4,9 @@
 import re
 
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet import helped_intake
-from vanillaswitch.coordination.fleet import intake
-from vanillaswitch.coordination.fleet import owner_link
+from vanillaswitch.coordination.fleet.intake import helped_intake
+from vanillaswitch.coordination.fleet.intake import intake
+from vanillaswitch.coordination.fleet.ownership import owner_link
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import job_body
 from vanillaswitch.protocol import fleet
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -11,17 +11,17 @@
 import gevent
 
 from vanillaswitch.coordination import prompt_table
-from vanillaswitch.coordination.fleet import errands
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
-from vanillaswitch.coordination.fleet import helped_intake
-from vanillaswitch.coordination.fleet import intake
-from vanillaswitch.coordination.fleet import member as members
 from vanillaswitch.coordination.fleet import operators
-from vanillaswitch.coordination.fleet import owner as owners
-from vanillaswitch.coordination.fleet import owner_link
-from vanillaswitch.coordination.fleet import questions
 from vanillaswitch.coordination.fleet import telemetry
+from vanillaswitch.coordination.fleet.intake import errands
+from vanillaswitch.coordination.fleet.intake import helped_intake
+from vanillaswitch.coordination.fleet.intake import intake
+from vanillaswitch.coordination.fleet.intake import questions
+from vanillaswitch.coordination.fleet.ownership import member as members
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import owner_link
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
 from vanillaswitch.internal import logs
--- a/standins/model/scenario.py
+++ b/standins/model/scenario.py
@@ -11,8 +11,8 @@
 import cattrs.gen
 
 from standins.model import errors
-from vanillaswitch.coordination.fleet import capacity
-from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.coordination.fleet.machines import capacity
+from vanillaswitch.coordination.fleet.queue import queue_order
 
 
 @dataclasses.dataclass(frozen=True)
--- a/standins/model/world.py
+++ b/standins/model/world.py
@@ -21,14 +21,14 @@
 from standins.model import machines as modelled
 from standins.model import scenario as scenarios
 from standins.model import workload
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import instance_task
-from vanillaswitch.coordination.fleet import machine_task
-from vanillaswitch.coordination.fleet import queue_order
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import term_state
-from vanillaswitch.coordination.fleet import wave_driver
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.machines import machine_task
+from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
--- a/standins/turns.py
+++ b/standins/turns.py
@@ -18,8 +18,8 @@
 
 import click
 
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import queue_order
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.state import deployment as deployments
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -1,6 +1,6 @@
 """Machines follow the load: replays of turns on the decisions alone."""
 
-from vanillaswitch.coordination.fleet import capacity
+from vanillaswitch.coordination.fleet.machines import capacity
 
 CORE = 1000
 MACHINE = 16 * CORE
--- a/tests/cover/test_fleet_core.py
+++ b/tests/cover/test_fleet_core.py
@@ -3,8 +3,8 @@
 import pytest
 
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/cover/test_fleet_owners.py
+++ b/tests/cover/test_fleet_owners.py
@@ -15,11 +15,11 @@
 
 from standins import leased_instance
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import instance_task
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/cover/test_fleet_waves.py
+++ b/tests/cover/test_fleet_waves.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from tests.common import properties
-from vanillaswitch.coordination.fleet import waves
+from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.protocol import fleet
 
 UPKEEP_S = 2.0
--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -61,3 +61,48 @@
                 if not (target.is_dir() or target.with_suffix(".py").exists()):
                     wrong.append(f"{path.name}: {alias.name}")
     assert not wrong
+
+
+_FLEET = _ROOT / "coordination" / "fleet"
+_DECISIONS = (
+    "queue/*.py",
+    "machines/capacity.py",
+    "machines/evacuation.py",
+    "machines/waves.py",
+    "instances/accounts.py",
+    "instances/core.py",
+    "instances/endings.py",
+    "instances/orders.py",
+    "instances/term_state.py",
+    "intake/job_rows.py",
+    "ownership/succession.py",
+)
+_OUTSIDE = ("gevent", "time", "random", "socket", "transport", "clock")
+
+
+def test_decisions_know_no_clock_no_socket_and_no_task():
+    """A decision that sleeps or asks can't be replayed in virtual time."""
+    wrong = []
+    for pattern in _DECISIONS:
+        paths = sorted(_FLEET.glob(pattern))
+        assert paths, f"nothing matches {pattern}"
+        wrong.extend(
+            f"{path.relative_to(_ROOT)}: {name}"
+            for path in paths
+            for name in _imported_names(path)
+            if name in _OUTSIDE
+        )
+    assert not wrong
+
+
+def _imported_names(path: pathlib.Path) -> set[str]:
+    """Returns top packages and last names of what a module imports."""
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names.update(alias.name.partition(".")[0] for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module.partition(".")[0])
+            names.update(alias.name for alias in node.names)
+            names.update(node.module.split("."))
+    return names
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -8,8 +8,8 @@
 
 from tests.common import clocks
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import mover
-from vanillaswitch.coordination.fleet import waves
+from vanillaswitch.coordination.fleet.machines import mover
+from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/cover/test_progress.py
+++ b/tests/cover/test_progress.py
@@ -1,8 +1,8 @@
 """Tasks that stand still and instances that are slow are found."""
 
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import progress
-from vanillaswitch.coordination.fleet import rooms
+from vanillaswitch.coordination.fleet.queue import progress
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/cover/test_retention.py
+++ b/tests/cover/test_retention.py
@@ -2,9 +2,9 @@
 
 from standins import table as tables
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import book as books
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import retention
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import retention
+from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
 
--- a/tests/cover/test_sharing.py
+++ b/tests/cover/test_sharing.py
@@ -5,8 +5,8 @@
 
 from tests.common import fleets
 from tests.common import properties
-from vanillaswitch.coordination.fleet import rooms
-from vanillaswitch.coordination.fleet import sharing
+from vanillaswitch.coordination.fleet.queue import rooms
+from vanillaswitch.coordination.fleet.queue import sharing
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/cover/test_turns.py
+++ b/tests/cover/test_turns.py
@@ -11,7 +11,7 @@
 import pytest
 
 from standins import turns
-from vanillaswitch.coordination.fleet import queue_order
+from vanillaswitch.coordination.fleet.queue import queue_order
 
 SHORT = turns.Turn(jobs_per_s=35.0, instances=3, more=22, length_s=6.0)
 ENOUGH = turns.Turn(jobs_per_s=35.0, instances=36, more=36, length_s=4.0)
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -9,9 +9,9 @@
 
 from tests.common import clocks
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import member as members
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import succession
+from vanillaswitch.coordination.fleet.ownership import member as members
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.protocol import platform
 
 
--- a/tests/failures/test_dark_rack.py
+++ b/tests/failures/test_dark_rack.py
@@ -7,8 +7,8 @@
 
 from tests.common import clocks as manual
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import instance_task
-from vanillaswitch.coordination.fleet import machine_task
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.machines import machine_task
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 
--- a/tests/failures/test_emptied_machines.py
+++ b/tests/failures/test_emptied_machines.py
@@ -4,10 +4,10 @@
 
 from tests.common import clocks
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import evacuation
-from vanillaswitch.coordination.fleet import machine_task
-from vanillaswitch.coordination.fleet import wave_driver
-from vanillaswitch.coordination.fleet import waves
+from vanillaswitch.coordination.fleet.machines import evacuation
+from vanillaswitch.coordination.fleet.machines import machine_task
+from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
--- a/tests/failures/test_fleet_failures.py
+++ b/tests/failures/test_fleet_failures.py
@@ -2,13 +2,13 @@
 
 from tests.common import clocks
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import core as cores
-from vanillaswitch.coordination.fleet import evacuation
-from vanillaswitch.coordination.fleet import orders
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import succession
-from vanillaswitch.coordination.fleet import term_state
-from vanillaswitch.coordination.fleet import waves
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import orders
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.machines import evacuation
+from vanillaswitch.coordination.fleet.machines import waves
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
--- a/tests/failures/test_long_take_over.py
+++ b/tests/failures/test_long_take_over.py
@@ -5,9 +5,9 @@
 
 from tests.common import clocks
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import member as members
-from vanillaswitch.coordination.fleet import owner as owners
-from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import member as members
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as system_clock
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import platform
--- a/tests/failures/test_lost_store_answers.py
+++ b/tests/failures/test_lost_store_answers.py
@@ -7,9 +7,9 @@
 from tests.common import fleets
 from vanillaswitch.coordination import answer_times
 from vanillaswitch.coordination import prompt_table
-from vanillaswitch.coordination.fleet import intake
-from vanillaswitch.coordination.fleet import recorder as recorders
-from vanillaswitch.coordination.fleet import succession
+from vanillaswitch.coordination.fleet.intake import intake
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import platform
 
--- a/tests/failures/test_part_of_store_away.py
+++ b/tests/failures/test_part_of_store_away.py
@@ -5,9 +5,9 @@
 from tests.common import clocks as manual
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import follow
-from vanillaswitch.coordination.fleet import job_rows
-from vanillaswitch.coordination.fleet import owner as owners
-from vanillaswitch.coordination.fleet import recorder as recorders
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
--- a/tests/failures/test_refused_path.py
+++ b/tests/failures/test_refused_path.py
@@ -8,10 +8,10 @@
 import pytest
 
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import errands
-from vanillaswitch.coordination.fleet import helped_intake
-from vanillaswitch.coordination.fleet import intake as intakes
-from vanillaswitch.coordination.fleet import questions
+from vanillaswitch.coordination.fleet.intake import errands
+from vanillaswitch.coordination.fleet.intake import helped_intake
+from vanillaswitch.coordination.fleet.intake import intake as intakes
+from vanillaswitch.coordination.fleet.intake import questions
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import peers
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -5,7 +5,7 @@
 from standins import edge_http
 from tests.common import clocks as manual
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import intake
+from vanillaswitch.coordination.fleet.intake import intake
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import store as stores
 from vanillaswitch.protocol import platform
--- a/tests/failures/test_unlisted_instance.py
+++ b/tests/failures/test_unlisted_instance.py
@@ -4,10 +4,10 @@
 import gevent.event
 
 from tests.common import fleets
-from vanillaswitch.coordination.fleet import evacuation
-from vanillaswitch.coordination.fleet import instance_task
-from vanillaswitch.coordination.fleet import instance_tasks
-from vanillaswitch.coordination.fleet import term_state
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.instances import instance_tasks
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.machines import evacuation
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
