Take the tables of jobs out of the owner's file

Cause: `owner.py` had grown to 442 lines by what restores jobs whose part of the store is away.

Change: `JobTables` restores and follows the tables of jobs and cancels; the owner reads, records and runs its tasks. No behaviour changes.

Tests of take-overs, parts that are away, retention and real processes pass.

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -0,0 +1,166 @@
+"""The tables of jobs and cancels, as an owner restores and follows them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import jobs
+
+RESTORE_AT_ONCE = 50
+"""Jobs restored before other tasks get a turn: some 10 ms of work on half a
+core, in which the lease could not be renewed."""
+
+
+class JobTables:
+    """Tells the core of jobs and cancels for one term."""
+
+    def __init__(
+        self,
+        core: cores.Core,
+        feed: feeds.Feed,
+        clock: clocks.Clock,
+        emit: Callable[[object], None],
+        on_change: Callable[[], None],
+    ):
+        """Makes tables of which nothing has been read.
+
+        Args:
+            core: is told of jobs and cancels.
+            feed: where to read.
+            clock: paces the reads.
+            emit: takes events.
+            on_change: called when something may have changed.
+        """
+        self._core = core
+        self._clock = clock
+        self._on_change = on_change
+        self._unread: dict[str, feeds.Change] = {}
+        self._orphans: list[books.Entry] = []
+        self._jobs = follow.Follower(
+            feed,
+            recorders.JOB_TABLE,
+            clock,
+            lambda snapshot: self._on_jobs(snapshot.rows),
+            self._on_jobs,
+            emit,
+        )
+        self._cancels = follow.Follower(
+            feed,
+            recorders.CANCEL_TABLE,
+            clock,
+            lambda snapshot: self._on_cancels(snapshot.rows),
+            self._on_cancels,
+            emit,
+        )
+
+    def start_from(
+        self,
+        accepted: feeds.Snapshot,
+        progress: feeds.Snapshot,
+        cancelled: feeds.Snapshot,
+        now: float,
+    ) -> None:
+        """Restores what earlier owners left, and goes on from there."""
+        rows = {row.key: row for row in progress.rows}
+        for number, row in enumerate(accepted.rows, 1):
+            self._restore(row, rows.pop(row.key, None), now)
+            if number % RESTORE_AT_ONCE == 0:
+                self._clock.sleep(0)
+        self._unread = rows
+        self._jobs.start_from(accepted)
+        self._judge_unread()
+        self._core.inherit_runs(now, instance_task.inherited_lapse_at(now))
+        self._on_cancels(cancelled.rows)
+        self._cancels.start_from(cancelled)
+
+    def follow_jobs(self) -> None:
+        """Follows the table of jobs for good."""
+        self._jobs.run()
+
+    def follow_cancels(self) -> None:
+        """Follows the table of cancels for good."""
+        self._cancels.run()
+
+    def take_orphans(self) -> list[books.Entry]:
+        """Takes what stands for rows of progress whose job was removed."""
+        orphans, self._orphans = self._orphans, []
+        return orphans
+
+    def _restore(
+        self, row: feeds.Change, progress: feeds.Change | None, now: float
+    ) -> None:
+        if row.value is None:
+            return
+        job = job_rows.unpack(row.value)
+        if progress is None or progress.value is None:
+            self._core.job_added(job, now)
+            return
+        self._core.restore(job, progress.value, progress.version, now)
+
+    def _judge_unread(self) -> None:
+        """Tells jobs that can't be read yet from jobs that were removed.
+
+        While a part of the table of jobs is away, a row of progress without
+        its job may be either. What runs for one that has not ended must go on
+        untouched: stopped, or started a second time, it would break what its
+        client was promised by the owner before.
+        """
+        if self._jobs.whole:
+            self._orphans.extend(map(_orphan, self._unread.values()))
+            self._unread = {}
+        self._core.unread = {
+            key
+            for key, row in self._unread.items()
+            if row.value is not None and not books.has_ended(row.value)
+        }
+
+    def _on_jobs(self, changes: Iterable[feeds.Change]) -> None:
+        now = self._clock.monotonic()
+        for change in changes:
+            if change.value is None:
+                continue
+            progress = self._unread.pop(change.key, None)
+            if progress is not None:
+                self._restore_late(change, progress, now)
+                continue
+            job = job_rows.unpack(change.value)
+            self._core.job_added(job, now, self._clock.wall() * 1000)
+        if self._unread:
+            self._judge_unread()
+        self._on_change()
+
+    def _restore_late(
+        self, row: feeds.Change, progress: feeds.Change, now: float
+    ) -> None:
+        if row.value is None or progress.value is None:
+            return
+        self._core.unread = set(self._core.unread) - {row.key}
+        self._core.restore_late(
+            job_rows.unpack(row.value),
+            progress.value,
+            progress.version,
+            now,
+            instance_task.inherited_lapse_at(now),
+        )
+
+    def _on_cancels(self, changes: Iterable[feeds.Change]) -> None:
+        now = self._clock.monotonic()
+        for change in changes:
+            if change.value is not None:
+                self._core.cancelled(change.key, now)
+        self._on_change()
+
+
+def _orphan(row: feeds.Change) -> books.Entry:
+    """Returns what stands for a row of progress whose job was removed."""
+    job = jobs.Job(row.key, "", "", "", (jobs.Step(count=1),), 0)
+    entry = books.Entry(job, 0.0)
+    entry.version = row.version
+    return entry
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -1,7 +1,6 @@
 """One term of owning the fleet: the tasks around the owner's decisions."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -19,9 +18,9 @@
 from vanillaswitch.coordination.fleet.instances import instance_tasks
 from vanillaswitch.coordination.fleet.instances import listing
 from vanillaswitch.coordination.fleet.instances import term_state
-from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.machines import machine_task
 from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.coordination.fleet.ownership import job_tables
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.coordination.fleet.ownership import retention
 from vanillaswitch.coordination.fleet.ownership import succession
@@ -39,10 +38,6 @@
 """Pause before rows are written, in which events of the same moment gather:
 one transaction takes 7 ms, so fewer and larger ones cost little time."""
 
-RESTORE_AT_ONCE = 50
-"""Jobs restored before other tasks get a turn: some 10 ms of work on half a
-core, in which the lease could not be renewed."""
-
 LOAD_S = 6.0
 """A term whose rows can't be read for so long is given up: if only this
 process's readings fail, another one may have them. Given up at once, terms of
@@ -98,7 +93,6 @@
         self._loaded = False
         self._finishing = False
         self._removed: list[books.Entry] = []
-        self._unread: dict[str, feeds.Change] = {}
         self._recording = False
         self._wake = gevent.event.Event()
         self._core = cores.Core(
@@ -120,15 +114,8 @@
             emit,
             self._wake.set,
         )
-        self._jobs = self._follower(
-            recorders.JOB_TABLE,
-            lambda snapshot: self._some_jobs(snapshot.rows),
-            self._some_jobs,
-        )
-        self._cancels = self._follower(
-            recorders.CANCEL_TABLE,
-            lambda snapshot: self._some_cancels(snapshot.rows),
-            self._some_cancels,
+        self._tables = job_tables.JobTables(
+            self._core, outside.feed, clock, emit, self._wake.set
         )
         self._machines = machine_task.MachineTask(
             self._core,
@@ -141,21 +128,6 @@
             emit,
         )
 
-    def _follower(
-        self,
-        table: str,
-        on_snapshot: follow.OnSnapshot,
-        on_changes: follow.OnChanges,
-    ) -> follow.Follower:
-        return follow.Follower(
-            self._outside.feed,
-            table,
-            self._clock,
-            on_snapshot,
-            on_changes,
-            self._emit,
-        )
-
     @property
     def core(self) -> cores.Core:
         """The owner's state."""
@@ -213,18 +185,7 @@
         now = self._clock.monotonic()
         self._refresh_config()
         self._listing.start_from(listed)
-        rows = {row.key: row for row in progress.rows}
-        for number, row in enumerate(accepted.rows, 1):
-            self._restore(row, rows.pop(row.key, None), now)
-            if number % RESTORE_AT_ONCE == 0:
-                self._clock.sleep(0)
-        self._unread = rows
-        self._jobs.start_from(accepted)
-        self._judge_unread()
-        lapses = instance_task.inherited_lapse_at(now)
-        self._core.inherit_runs(now, lapses)
-        self._some_cancels(cancelled.rows)
-        self._cancels.start_from(cancelled)
+        self._tables.start_from(accepted, progress, cancelled, now)
         return True
 
     def _snapshot(self, table: str) -> feeds.Snapshot | None:
@@ -234,34 +195,6 @@
         self._emit(events.Dependency(f"table {table}", "lost", outcome.reason))
         return None
 
-    def _judge_unread(self) -> None:
-        """Tells jobs that can't be read yet from jobs that were removed.
-
-        While a part of the table of jobs is away, a row of progress without
-        its job may be either. What runs for one that has not ended must go on
-        untouched: stopped, or started a second time, it would break what its
-        client was promised by the owner before.
-        """
-        if self._jobs.whole:
-            self._removed.extend(_orphan(row) for row in self._unread.values())
-            self._unread = {}
-        self._core.unread = {
-            key
-            for key, row in self._unread.items()
-            if row.value is not None and not books.has_ended(row.value)
-        }
-
-    def _restore(
-        self, row: feeds.Change, progress: feeds.Change | None, now: float
-    ) -> None:
-        if row.value is None:
-            return
-        job = job_rows.unpack(row.value)
-        if progress is None or progress.value is None:
-            self._core.job_added(job, now)
-            return
-        self._core.restore(job, progress.value, progress.version, now)
-
     @contextlib.contextmanager
     def serving(self) -> Iterator[None]:
         """Runs the owner's tasks while the block lasts."""
@@ -271,8 +204,8 @@
                 self._plan_all,
                 self._record_all,
                 self._listing.run,
-                self._jobs.run,
-                self._cancels.run,
+                self._tables.follow_jobs,
+                self._tables.follow_cancels,
                 self._machines.run,
                 self._machines.mover.run,
                 self._remove_old,
@@ -301,44 +234,6 @@
         while self._recording and self._clock.monotonic() < until:
             self._clock.sleep(GATHER_S)
 
-    # What the store says.
-
-    def _some_jobs(self, changes: Iterable[feeds.Change]) -> None:
-        now = self._clock.monotonic()
-        for change in changes:
-            if change.value is None:
-                continue
-            progress = self._unread.pop(change.key, None)
-            if progress is not None:
-                self._restore_late(change, progress, now)
-                continue
-            job = job_rows.unpack(change.value)
-            self._core.job_added(job, now, self._clock.wall() * 1000)
-        if self._unread:
-            self._judge_unread()
-        self._wake.set()
-
-    def _restore_late(
-        self, row: feeds.Change, progress: feeds.Change, now: float
-    ) -> None:
-        if row.value is None or progress.value is None:
-            return
-        self._core.unread = set(self._core.unread) - {row.key}
-        self._core.restore_late(
-            job_rows.unpack(row.value),
-            progress.value,
-            progress.version,
-            now,
-            instance_task.inherited_lapse_at(now),
-        )
-
-    def _some_cancels(self, changes: Iterable[feeds.Change]) -> None:
-        now = self._clock.monotonic()
-        for change in changes:
-            if change.value is not None:
-                self._core.cancelled(change.key, now)
-        self._wake.set()
-
     # Planning and recording.
 
     def _plan_all(self) -> None:
@@ -414,9 +309,9 @@
             )
             for entry in batch.entries
         ]
-        removed, self._removed = self._removed, []
+        removed = self._removed + self._tables.take_orphans()
         spare = recorders.MAX_ROWS - len(puts)
-        self._removed.extend(removed[spare:])
+        self._removed = removed[spare:]
         puts.extend(retention.progress_removal(removed[:spare]))
         written = self._recorder.write(puts)
         if isinstance(written, recorders.Deposed):
@@ -432,11 +327,3 @@
             task = self._instances.get(start.instance)
             if task is not None:
                 task.send_start(start)
-
-
-def _orphan(row: feeds.Change) -> books.Entry:
-    """Returns what stands for a row of progress whose job was removed."""
-    job = jobs.Job(row.key, "", "", "", (jobs.Step(count=1),), 0)
-    entry = books.Entry(job, 0.0)
-    entry.version = row.version
-    return entry
--- a/tests/failures/test_part_of_store_away.py
+++ b/tests/failures/test_part_of_store_away.py
@@ -141,7 +141,7 @@
     end = fleet.End(1, _TASK, 1, fleet.How.DONE, "")
     core.held("i-1", fleets.held((end,)), 0.0, 0.0)
     assert core.take_batch(10).seen == {"i-1": 0}
-    owner._jobs._step()
+    owner._tables._jobs._step()
     entry = core.book.get(_TASK.job_id)
     assert entry.task(_TASK).state == "d"
     core.plan(0.0, fleets.WALL_MS)
