--- a/soak/faults.py
+++ b/soak/faults.py
@@ -48,6 +48,16 @@
     _start_again(edge)
 
 
+@FAULTS.register("kill-owner")
+def kill_owner(world: worlds.World, seconds: float) -> None:
+    """Kills whoever owns the fleet, again once another one does."""
+    for _ in range(SERIES):
+        edge = world.owner() or _any_edge(world)
+        edge.kill()
+        gevent.sleep(seconds / SERIES)
+        _start_again(edge)
+
+
 @FAULTS.register("kill-all")
 def kill_all(world: worlds.World, seconds: float) -> None:
     """Kills all processes at once."""
@@ -106,6 +116,25 @@
     world.platform.rows.lose_answers = False
 
 
+@FAULTS.register("store-loses-some")
+def store_loses_some(world: worlds.World, seconds: float) -> None:
+    """The store does not answer each third of its writes."""
+    world.platform.rows.lose_every = 3
+    gevent.sleep(seconds)
+    world.platform.rows.lose_every = 0
+
+
+@FAULTS.register("store-part-away")
+def store_part_away(world: worlds.World, seconds: float) -> None:
+    """Parts of the tables are away, and the owner is killed meanwhile."""
+    parts = world.platform.rows.parts_away
+    chosen = world.random.sample(world.parts, len(world.parts) // 3)
+    parts.update(chosen)
+    gevent.sleep(seconds / 3)
+    kill_owner(world, seconds / 3)
+    parts.difference_update(chosen)
+
+
 @FAULTS.register("store-forgets")
 def store_forgets(world: worlds.World, seconds: float) -> None:
     """The store drops its history, again and again."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -41,6 +41,16 @@
     random: random.Random
     version: int = 1
 
+    @property
+    def parts(self) -> list[str]:
+        """The parts that hold what clients hand in."""
+        return self.platform.rows.parts("job")
+
+    def owner(self) -> edge_processes.Edge | None:
+        """Returns the process that owns the fleet, if one seems to."""
+        holder = self.platform.rows.owner()
+        return next((edge for edge in self.edges if edge.name == holder), None)
+
     def configure(self) -> None:
         """Writes the operators' next configuration."""
         self.version += self.random.randint(1, 5)
@@ -51,6 +61,8 @@
         """Takes all harm away and starts what does not run."""
         self.platform.rows.down = False
         self.platform.rows.lose_answers = False
+        self.platform.rows.lose_every = 0
+        self.platform.rows.parts_away.clear()
         links = [*self.store_links.values(), *self.instance_links.values()]
         for link in links:
             link.harm(relays.Harm.NONE)
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -222,6 +222,8 @@
         if path == "/-/rows-tx":
             return self._transact(json.loads(body), start_response)
         if path == "/-/rows-get":
+            if query.get("part", "") in self.rows.parts_away:
+                return _answer(start_response, 503, {})
             page = self.rows.read(
                 query["table"],
                 query.get("part", ""),
@@ -239,8 +241,10 @@
     def _transact(
         self, body: dict[str, Any], start_response: Any
     ) -> list[bytes]:
+        if self.rows.away(body):
+            return _answer(start_response, 503, {})
         status, answer = self.rows.transact(body)
-        if self.rows.lose_answers:
+        if self.rows.loses_this_answer:
             gevent.sleep(60)
         return _answer(start_response, status, answer)
 
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -42,11 +42,16 @@
     Attributes:
         down: every call is refused as not done.
         lose_answers: transactions take effect and are not answered.
+        lose_every: each so many-th of them is not answered; 0 for none.
+        parts_away: parts of tables whose calls are refused as not done.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.lose_answers = False
+        self.lose_every = 0
+        self.parts_away: set[str] = set()
+        self._transactions = 0
         self._rows: dict[Address, StoredRow] = {}
         self._history: list[StoredRow] = []
         self._forgotten = 0
@@ -57,8 +62,27 @@
         """The newest version."""
         return self._version
 
+    @property
+    def loses_this_answer(self) -> bool:
+        """Whether the answer to the last transaction gets lost."""
+        if self.lose_answers:
+            return True
+        return bool(self.lose_every) and (
+            self._transactions % self.lose_every == 0
+        )
+
+    def away(self, body: dict[str, Any]) -> bool:
+        """Whether a transaction touches a part that is away."""
+        rows = [
+            row
+            for kind in ("expected", "writes", "remove")
+            for row in body.get(kind, [])
+        ]
+        return any(row.get("part", "") in self.parts_away for row in rows)
+
     def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Applies a transaction; returns status and body of the answer."""
+        self._transactions += 1
         expected = body.get("expected", [])
         stale = [
             row
@@ -132,6 +156,18 @@
         self._version += 1
         self._put(StoredRow((table, "", key), None, self._version))
 
+    def parts(self, table: str) -> list[str]:
+        """Returns the parts in which a table has rows."""
+        return sorted({part for of, part, _ in self._rows if of == table})
+
+    def owner(self) -> str:
+        """Returns who owns the fleet by its row; empty when nobody does."""
+        for (table, _, _), row in self._rows.items():
+            if table == "owner" and row.value is not None:
+                document = json.loads(base64.b64decode(row.value))
+                return str(document["value"].get("holder", ""))
+        return ""
+
     def document(self, table: str, key: str) -> dict[str, Any] | None:
         """Reads a shared document."""
         row = self._rows.get((table, "", key))
