Count a job as waiting until a task of it has begun

A job counted as begun when its tasks were given to instances; an owner that can't write or send its starts then has an empty queue.

Ruled out: rows that an owner had not heard of.

Change: `Entry.begun` is set when an instance accepts a start, lists the run or lists its end; a queue's length counts jobs that have not begun. The state shown and the rows stay as they were. One test held the old meaning ("given to an instance" as started): it now says 2 after the plan and 1 after the starts, which is stricter.

--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -68,6 +68,7 @@
                 return
         run.confirmed = True
         run.inherited = False
+        self._begun(row.task.job_id)
         progress.observe(instance, run, row.percent, now)
         run.gauge = row.gauge
         run.saved = row.saved or run.saved
--- a/src/vanillaswitch/coordination/fleet/instances/endings.py
+++ b/src/vanillaswitch/coordination/fleet/instances/endings.py
@@ -42,6 +42,7 @@
         """Takes note of one listed end."""
         run = instance.remove((end.task, end.run))
         self._changed = True
+        self._begun(end.task.job_id)
         entry = self.book.get(end.task.job_id)
         if entry is None or entry.ended is not None:
             return
--- a/src/vanillaswitch/coordination/fleet/instances/orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/orders.py
@@ -28,6 +28,7 @@
         run = self._run(instance, key)
         if run is not None:
             run.confirmed = True
+            self._begun(key[0].job_id)
 
     def start_refused(
         self,
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -147,6 +147,12 @@
             if instance.registration.service == service
         ]
 
+    def _begun(self, job_id: str) -> None:
+        """Takes note that a task of a job has surely begun."""
+        entry = self.book.get(job_id)
+        if entry is not None:
+            entry.begun = True
+
     def _run(self, instance: str, key: rooms.RunKey) -> rooms.Run | None:
         known = self.instances.get(instance)
         return known.runs.get(key) if known else None
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -88,7 +88,13 @@
 
 
 class Entry:
-    """One accepted job."""
+    """One accepted job.
+
+    Attributes:
+        started: a task of it was given to an instance.
+        begun: a task of it has begun, by the word of its instance. An owner
+            that can't send what it decided has jobs started and not begun.
+    """
 
     def __init__(self, job: jobs.Job, now: float):
         """Makes an entry for a job none of whose steps is open yet.
@@ -101,6 +107,7 @@
         self.heard_at = now
         self.ended: jobs.JobState | None = None
         self.started = False
+        self.begun = False
         self.shown = jobs.JobState.QUEUED
         self.version = 0
         self.ended_ms = 0.0
@@ -201,6 +208,7 @@
         """Restores what ``pack`` returned."""
         self.started = bool(document.get("started"))
         self._done = {(row[0], row[1]) for row in document.get("done", ())}
+        self.begun = bool(self._done)
         self._opened = set(self._done)
         ended = document.get("ended")
         self.ended = jobs.JobState(ended) if ended else None
@@ -289,12 +297,17 @@
         return bool(self._dirty)
 
     def pending(self, queue: str) -> int:
-        """Returns how many jobs without times wait for their first start."""
+        """Returns how many jobs without times wait for their first start.
+
+        A job counts until a task of it has begun. Counted by what was decided,
+        a queue looked empty while its owner could not send or write its
+        starts, and clients that ask before they hand in were misled.
+        """
         return sum(
             1
             for entry in self._live.values()
             if entry.job.queue == queue
-            and not entry.started
+            and not entry.begun
             and not entry.job.repeat_count
         )
 
--- a/tests/cover/test_fleet_core.py
+++ b/tests/cover/test_fleet_core.py
@@ -257,7 +257,9 @@
     core.job_added(fleets.job(2), 0.5)
     timed = fleets.job(3, repeat_count=1, first_run_ms=fleets.WALL_MS * 2)
     core.job_added(timed, 0.5)
-    fleets.plan(core)
+    decided = fleets.plan(core)
+    assert core.book.pending("quotes") == 2
+    fleets.run_all(core, decided)
     assert core.book.pending("quotes") == 1
 
 
