Pause between readings of a store that refuses

Cause: the hint that an owner's stream ended was kept until the owner's row had been read, so a process whose readings fail read again without any pause, as did each process that starts while the store refuses.

Change: an end of the stream shortens one pause. The test counts more than 50 readings in a second without it, five at most with it.

--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -74,6 +74,7 @@
         self._term_ended = term_ended
         self._watch = watch
         self._watched = ""
+        self._hinted = False
         self._me = recorders.OwnerRow(
             settings.process, settings.internal_address, boot
         )
@@ -123,10 +124,15 @@
             )
 
     def _pause(self, seconds: float) -> None:
-        """Sleeps, less long where the owner's stream ends meanwhile."""
+        """Sleeps, less long where the owner's stream ends meanwhile.
+
+        Each end shortens one pause: a store that can't be read leaves the
+        owner to be looked for, and would be read again without any pause.
+        """
         until = self._clock.monotonic() + seconds
-        while self._clock.monotonic() < until and self._looked:
+        while self._clock.monotonic() < until and not self._hinted:
             self._clock.sleep(min(HINT_S, seconds))
+        self._hinted = False
 
     def stream_closed(self, address: str) -> None:
         """Takes the end of a stream as a hint that a process ended.
@@ -137,6 +143,7 @@
         if address and address == self._succession.row.address:
             self._watched = ""
             self._looked = False
+            self._hinted = True
 
     def _watch_owner(self) -> None:
         address = self._succession.row.address
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -99,6 +99,46 @@
     assert waited <= members.HINT_S + members.SPREAD_S + 0.01
 
 
+class _Unreadable(_Table):
+    """Refuses each reading; ends the run after a second's worth of them."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.readings = 0
+
+    def read(self, keys):
+        del keys
+        self.readings += 1
+        if self._clock.monotonic() > 1001.0 or self.readings > 50:
+            raise _TakenOverError
+        return platform.Unavailable("status 503")
+
+
+def test_a_store_that_refuses_is_not_read_without_a_pause():
+    """A store in trouble is pressed by every process that has just started.
+
+    The owner is to be looked for as soon as its row can be read, and until
+    then each failed reading was followed by the next one at once.
+    """
+    clock = clocks.ManualClock()
+    table = _Unreadable(clock)
+    member = members.Member(
+        types.SimpleNamespace(table=table),
+        types.SimpleNamespace(config=object()),
+        fleets.deployment(),
+        "new",
+        clock,
+        random.Random(1),
+        lambda _: 0,
+        lambda *_: False,
+        lambda _: None,
+        lambda _: None,
+    )
+    with pytest.raises(_TakenOverError):
+        member.run()
+    assert table.readings <= 5
+
+
 @pytest.mark.parametrize("limits", [{"cores": 0.5}, {"link_mbps": 5.0}])
 def test_a_weak_machine_leaves_the_fleet_to_a_stronger_one(limits):
     """Quotes wait for a whole day after all processes began anew.
