Take an assertion that could not fail out of the model's test

Cause: reading the diff: a list was sorted and compared with itself. The reason why faults of one kind are drawn once now stands beside it.

--- a/tests/cover/test_model.py
+++ b/tests/cover/test_model.py
@@ -62,10 +62,9 @@
     faults=st.lists(_FAULT, max_size=3), seed=st.integers(0, 1000)
 )
 def test_nothing_runs_twice_and_room_is_kept_whatever_fails(faults, seed):
-    ends = sorted((fault.at, fault.at + fault.for_s) for fault in faults)
-    same = {fault.kind for fault in faults}
-    hypothesis.assume(len(same) == len(faults))
-    assert ends == sorted(ends)
+    # Two of a kind would end each other: the model keeps one switch a kind.
+    kinds = {fault.kind for fault in faults}
+    hypothesis.assume(len(kinds) == len(faults))
     world = _Watched(_scenario(*faults), _POLICY, 1.0, seed)
     day = world.play()
     total = len(world.machines.machines) * world.machines.now
