End a process in time that is told to stop while it takes the fleet over

Cause: Owner.load renewed its lease by a task beside the readings and, on leaving, waited for that task. Its write is tried until the store answers or the term is lost. A process that was told to stop while it read the rows, with a store that did not answer, waited for good: the shutdown kills each task once, and the wait stood in the clean-up of the task that was killed. The listed test blocks its stand-in store while it waits for the process, so a process that was still at reading the rows met a silent store.

Ruled out: the signal comes before its handler is set (readiness is 200 only after the main task waits for the signal); the output fills up (it is written without blocking).

Change: the renewing task is ended, not waited for, when the reading is given up; a reading ends when the process is about to leave. A stop that exceeds nine tenths of the grace time writes where its tasks wait, in one line, and ends with code 4.

--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -248,7 +248,7 @@
             self._clock,
             self._emit,
         )
-        if not owner.load():
+        if not owner.load(lambda: self._leaving):
             logs.warning("the fleet's rows can't be read")
             recorder.release(LEAVE_S)
             return
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -142,26 +142,41 @@
         """Returns how many jobs of a queue wait for their first start."""
         return self._core.book.pending(queue)
 
-    def load(self) -> bool:
+    def load(self, leaving: Callable[[], bool] = lambda: False) -> bool:
         """Reads what earlier owners left; False when it can't be read.
 
         The lease is renewed meanwhile: reading some thousand jobs takes longer
         than an owner may be silent, and a table may be away for seconds while
         the owner's row is served.
+
+        Args:
+            leaving: whether the process is about to end.
         """
-        renewing = gevent.spawn(self._renew)
         until = self._clock.monotonic() + LOAD_S
-        try:
-            while not self._recorder.deposed:
+        with self._renewing():
+            while not self._recorder.deposed and not leaving():
                 if self._read_all():
                     return True
                 if self._clock.monotonic() >= until:
                     return False
                 self._clock.sleep(follow.RETRY_S)
             return False
-        finally:
+
+    @contextlib.contextmanager
+    def _renewing(self) -> Iterator[None]:
+        """Renews the lease while the block lasts, and ends the last write.
+
+        A block that is given up, as by a process that has to end, does not
+        wait for that write: a silent store never answers it, and the process
+        stayed until it was killed.
+        """
+        renewing = gevent.spawn(self._renew)
+        try:
+            yield
             self._loaded = True
             renewing.join()
+        finally:
+            renewing.kill(block=False)
 
     def _renew(self) -> None:
         while not self._loaded and not self._recorder.deposed:
--- a/src/vanillaswitch/daemons/edge.py
+++ b/src/vanillaswitch/daemons/edge.py
@@ -1,5 +1,6 @@
 """``vanillaswitch edge``: a process on the users' platform as a daemon."""
 
+import contextlib
 import sys
 
 import click
@@ -13,6 +14,11 @@
 from vanillaswitch.platform import settings as platform_settings
 from vanillaswitch.wiring import edge
 
+STOP_SHARE = 0.9
+"""Share of the grace time after which a stop is given up. An orderly one takes
+3.7 s of 6 s at most (``wiring.edge.Edge.stop``); after the whole of it the
+platform kills the process, and nothing tells what it waited for."""
+
 
 @click.command("edge")
 def command() -> None:
@@ -21,7 +27,8 @@
     The platform names the settings file by VANILLASWITCH_SETTINGS. SIGTERM
     stops it gracefully.
 
-    Exit codes: 0 stopped, 2 wrong settings, 4 a broken invariant.
+    Exit codes: 0 stopped, 2 wrong settings, 4 a broken invariant or a stop
+    that was not over in time.
     """
     try:
         settings = platform_settings.load(platform_settings.path())
@@ -30,10 +37,13 @@
         sys.exit(exits.USAGE)
     logs.configure(settings.process, "json")
     lifecycle.on_reload(_reload)
-    with startup.ending_when_broken("edge"), edge.run(settings) as running:
-        lifecycle.wait_for_stop()
-        logs.event(events.Process("stops", "told by a signal"))
-        running.stop(settings.bounds.grace_s)
+    limit_s = STOP_SHARE * settings.bounds.grace_s
+    with contextlib.ExitStack() as ending:
+        with startup.ending_when_broken("edge"), edge.run(settings) as running:
+            lifecycle.wait_for_stop()
+            logs.event(events.Process("stops", "told by a signal"))
+            ending.enter_context(lifecycle.ending_within(limit_s, exits.BROKEN))
+            running.stop(settings.bounds.grace_s)
         logs.event(events.Process("stopped", ""))
     logs.flush()
 
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -25,6 +25,9 @@
 HEARTBEAT_S = 0.5
 """How often instances write to the store."""
 
+SILENCE_S = 60.0
+"""How long a silent platform keeps a call: longer than any caller waits."""
+
 CLOCK_S = 0.05
 """How often the clock of an instance goes on, by which its leases lapse."""
 
@@ -173,12 +176,18 @@
 
 
 class EdgePlatform:
-    """Store and machines on one port, and the instances."""
+    """Store and machines on one port, and the instances.
+
+    Attributes:
+        rows: what the store holds.
+        silent: no call of the store or of the list is answered.
+    """
 
     def __init__(
         self, instances: int, task_s: float, observer: Observer = _UNWATCHED
     ):
         self.rows = rows_module.MemoryRows()
+        self.silent = False
         self._server = sockets.HttpServer(
             sockets.listen("127.0.0.1:0"), self._application
         )
@@ -214,6 +223,8 @@
             self._server.stop(timeout=0)
 
     def _application(self, environ: Any, start_response: Any) -> list[bytes]:
+        if self.silent:
+            gevent.sleep(SILENCE_S)
         if self.rows.down:
             return _answer(start_response, 503, {})
         path = environ["PATH_INFO"]
--- /dev/null
+++ b/tests/failures/test_stop_in_take_over.py
@@ -0,0 +1,121 @@
+"""A process that is told to stop while it takes the fleet over."""
+
+import signal
+import time
+import types
+
+import gevent
+
+from standins import edge_http
+from standins import edge_processes
+from tests.common import fleets
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import minions
+from vanillaswitch.protocol import platform
+from vanillaswitch.transport import plain_http
+
+_WAIT_S = 20.0
+
+
+class _SilentAfterTakeOver:
+    """Takes the first commit and answers no later one."""
+
+    def __init__(self):
+        self.commits = 0
+
+    def commit(self, transaction):
+        del transaction
+        self.commits += 1
+        if self.commits == 1:
+            return platform.Committed(1)
+        return platform.OutcomeUnknown("no answer")
+
+
+class _SilentFeed:
+    """Answers no reading."""
+
+    def snapshot(self, table, parts=()):
+        del table, parts
+        gevent.sleep(60)
+        return platform.Unavailable("no answer")
+
+
+def _loading_owner():
+    table = _SilentAfterTakeOver()
+    clock = clocks.SystemClock()
+    recorder = recorders.Recorder(
+        table, clock, recorders.OwnerRow("edge-1", "a:1", "boot-1")
+    )
+    assert recorder.take_over(0, 0.0)
+    outside = types.SimpleNamespace(
+        table=table,
+        feed=_SilentFeed(),
+        upstreams=None,
+        machines=None,
+        advisor=None,
+        registrations="servers",
+        registration=lambda name, _: fleets.registration(name),
+        waves=None,
+    )
+    return owners.Owner(
+        outside,
+        recorder,
+        fleets.deployment(),
+        lambda: fleets.config(),
+        clock,
+        lambda _: None,
+    )
+
+
+def test_reading_the_rows_can_be_given_up_while_the_store_is_silent():
+    """A process that is told to stop is there until it is killed.
+
+    It has just become the owner and reads the rows when the store falls
+    silent. On leaving it waited for the write that renews its lease, which is
+    tried until the store answers: the process never ended by itself.
+    """
+    loading = gevent.spawn(_loading_owner().load)
+    gevent.sleep(0.2)
+    loading.kill(timeout=2.0)
+    assert loading.dead
+
+
+def _until(holds):
+    deadline = time.monotonic() + _WAIT_S
+    while not holds():
+        assert time.monotonic() < deadline
+        gevent.sleep(0.05)
+
+
+def _is_ready(client, edge):
+    sent = client.call(edge.ready, "GET", "/-/ready", b"", timeout_s=3.0)
+    return isinstance(sent, minions.Answered) and sent.answer.status == 200
+
+
+def test_a_process_ends_in_time_although_the_store_is_silent(tmp_path):
+    """The same with a real process.
+
+    The table of jobs is away in part, so that the owner stays at reading it;
+    then the store answers nothing any more, and the process is told to stop.
+    """
+    outside = edge_http.EdgePlatform(1, 0.1)
+    outside.rows.write("op", "config", edge_processes.config())
+    outside.rows.parts_away = {f"vanillaswitch-{part}" for part in range(8)}
+    with (
+        outside.serving(),
+        plain_http.open_client(clocks.SystemClock()) as client,
+    ):
+        edge = edge_processes.Edge(
+            "edge-1", tmp_path, outside.address, outside.address
+        )
+        try:
+            _until(lambda: _is_ready(client, edge))
+            _until(lambda: outside.rows.owner() == "edge-1")
+            outside.silent = True
+            edge.send(signal.SIGTERM)
+            _until(lambda: not edge.runs)
+            assert edge.process.returncode == 0
+        finally:
+            edge.kill()
