Count ages between processes on the store's steady clock

Cause: what one process wrote by its time of day another one judged by its own. An owner an hour ahead removed the rows of jobs that had just ended (clients were told that there is no such job); jobs whose entry's clock is behind seemed too late to be of use and were started last; a wave seemed to have begun an hour ago.

Ruled out: counting by each owner's own steady clock, since rows would never be removed where owners change more often than every two and a half minutes.

Change: the store tells its steady clock with each answer. Hand-ins, ends and waves are recorded on it, and ages are counted on it. Tests share one way to begin a term.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -55,7 +55,7 @@
     """The owner heard of a job.
 
     Attributes:
-        age_ms: time since its entry took it in, by the wall clock.
+        age_ms: time since its entry took it in, by the store's clock.
         pending: jobs of its queue that wait for their first start.
     """
 
--- a/src/vanillaswitch/coordination/fleet/instances/advice_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_task.py
@@ -1,10 +1,13 @@
 """Asks the advising service which instances may run a step."""
 
+from collections.abc import Callable
+
 import gevent
 import gevent.event
 
 from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
@@ -25,8 +28,10 @@
         advisor: fleet.Advisor,
         clock: clocks.Clock,
         wake: gevent.event.Event,
+        wall_ms: Callable[[], float],
     ):
         self._core = core
+        self._wall_ms = wall_ms
         self._advisor = advisor
         self._clock = clock
         self._wake = wake
@@ -37,8 +42,8 @@
         if not any(queue.advice for queue in self._core.queues.values()):
             return
         now = self._clock.monotonic()
-        wall_ms = self._clock.wall() * 1000
-        for steps in self._core.ready_steps(wall_ms).values():
+        moment = queue_order.Moment(now, self._wall_ms())
+        for steps in self._core.ready_steps(moment).values():
             for step in steps:
                 key = (step.entry.job.job_id, step.occurrence, step.number)
                 tickets = self._core.tickets_for(step, now)
--- a/src/vanillaswitch/coordination/fleet/instances/core.py
+++ b/src/vanillaswitch/coordination/fleet/instances/core.py
@@ -27,13 +27,17 @@
 class Core(planning.Planning):
     """The owner's state and decisions; takes in jobs and cancels."""
 
-    def job_added(
-        self, job: jobs.Job, now: float, wall_ms: float = 0.0
-    ) -> None:
-        """Takes in a job; one that is known already changes nothing."""
+    def job_added(self, job: jobs.Job, now: float, age_s: float = 0.0) -> None:
+        """Takes in a job; one that is known already changes nothing.
+
+        Args:
+            job: the job.
+            now: monotonic seconds.
+            age_s: how long ago its entry took it in.
+        """
         if self.book.get(job.job_id) is not None:
             return
-        entry = books.Entry(job, now)
+        entry = books.Entry(job, now, age_s)
         self.book.add(entry)
         self._changed = True
         self._count_arrival(entry, now)
@@ -41,7 +45,7 @@
             events.JobTakenIn(
                 job.job_id,
                 job.queue,
-                max(0, int(wall_ms - job.submitted_ms)),
+                int(age_s * 1000),
                 self.book.pending(job.queue),
             )
         )
@@ -66,9 +70,10 @@
         document: Mapping[str, object],
         version: int,
         now: float,
+        age_s: float = 0.0,
     ) -> None:
         """Takes in a job with the row that an earlier owner wrote."""
-        entry = books.Entry(job, now)
+        entry = books.Entry(job, now, age_s)
         entry.unpack(document)
         entry.version = version
         self.book.add(entry)
@@ -80,6 +85,7 @@
         version: int,
         now: float,
         lapses_at: float,
+        age_s: float = 0.0,
     ) -> None:
         """Takes in a job whose own row could not be read before.
 
@@ -90,8 +96,9 @@
             now: monotonic seconds.
             lapses_at: by then the lease of all that runs on an instance that
                 can't be reached has lapsed.
+            age_s: how long ago its entry took it in.
         """
-        self.restore(job, document, version, now)
+        self.restore(job, document, version, now, age_s)
         entry = self.book.get(job.job_id)
         if entry is None or entry.ended is not None:
             return
--- a/src/vanillaswitch/coordination/fleet/machines/wave_driver.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_driver.py
@@ -44,13 +44,12 @@
 
     Attributes:
         machines: those whose upkeep has begun and ended.
-        began_ms: wall clock of the owner that saw it first, milliseconds
-            since 1970. Counted anew by each owner, a wave would seem to have
-            time left when it has none.
+        age_s: time since an owner first saw it. Counted anew by each owner, a
+            wave would seem to have time left when it has none.
     """
 
     machines: Collection[str]
-    began_ms: float
+    age_s: float
 
 
 class WaveBoard(Protocol):
@@ -59,12 +58,10 @@
     def orders(self) -> Iterable[fleet.WaveOrder]:
         """Returns the waves that are ordered."""
 
-    def begin(self, wave: str, now_ms: float) -> WaveRecord | None:
+    def begin(self, wave: str) -> WaveRecord | None:
         """Returns what is recorded of a wave; None while it can't be read.
 
-        Args:
-            wave: its name.
-            now_ms: recorded as its beginning unless one is recorded already.
+        Its beginning is recorded unless one is recorded already.
         """
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
@@ -148,12 +145,10 @@
         self._cordon()
 
     def _begin(self, order: fleet.WaveOrder, now: float) -> None:
-        wall_ms = self._clock.wall() * 1000
-        record = self._board.begin(order.name, wall_ms)
+        record = self._board.begin(order.name)
         if record is None:
             return
-        age_s = max(0.0, wall_ms - record.began_ms) / 1000
-        wave = waves.begin(order, now - age_s)
+        wave = waves.begin(order, now - record.age_s)
         for name in record.machines:
             if name in wave.machines:
                 wave.machines[name].phase = waves.Phase.DONE
--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.machines import wave_driver
 from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
@@ -44,9 +45,11 @@
         self,
         table: platform.Table,
         form: Format,
+        time: shared_time.SharedTime,
         emit: Callable[[object], None],
     ):
         self._emit = emit
+        self._time = time
         self._table = table
         self._format = form
         self._config: fleet.FleetConfig | None = None
@@ -98,12 +101,16 @@
         """Returns the waves that are ordered."""
         return tuple(self._waves.values())
 
-    def begin(self, wave: str, now_ms: float) -> wave_driver.WaveRecord | None:
+    def begin(self, wave: str) -> wave_driver.WaveRecord | None:
         """Returns what is recorded of a wave; records its beginning."""
         key = f"{FINISHED_TABLE}/{wave}"
+        began: dict[str, Any] = {
+            "machines": [],
+            "began_store_ms": self._time.now_ms or 0,
+        }
 
         def begun(document: Mapping[str, Any]) -> dict[str, Any]:
-            return {"machines": [], "began_ms": now_ms} | dict(document)
+            return began | dict(document)
 
         if not self._update(key, begun):
             return None
@@ -112,7 +119,8 @@
             return None
         row = read.rows[0].value
         return wave_driver.WaveRecord(
-            tuple(row.get("machines", ())), float(row.get("began_ms", now_ms))
+            tuple(row.get("machines", ())),
+            self._time.age_s(row.get("began_store_ms", 0)),
         )
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
--- a/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.coordination.fleet.instances import instance_task
 from vanillaswitch.coordination.fleet.intake import job_rows
@@ -26,6 +27,7 @@
         core: cores.Core,
         feed: feeds.Feed,
         clock: clocks.Clock,
+        time: shared_time.SharedTime,
         emit: Callable[[object], None],
         on_change: Callable[[], None],
     ):
@@ -35,11 +37,13 @@
             core: is told of jobs and cancels.
             feed: where to read.
             clock: paces the reads.
+            time: tells how old jobs are, and learns the time of day from them.
             emit: takes events.
             on_change: called when something may have changed.
         """
         self._core = core
         self._clock = clock
+        self._time = time
         self._on_change = on_change
         self._unread: dict[str, feeds.Change] = {}
         self._orphans: list[books.Entry] = []
@@ -100,9 +104,15 @@
             return
         job = job_rows.unpack(row.value)
         if progress is None or progress.value is None:
-            self._core.job_added(job, now)
+            self._core.job_added(job, now, self._age_s(job))
             return
-        self._core.restore(job, progress.value, progress.version, now)
+        self._core.restore(
+            job, progress.value, progress.version, now, self._age_s(job)
+        )
+
+    def _age_s(self, job: jobs.Job) -> float:
+        self._time.handed_in(job.submitted_ms, job.submitted_wall_ms)
+        return self._time.age_s(job.submitted_ms)
 
     def _judge_unread(self) -> None:
         """Tells jobs that can't be read yet from jobs that were removed.
@@ -131,7 +141,7 @@
                 self._restore_late(change, progress, now)
                 continue
             job = job_rows.unpack(change.value)
-            self._core.job_added(job, now, self._clock.wall() * 1000)
+            self._core.job_added(job, now, self._age_s(job))
         if self._unread:
             self._judge_unread()
         self._on_change()
@@ -142,12 +152,14 @@
         if row.value is None or progress.value is None:
             return
         self._core.unread = set(self._core.unread) - {row.key}
+        job = job_rows.unpack(row.value)
         self._core.restore_late(
-            job_rows.unpack(row.value),
+            job,
             progress.value,
             progress.version,
             now,
             instance_task.inherited_lapse_at(now),
+            self._age_s(job),
         )
 
     def _on_cancels(self, changes: Iterable[feeds.Change]) -> None:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -12,6 +12,7 @@
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
+from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.instances import advice_task
 from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.coordination.fleet.instances import instance_task
@@ -59,6 +60,7 @@
     Attributes:
         registration: decodes a row of the table of instances.
         registrations: name of that table.
+        time: what the processes have in common of it.
     """
 
     table: platform.Table
@@ -69,6 +71,7 @@
     registrations: str
     registration: Callable[[str, Mapping[str, Any]], fleet.Registration]
     waves: wave_driver.WaveBoard
+    time: shared_time.SharedTime
 
 
 class Owner:
@@ -103,7 +106,11 @@
         )
         self._instances = instance_tasks.InstanceTasks(self._means)
         self._advice = advice_task.AdviceTask(
-            self._core, outside.advisor, clock, self._wake
+            self._core,
+            outside.advisor,
+            clock,
+            self._wake,
+            lambda: outside.time.wall_ms,
         )
         self._listing = listing.Listing(
             self._core,
@@ -115,7 +122,7 @@
             self._wake.set,
         )
         self._tables = job_tables.JobTables(
-            self._core, outside.feed, clock, emit, self._wake.set
+            self._core, outside.feed, clock, outside.time, emit, self._wake.set
         )
         self._machines = machine_task.MachineTask(
             self._core,
@@ -265,7 +272,7 @@
         self._core.lapse(now)
         self._core.stop_again(now)
         self._core.stop_stalled(now)
-        self._core.plan(now, self._clock.wall() * 1000)
+        self._core.plan(now, self._outside.time.wall_ms)
         self._advice.ask_for_waiting()
         for stop in self._core.take_stops():
             task = self._instances.get(stop.instance)
@@ -304,10 +311,11 @@
         """Removes the rows of jobs that ended long ago, for good."""
         while not self._recorder.deposed and not self._finishing:
             self._clock.sleep(retention.PAUSE_S)
+            store_ms = self._outside.time.now_ms
+            if store_ms is None:
+                continue
             old = retention.expired(
-                self._core.book,
-                self._settings.bounds.status_s,
-                self._clock.wall() * 1000,
+                self._core.book, self._settings.bounds.status_s, store_ms
             )
             for entry in old:
                 if retention.remove_job(self._outside.table, entry.job.job_id):
@@ -316,11 +324,12 @@
 
     def _record(self, batch: term_state.Batch) -> None:
         states = [entry.state for entry in batch.entries]
+        store_ms = self._outside.time.now_ms or 0.0
         puts = [
             platform.Put(
                 f"{recorders.PROGRESS_TABLE}/{entry.job.job_id}",
                 entry.version,
-                entry.pack(self._clock.wall() * 1000),
+                entry.pack(store_ms),
             )
             for entry in batch.entries
         ]
--- a/src/vanillaswitch/coordination/fleet/ownership/retention.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/retention.py
@@ -17,8 +17,8 @@
 from vanillaswitch.protocol import platform
 
 MARGIN_S = 30.0
-"""Kept longer than clients may ask, for clocks that differ and for copies of
-a hand-in that are still under way."""
+"""Kept longer than clients may ask, for copies of a hand-in that are still
+under way; they come within 12 s."""
 
 PAUSE_S = 2.0
 """How often old jobs are looked for."""
@@ -28,10 +28,18 @@
 
 
 def expired(
-    entries: Iterable[books.Entry], status_s: float, wall_ms: float
+    entries: Iterable[books.Entry], status_s: float, store_ms: float
 ) -> list[books.Entry]:
-    """Returns jobs whose rows may go, at most ``BATCH``."""
-    before_ms = wall_ms - (status_s + MARGIN_S) * 1000
+    """Returns jobs whose rows may go, at most ``BATCH``.
+
+    Args:
+        entries: all jobs.
+        status_s: for how long clients may ask for a job that has ended.
+        store_ms: the store's steady clock, by which ends were written. By the
+            time of day, an owner whose clock was an hour ahead removed jobs
+            that had ended a moment before.
+    """
+    before_ms = store_ms - (status_s + MARGIN_S) * 1000
     found = []
     for entry in entries:
         if entry.shown.ended and 0 < entry.ended_ms < before_ms:
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -91,20 +91,26 @@
     """One accepted job.
 
     Attributes:
+        heard_at: monotonic seconds at which the owner heard of it.
+        handed_in_at: monotonic seconds at which its entry took it in.
+        ended_ms: when its end was written, on the store's steady clock; 0
+            where that is not known.
         started: a task of it was given to an instance.
         begun: a task of it has begun, by the word of its instance. An owner
             that can't send what it decided has jobs started and not begun.
     """
 
-    def __init__(self, job: jobs.Job, now: float):
+    def __init__(self, job: jobs.Job, now: float, age_s: float = 0.0):
         """Makes an entry for a job none of whose steps is open yet.
 
         Args:
             job: the job.
             now: monotonic seconds at which the owner heard of it.
+            age_s: how long before that its entry took it in.
         """
         self.job = job
         self.heard_at = now
+        self.handed_in_at = now - age_s
         self.ended: jobs.JobState | None = None
         self.started = False
         self.begun = False
@@ -173,14 +179,15 @@
                 self._opened.add(key)
                 self.open[key] = OpenStep(self, occurrence, number, step)
 
-    def pack(self, wall_ms: float = 0.0) -> dict[str, Any]:
+    def pack(self, store_ms: float = 0.0) -> dict[str, Any]:
         """Returns what a later owner has to know, as a document.
 
         Args:
-            wall_ms: wall clock, taken as the end of a job that has just ended.
+            store_ms: the store's steady clock, taken as the end of a job that
+                has just ended; 0 where it is not known.
         """
         if self.ended is not None and not self.ended_ms:
-            self.ended_ms = wall_ms
+            self.ended_ms = store_ms
         tasks = [
             [
                 step.occurrence,
@@ -198,7 +205,7 @@
         ]
         return {
             "ended": self.ended.value if self.ended else "",
-            "ended_ms": self.ended_ms,
+            "ended_store_ms": self.ended_ms,
             "started": self.started,
             "done": [list(key) for key in sorted(self._done)],
             "tasks": tasks,
@@ -213,7 +220,7 @@
         ended = document.get("ended")
         self.ended = jobs.JobState(ended) if ended else None
         self.shown = self.state
-        self.ended_ms = float(document.get("ended_ms", 0.0))
+        self.ended_ms = float(document.get("ended_store_ms", 0.0))
         if self.ended is not None:
             return
         for row in document.get("tasks", ()):
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -31,17 +31,19 @@
                     least = max(least, -(-step.step.count // apart))
         return least
 
-    def ready_steps(self, wall_ms: float) -> dict[str, list[books.OpenStep]]:
+    def ready_steps(
+        self, moment: queue_order.Moment
+    ) -> dict[str, list[books.OpenStep]]:
         """Returns open steps with waiting tasks, by pool, in order."""
         steps: dict[str, list[tuple[queue_order.Key, books.OpenStep]]] = {}
         for entry in self.book.live.values():
             queue = self.queues.get(entry.job.queue)
             service = self.service_of(entry)
-            for step in entry.open_steps(wall_ms):
+            for step in entry.open_steps(moment.wall_ms):
                 if any(
                     task.state is books.TaskState.WAITING for task in step.tasks
                 ):
-                    key = self._order(step, queue, wall_ms)
+                    key = self._order(step, queue, moment)
                     steps.setdefault(service, []).append((key, step))
         return {
             service: [step for _, step in sorted(found, key=_by_key)]
@@ -49,9 +51,14 @@
         }
 
     def plan(self, now: float, wall_ms: float) -> None:
-        """Assigns waiting tasks to instances with room."""
+        """Assigns waiting tasks to instances with room.
+
+        Args:
+            now: monotonic seconds.
+            wall_ms: time of day in milliseconds since 1970.
+        """
         self._changed = False
-        ready = self.ready_steps(wall_ms)
+        ready = self.ready_steps(queue_order.Moment(now, wall_ms))
         self._plan_steps(ready, now)
         self.waiting_cpu = {
             service: _waiting_cpu(steps) for service, steps in ready.items()
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -23,7 +23,23 @@
 from vanillaswitch.protocol import jobs
 
 Key = tuple[float, ...]
-Order = Callable[[book.OpenStep, fleet.Queue | None, float], Key]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """When an order is asked for.
+
+    Attributes:
+        now: monotonic seconds, by which jobs without times are waited for.
+        wall_ms: time of day in milliseconds since 1970, at which occurrences
+            are due.
+    """
+
+    now: float
+    wall_ms: float
+
+
+Order = Callable[[book.OpenStep, fleet.Queue | None, Moment], Key]
 
 ORDERS: registry.Registry[Order] = registry.Registry("order of a queue")
 DEFAULT_ORDER = "headroom"
@@ -58,10 +74,11 @@
     return queue.stretch * chain + queue.target_ms
 
 
-def _age_ms(step: book.OpenStep, wall_ms: float) -> float:
-    job = step.entry.job
-    begin = job.due_ms(step.occurrence) or job.submitted_ms
-    return max(0.0, wall_ms - begin)
+def _age_ms(step: book.OpenStep, moment: Moment) -> float:
+    due_ms = step.entry.job.due_ms(step.occurrence)
+    if due_ms:
+        return max(0.0, moment.wall_ms - due_ms)
+    return (moment.now - step.entry.handed_in_at) * 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,13 +101,13 @@
 
 
 def _standing(
-    step: book.OpenStep, queue: fleet.Queue | None, now: float
+    step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
 ) -> _Standing:
     entry = step.entry
     left = chain_ms(
         entry.job, lambda number: entry.is_done(step.occurrence, number)
     )
-    age = _age_ms(step, now)
+    age = _age_ms(step, moment)
     objective = objective_ms(entry.job, queue)
     slack_ms = objective - age - left
     if step.step.long_running:
@@ -105,7 +122,9 @@
 
 
 @ORDERS.register("headroom")
-def headroom(step: book.OpenStep, queue: fleet.Queue | None, now: float) -> Key:
+def headroom(
+    step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
+) -> Key:
     """Begun jobs first, then those with slack to spare, then tight ones.
 
     Against the least slack first, replays of turns with a tenth, a quarter and
@@ -116,9 +135,9 @@
     Args:
         step: an open step.
         queue: its job's queue as configured now.
-        now: wall clock in milliseconds.
+        moment: when it is asked for.
     """
-    standing = _standing(step, queue, now)
+    standing = _standing(step, queue, moment)
     if standing.group != _IN_TIME:
         return _by_group(standing)
     slack_ms = standing.slack_ms
@@ -146,13 +165,17 @@
 
 
 @ORDERS.register("slack")
-def slack(step: book.OpenStep, queue: fleet.Queue | None, now: float) -> Key:
+def slack(
+    step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
+) -> Key:
     """Least slack first among jobs that can still meet their objective."""
-    return _by_group(_standing(step, queue, now))
+    return _by_group(_standing(step, queue, moment))
 
 
 @ORDERS.register("arrival")
-def arrival(step: book.OpenStep, queue: fleet.Queue | None, now: float) -> Key:
+def arrival(
+    step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
+) -> Key:
     """First come, first served; what a comparison starts from."""
     del queue
-    return (0.0 if step.step.long_running else 1.0, -_age_ms(step, now))
+    return (0.0 if step.step.long_running else 1.0, -_age_ms(step, moment))
--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -45,10 +45,23 @@
 
 
 def parse(
-    body: bytes, job_id: str, queue: str, service: str, submitted_ms: int
+    body: bytes,
+    job_id: str,
+    queue: str,
+    service: str,
+    submitted_ms: int,
+    submitted_wall_ms: float = 0,
 ) -> jobs.Job:
     """Decodes a job as a client hands it in.
 
+    Args:
+        body: what the client sent.
+        job_id: the job's id.
+        queue: name of its queue.
+        service: pool of that queue.
+        submitted_ms: see ``jobs.Job``.
+        submitted_wall_ms: see ``jobs.Job``.
+
     Raises:
         BadJobError: a field is unknown, missing or out of bounds.
     """
@@ -78,6 +91,7 @@
         repeat_count=_count(raw, "repeat_count", "the job"),
         first_run_ms=_number(raw, "first_run_ms", "the job"),
         interval_ms=_number(raw, "interval_ms", "the job"),
+        submitted_wall_ms=submitted_wall_ms,
     )
 
 
--- a/src/vanillaswitch/platform/jobs_http.py
+++ b/src/vanillaswitch/platform/jobs_http.py
@@ -4,6 +4,7 @@
 import re
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.intake import helped_intake
 from vanillaswitch.coordination.fleet.intake import intake
 from vanillaswitch.coordination.fleet.ownership import owner_link
@@ -39,9 +40,11 @@
         link: owner_link.OwnerLink,
         config: Callable[[], fleet.FleetConfig | None],
         clock: clocks.Clock,
+        time: shared_time.SharedTime,
         emit: Callable[[object], None],
     ):
         self._emit = emit
+        self._time = time
         self._intake = intake_
         self._link = link
         self._config = config
@@ -102,10 +105,14 @@
         job_id: str,
         version: int,
     ) -> requests.Reply:
-        now_ms = int(self._clock.wall() * 1000)
         try:
             job = job_body.parse(
-                incoming.body, job_id, queue.name, queue.service, now_ms
+                incoming.body,
+                job_id,
+                queue.name,
+                queue.service,
+                int(self._time.now_ms or 0),
+                int(self._clock.wall() * 1000),
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -10,6 +10,7 @@
 """
 
 import base64
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -125,10 +126,21 @@
         client: plain_http.PlainClient,
         address: str,
         clock: clocks.Clock,
+        heard: Callable[[float], None],
     ):
+        """Makes a client of the store.
+
+        Args:
+            client: sends the calls.
+            address: "ip:port" of the store.
+            clock: tells how long calls take.
+            heard: takes the store's steady clock, in milliseconds, from each
+                answer that names it.
+        """
         self._client = client
         self._address = address
         self._clock = clock
+        self._heard = heard
         self._silent = False
         self._unanswered_since: float | None = None
         self._under_way: dict[int, float] = {}
@@ -254,10 +266,9 @@
             timeout_s=wait_s + FEED_SLACK_S,
             fresh=self._distrusts_kept(),
         )
-        if isinstance(reply, calls.Reply):
-            self._unanswered_since = None
         if isinstance(reply, calls.NoReply):
             return platform.Unavailable(reply.reason)
+        self._answered(reply)
         if reply.status == _HISTORY_LOST:
             return feeds.HistoryLost()
         if reply.status != _OK:
@@ -321,10 +332,16 @@
         finally:
             del self._under_way[number]
         self._silent = isinstance(reply, calls.NoReply)
-        if not self._silent:
-            self._unanswered_since = None
+        if isinstance(reply, calls.Reply):
+            self._answered(reply)
         return reply
 
+    def _answered(self, reply: calls.Reply) -> None:
+        self._unanswered_since = None
+        now_ms = reply.body.get("now_ms")
+        if isinstance(now_ms, int | float):
+            self._heard(now_ms)
+
 
 def _transaction_body(transaction: platform.Transaction) -> dict[str, Any]:
     expected = [
--- a/src/vanillaswitch/protocol/jobs.py
+++ b/src/vanillaswitch/protocol/jobs.py
@@ -80,11 +80,14 @@
         queue: name of the queue that it was handed in to.
         service: pool that the queue had then, used when the queue is gone.
         spec: opaque text that the instances are given.
-        submitted_ms: wall clock of the entry, milliseconds since 1970.
+        submitted_ms: when its entry took it in, on the store's steady clock;
+            0 where that was not known.
         repeat_count: how often the steps run; 0 for a job without times.
         first_run_ms: due time of the first occurrence, milliseconds since
             1970.
         interval_ms: time between the due times of two occurrences.
+        submitted_wall_ms: time of day of the entry at ``submitted_ms``,
+            milliseconds since 1970. By it processes agree on one.
     """
 
     job_id: str
@@ -96,6 +99,7 @@
     repeat_count: int = 0
     first_run_ms: float = 0
     interval_ms: float = 0
+    submitted_wall_ms: float = 0
 
     @property
     def occurrences(self) -> int:
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -14,6 +14,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet import operators
+from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet import telemetry
 from vanillaswitch.coordination.fleet.intake import errands
 from vanillaswitch.coordination.fleet.intake import helped_intake
@@ -116,6 +117,7 @@
     store: stores.Store,
     table: platform.Table,
     operator_view: operators.Operators,
+    shared: shared_time.SharedTime,
 ) -> owners.Outside:
     return owners.Outside(
         table=table,
@@ -128,11 +130,14 @@
         registrations=upstreams.TABLE,
         registration=upstreams.registration,
         waves=operator_view,
+        time=shared,
     )
 
 
 def _operators(
-    table: platform.Table, told: telemetry.Telemetry
+    table: platform.Table,
+    shared: shared_time.SharedTime,
+    told: telemetry.Telemetry,
 ) -> operators.Operators:
     form = operators.Format(
         config_key=operator.CONFIG_KEY,
@@ -142,7 +147,7 @@
         wave=operator.wave,
         wave_status=operator.wave_status,
     )
-    return operators.Operators(table, form, told.emit)
+    return operators.Operators(table, form, shared, told.emit)
 
 
 def _warn_of_unknown(settings: deployments.Deployment) -> None:
@@ -164,11 +169,14 @@
     state = _State()
     with contextlib.ExitStack() as stack:
         client = stack.enter_context(plain_http.open_client(clock))
-        store = stores.Store(client, settings.store_address, clock)
+        shared = shared_time.SharedTime(clock)
+        store = stores.Store(
+            client, settings.store_address, clock, shared.heard
+        )
         told = telemetry.Telemetry(logs.event)
         table = prompt_table.PromptTable(store, clock)
-        view = _operators(table, told)
-        outside = _outside(settings, client, store, table, view)
+        view = _operators(table, shared, told)
+        outside = _outside(settings, client, store, table, view, shared)
         asking = questions.Questions(clock, boot)
         link = owner_link.OwnerLink(
             asking,
@@ -230,6 +238,7 @@
             link,
             lambda: view.config,
             clock,
+            shared,
             told.emit,
         )
         server = stack.enter_context(
--- a/standins/model/world.py
+++ b/standins/model/world.py
@@ -109,10 +109,8 @@
     def orders(self) -> tuple[fleet.WaveOrder, ...]:
         return tuple(self._world.waves)
 
-    def begin(self, wave: str, now_ms: float) -> wave_driver.WaveRecord:
-        return wave_driver.WaveRecord(
-            tuple(self._finished.get(wave, ())), now_ms
-        )
+    def begin(self, wave: str) -> wave_driver.WaveRecord:
+        return wave_driver.WaveRecord(tuple(self._finished.get(wave, ())), 0.0)
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
         self._finished.setdefault(wave, set()).update(machines)
@@ -313,11 +311,14 @@
         if not self.store_away:
             self._taken[made.job.job_id] = made.job
             if not self.owner_lost:
-                self._core.job_added(made.job, now, now * 1000)
+                self._core.job_added(made.job, now, self._age_s(made.job))
         elif now + TRY_AGAIN_S <= made.at + PATIENCE_S:
             again = (now + TRY_AGAIN_S, next(self._order), made)
             heapq.heappush(self._again, again)
 
+    def _age_s(self, job: jobs.Job) -> float:
+        return self.clock.now - job.submitted_ms / 1000
+
     # The owner.
 
     def _decide(self, now: float) -> None:
@@ -504,9 +505,9 @@
         for job_id, job in self._taken.items():
             row = self._rows.get(job_id)
             if row is None:
-                self._core.job_added(job, now, now * 1000)
+                self._core.job_added(job, now, self._age_s(job))
             else:
-                self._core.restore(job, row, 1, now)
+                self._core.restore(job, row, 1, now, self._age_s(job))
         self._core.inherit_runs(now, instance_task.inherited_lapse_at(now))
         for machine in self.machines.machines.values():
             if machine.instance is not None and not machine.down:
--- a/standins/turns.py
+++ b/standins/turns.py
@@ -210,7 +210,8 @@
         pool.grow(turn.more if now >= turn.more_at_s else turn.instances, now)
         pool.end(now)
         while waiting and waiting[-1].at <= now:
-            core.job_added(waiting.pop().job, now)
+            due = waiting.pop()
+            core.job_added(due.job, now, now - due.at)
         core.plan(now, now * 1000)
         batch = core.take_batch(len(made))
         for start in batch.starts:
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -7,6 +7,7 @@
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
 from vanillaswitch.state import deployment as deployments
 
 WALL_MS = 1.7e12
@@ -39,6 +40,11 @@
     )
 
 
+def moment(now: float = 0.0) -> queue_order.Moment:
+    """Returns a moment so many seconds after the first."""
+    return queue_order.Moment(now, WALL_MS + now * 1000)
+
+
 def job(
     number: int = 1,
     steps: tuple[jobs.Step, ...] = (jobs.Step(count=2, cpu=1000),),
@@ -51,11 +57,17 @@
         "service": "berthing",
         "spec": "text",
         "steps": steps,
-        "submitted_ms": int(WALL_MS),
+        "submitted_ms": 1,
     }
     return jobs.Job(**(values | fields))  # type: ignore[arg-type]
 
 
+def put(key: str, value: Mapping[str, object]) -> platform.Transaction:
+    """Returns the transaction that inserts a row."""
+    row = platform.Put(key, platform.ABSENT, value)
+    return platform.Transaction(f"put-{key}", (row,))
+
+
 def config(
     attempts: int = 2, advice: fleet.Advice | None = None
 ) -> fleet.FleetConfig:
--- /dev/null
+++ b/tests/common/terms.py
@@ -0,0 +1,83 @@
+"""Terms of owning the fleet for tests, with as little outside as they need."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from tests.common import fleets
+from vanillaswitch.coordination.fleet import shared_time
+from vanillaswitch.coordination.fleet.ownership import owner as owners
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import platform
+
+STORE_MS = 500_000.0
+"""The store's steady clock as it was last heard."""
+
+
+class NoMachines:
+    """A list of machines that names none."""
+
+    def list(self) -> list[fleet.Machine]:
+        """Reads the list."""
+        return []
+
+
+class NoWaves:
+    """Operators who order no upkeep."""
+
+    def orders(self) -> tuple[fleet.WaveOrder, ...]:
+        """Returns the waves that are ordered."""
+        return ()
+
+
+def registered(name: str, document: Mapping[str, Any]) -> fleet.Registration:
+    """Takes any row of the table of instances for a sound one."""
+    del document
+    return fleets.registration(name)
+
+
+def heard_time(clock: clocks.Clock) -> shared_time.SharedTime:
+    """Returns a time whose store has just answered."""
+    time = shared_time.SharedTime(clock)
+    time.heard(STORE_MS)
+    return time
+
+
+def begin(
+    table: platform.Table,
+    feed: feeds.Feed,
+    clock: clocks.Clock,
+    version: int = platform.ABSENT,
+    **outside: Any,
+) -> owners.Owner:
+    """Takes the fleet over; its rows are not read yet.
+
+    Args:
+        table: where the owner writes.
+        feed: where it reads.
+        clock: of its machine.
+        version: of the owner's row.
+        **outside: fields of ``owners.Outside`` in place of empty ones.
+    """
+    me = recorders.OwnerRow("edge-1", "a:1", f"boot-{version}")
+    recorder = recorders.Recorder(table, clock, me)
+    assert recorder.take_over(version, 0.0)
+    fields: dict[str, Any] = {
+        "upstreams": None,
+        "machines": NoMachines(),
+        "advisor": None,
+        "registrations": "servers",
+        "registration": registered,
+        "waves": NoWaves(),
+        "time": heard_time(clock),
+    }
+    return owners.Owner(
+        owners.Outside(table=table, feed=feed, **(fields | outside)),
+        recorder,
+        fleets.deployment(),
+        fleets.config,
+        clock,
+        lambda _: None,
+    )
--- a/tests/cover/test_edge_platform.py
+++ b/tests/cover/test_edge_platform.py
@@ -31,7 +31,11 @@
     outside = edge_http.EdgePlatform(instances, task_s=0.05)
     clock = clocks.SystemClock()
     with outside.serving(), plain_http.open_client(clock) as client:
-        yield outside, client, stores.Store(client, outside.address, clock)
+        yield (
+            outside,
+            client,
+            stores.Store(client, outside.address, clock, lambda _: None),
+        )
 
 
 def _put(key, version, value):
--- a/tests/cover/test_fleet_core.py
+++ b/tests/cover/test_fleet_core.py
@@ -237,7 +237,7 @@
     fleets.adopt(core, "i-1", "i-2")
     core.job_added(fleets.job(steps=(jobs.Step(count=1),)), 0.0)
     assert not fleets.plan(core).starts
-    step = core.ready_steps(fleets.WALL_MS)["berthing"][0]
+    step = core.ready_steps(fleets.moment())["berthing"][0]
     core.advised(step, {"i-2": "ticket"}, until=5.0)
     start = fleets.plan(core).starts[0]
     assert (start.instance, start.ticket) == ("i-2", "ticket")
@@ -272,7 +272,11 @@
     short = books.Entry(fleets.job(2), 0.0)
     queue = fleets.config().queues[0]
     keys = [
-        rank(next(iter(entry.open_steps(fleets.WALL_MS))), queue, 0.0)
+        rank(
+            next(iter(entry.open_steps(fleets.WALL_MS))),
+            queue,
+            fleets.moment(),
+        )
         for entry in (lasting, short)
     ]
     assert keys[0] < keys[1]
@@ -283,12 +287,10 @@
     queue = fleets.config().queues[0]
     steps = (jobs.Step(count=1, estimate_ms=1000),)
     old = books.Entry(fleets.job(1, steps), 0.0)
-    new = books.Entry(
-        fleets.job(2, steps, submitted_ms=int(fleets.WALL_MS) + 5000), 0.0
-    )
-    wall = fleets.WALL_MS + 5000
+    new = books.Entry(fleets.job(2, steps), 5.0)
+    moment = fleets.moment(5.0)
     keys = [
-        rank(next(iter(entry.open_steps(wall))), queue, wall)
+        rank(next(iter(entry.open_steps(moment.wall_ms))), queue, moment)
         for entry in (old, new)
     ]
     assert keys[1] < keys[0]
--- /dev/null
+++ b/tests/failures/test_clock_steps.py
@@ -0,0 +1,225 @@
+"""Machines whose time of day jumps, ahead or back, while they own the fleet."""
+
+import types
+
+import gevent
+import pytest
+
+from standins import table as tables
+from tests.common import clocks as manual
+from tests.common import fleets
+from tests.common import terms
+from vanillaswitch.coordination.fleet import operators
+from vanillaswitch.coordination.fleet import shared_time
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import retention
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.internal import clock as clocks
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
+
+HOUR_S = 3600.0
+STEPS_S = (2.4, -2.4, HOUR_S, -HOUR_S)
+
+
+class _SteppedClock(clocks.SystemClock):
+    """A machine's clocks; the time of day is off by some seconds."""
+
+    def __init__(self, off_s=0.0):
+        self.off_s = off_s
+
+    def wall(self):
+        return super().wall() + self.off_s
+
+
+class _Feed:
+    """Shows what a table holds, once."""
+
+    def __init__(self, table):
+        self._table = table
+
+    def snapshot(self, name, parts=()):
+        del parts
+        rows = self._table.scan(f"{name}/").rows
+        return feeds.Snapshot(
+            tuple(
+                feeds.Change(row.key.partition("/")[2], row.value, row.version)
+                for row in rows
+            ),
+            1,
+        )
+
+    def changes(self, table, after, wait_s):
+        del table
+        gevent.sleep(wait_s)
+        return feeds.Changes((), after)
+
+
+def _owner(table, clock, version=platform.ABSENT):
+    return terms.begin(table, _Feed(table), clock, version)
+
+
+def _accept(table, job):
+    put = fleets.put(f"{recorders.JOB_TABLE}/{job.job_id}", job_rows.pack(job))
+    table.commit(put)
+
+
+def _accept_and_cancel(table, job):
+    _accept(table, job)
+    key = f"{recorders.CANCEL_TABLE}/{job.job_id}"
+    table.commit(fleets.put(key, {"cancelled": True}))
+
+
+def _serve(owner, seconds=0.5):
+    assert owner.load()
+    with owner.serving():
+        gevent.sleep(seconds)
+
+
+def _version_of_owner(table):
+    return table.read([recorders.OWNER_KEY]).rows[0].version
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_job_that_has_just_ended_is_kept_when_the_clock_jumps(
+    monkeypatch, step_s
+):
+    """A client asks for its job and is told that there is none.
+
+    The job ends; then the owner's time of day jumps an hour ahead. The owner
+    took the job for one that ended an hour ago and removed its rows.
+    """
+    monkeypatch.setattr(retention, "PAUSE_S", 0.02)
+    table = tables.MemoryTable()
+    job = fleets.job(1)
+    _accept_and_cancel(table, job)
+    clock = _SteppedClock()
+    owner = _owner(table, clock)
+    assert owner.load()
+    with owner.serving():
+        gevent.sleep(0.3)
+        assert owner.state_of(job.job_id) is jobs.JobState.CANCELLED
+        clock.off_s = step_s
+        gevent.sleep(0.3)
+    assert table.read([f"{recorders.JOB_TABLE}/{job.job_id}"]).rows
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_job_that_has_just_ended_is_kept_by_an_owner_with_another_clock(
+    monkeypatch, step_s
+):
+    """The same after a change of owner between machines whose clocks differ.
+
+    The first owner writes when the job ended; to the next one, whose clock
+    is an hour ahead, that seems long ago.
+    """
+    monkeypatch.setattr(retention, "PAUSE_S", 0.02)
+    table = tables.MemoryTable()
+    job = fleets.job(1)
+    _accept_and_cancel(table, job)
+    _serve(_owner(table, _SteppedClock()))
+    _serve(_owner(table, _SteppedClock(step_s), _version_of_owner(table)))
+    assert table.read([f"{recorders.JOB_TABLE}/{job.job_id}"]).rows
+
+
+def test_a_job_that_ended_long_ago_is_removed_all_the_same(monkeypatch):
+    monkeypatch.setattr(retention, "PAUSE_S", 0.02)
+    table = tables.MemoryTable()
+    job = fleets.job(1)
+    _accept_and_cancel(table, job)
+    _serve(_owner(table, _SteppedClock()))
+    later = _owner(table, _SteppedClock(), _version_of_owner(table))
+    later._outside.time.heard(terms.STORE_MS + HOUR_S * 1000)
+    _serve(later)
+    assert not table.read([f"{recorders.JOB_TABLE}/{job.job_id}"]).rows
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_job_is_as_old_for_its_owner_as_for_its_client(step_s):
+    """Jobs that came in at some machines are started last, or never.
+
+    Their entries' time of day is behind by more than the jobs' objective, so
+    that the owner took them for too late to be of use.
+    """
+    clock = manual.ManualClock()
+    time = terms.heard_time(clock)
+    job = fleets.job(
+        1,
+        submitted_ms=int(terms.STORE_MS),
+        submitted_wall_ms=(clock.wall() + step_s) * 1000,
+    )
+    clock.advance(0.2)
+    time.handed_in(job.submitted_ms, job.submitted_wall_ms)
+    entry = books.Entry(job, 10.0, time.age_s(job.submitted_ms))
+    rank = queue_order.ORDERS.get(queue_order.DEFAULT_ORDER)
+    moment = queue_order.Moment(10.0, time.wall_ms)
+    step = next(iter(entry.open_steps(moment.wall_ms)))
+    fresh = books.Entry(fleets.job(2), 9.8)
+    other = next(iter(fresh.open_steps(moment.wall_ms)))
+    queue = fleets.config().queues[0]
+    assert rank(step, queue, moment) == pytest.approx(
+        rank(other, queue, moment)
+    )
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_what_is_due_starts_by_the_clocks_of_most_machines(step_s):
+    """A job with a time starts an hour early, or an hour late.
+
+    The owner's time of day has jumped. Those of the machines that take in
+    jobs have not, but for a quarter of them.
+    """
+    clock = manual.ManualClock()
+    time = terms.heard_time(clock)
+    true_ms = clock.wall() * 1000
+    for number in range(20):
+        off_ms = step_s * 1000 if number % 4 == 0 else number * 10.0
+        time.handed_in(terms.STORE_MS, true_ms + off_ms)
+    clock._wall += step_s
+    assert abs(time.wall_ms - true_ms) <= 250.0
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_a_wave_has_the_time_that_is_left_whatever_the_clock_says(step_s):
+    """Machines are taken from work in a hurry, or a wave comes to its end late.
+
+    The owner that saw the wave first and the next one have other times of
+    day: to the second one the wave seemed to have begun an hour ago.
+    """
+    table = tables.MemoryTable()
+    form = types.SimpleNamespace()
+    first, second = manual.ManualClock(), manual.ManualClock()
+    second._wall += step_s
+    boards = [
+        operators.Operators(
+            table, form, terms.heard_time(clock), lambda _: None
+        )
+        for clock in (first, second)
+    ]
+    assert boards[0].begin("wave/1").age_s == 0.0
+    second.advance(4.0)
+    assert boards[1].begin("wave/1").age_s == pytest.approx(4.0)
+
+
+def test_a_slow_answer_of_the_store_does_not_turn_its_clock_back():
+    clock = manual.ManualClock()
+    time = terms.heard_time(clock)
+    clock.advance(1.0)
+    time.heard(terms.STORE_MS + 400.0)
+    assert time.now_ms == pytest.approx(terms.STORE_MS + 1000.0)
+    time.heard(terms.STORE_MS + 1500.0)
+    assert time.now_ms == pytest.approx(terms.STORE_MS + 1500.0)
+    clock.advance(shared_time.TRUST_S)
+    time.heard(terms.STORE_MS)
+    assert time.now_ms == pytest.approx(terms.STORE_MS)
+
+
+def test_ages_are_unknown_before_the_store_has_answered():
+    clock = manual.ManualClock()
+    time = shared_time.SharedTime(clock)
+    assert time.now_ms is None
+    assert time.age_s(terms.STORE_MS) == 0.0
+    assert time.wall_ms == clock.wall() * 1000
--- a/tests/failures/test_emptied_machines.py
+++ b/tests/failures/test_emptied_machines.py
@@ -29,9 +29,9 @@
     def orders(self):
         return (fleet.WaveOrder("wave/1", 1, ("m-1", "m-2"), 60.0, 1),)
 
-    def begin(self, wave, now_ms):
+    def begin(self, wave):
         del wave
-        return wave_driver.WaveRecord((), now_ms)
+        return wave_driver.WaveRecord((), 0.0)
 
     def save_finished(self, wave, machines):
         del wave, machines
--- a/tests/failures/test_long_take_over.py
+++ b/tests/failures/test_long_take_over.py
@@ -5,8 +5,8 @@
 
 from tests.common import clocks
 from tests.common import fleets
+from tests.common import terms
 from vanillaswitch.coordination.fleet.ownership import member as members
-from vanillaswitch.coordination.fleet.ownership import owner as owners
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as system_clock
 from vanillaswitch.protocol import feeds
@@ -72,28 +72,7 @@
     """A new owner is replaced while it reads its rows, which nobody renews."""
     clock = system_clock.SystemClock()
     table = _Table()
-    recorder = recorders.Recorder(
-        table, clock, recorders.OwnerRow("e", "a", "boot-1")
-    )
-    recorder.take_over(0, 0.0)
-    outside = types.SimpleNamespace(
-        table=table,
-        feed=_SlowFeed(clock),
-        upstreams=None,
-        machines=None,
-        advisor=None,
-        registrations="servers",
-        registration=None,
-        waves=None,
-    )
-    owner = owners.Owner(
-        outside,
-        recorder,
-        fleets.deployment(),
-        lambda: None,
-        clock,
-        lambda _: None,
-    )
+    owner = terms.begin(table, _SlowFeed(clock), clock)
     before = table.commits
     assert owner.load()
     assert table.commits - before >= 4
--- a/tests/failures/test_part_of_store_away.py
+++ b/tests/failures/test_part_of_store_away.py
@@ -1,13 +1,10 @@
 """A store that is away in part while the fleet changes its owner."""
 
-import types
-
 from tests.common import clocks as manual
 from tests.common import fleets
+from tests.common import terms
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet.intake import job_rows
-from vanillaswitch.coordination.fleet.ownership import owner as owners
-from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
@@ -69,29 +66,7 @@
 
 
 def _owner(feed, clock):
-    table = _Table()
-    recorder = recorders.Recorder(
-        table, clock, recorders.OwnerRow("edge-1", "a:1", "boot-1")
-    )
-    recorder.take_over(0, 0.0)
-    outside = types.SimpleNamespace(
-        table=table,
-        feed=feed,
-        upstreams=None,
-        machines=None,
-        advisor=None,
-        registrations="servers",
-        registration=lambda name, _: fleets.registration(name),
-        waves=None,
-    )
-    return owners.Owner(
-        outside,
-        recorder,
-        fleets.deployment(),
-        lambda: fleets.config(),
-        clock,
-        lambda _: None,
-    )
+    return terms.begin(_Table(), feed, clock)
 
 
 def _feed_with_two_jobs():
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -69,7 +69,7 @@
     clock = clocks.SystemClock()
     put = platform.Put("job/a", 0, {})
     with outside.serving(), plain_http.open_client(clock) as client:
-        store = stores.Store(client, outside.address, clock)
+        store = stores.Store(client, outside.address, clock, lambda _: None)
         assert store.unanswered_s == 0.0
         outside.rows.lose_answers = True
         call = gevent.spawn(store.commit, platform.Transaction("lost", (put,)))
--- a/tests/failures/test_stop_in_take_over.py
+++ b/tests/failures/test_stop_in_take_over.py
@@ -2,15 +2,12 @@
 
 import signal
 import time
-import types
 
 import gevent
 
 from standins import edge_http
 from standins import edge_processes
-from tests.common import fleets
-from vanillaswitch.coordination.fleet.ownership import owner as owners
-from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from tests.common import terms
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import platform
@@ -43,29 +40,8 @@
 
 
 def _loading_owner():
-    table = _SilentAfterTakeOver()
-    clock = clocks.SystemClock()
-    recorder = recorders.Recorder(
-        table, clock, recorders.OwnerRow("edge-1", "a:1", "boot-1")
-    )
-    assert recorder.take_over(0, 0.0)
-    outside = types.SimpleNamespace(
-        table=table,
-        feed=_SilentFeed(),
-        upstreams=None,
-        machines=None,
-        advisor=None,
-        registrations="servers",
-        registration=lambda name, _: fleets.registration(name),
-        waves=None,
-    )
-    return owners.Owner(
-        outside,
-        recorder,
-        fleets.deployment(),
-        lambda: fleets.config(),
-        clock,
-        lambda _: None,
+    return terms.begin(
+        _SilentAfterTakeOver(), _SilentFeed(), clocks.SystemClock()
     )
 
 
