--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup lint test demo measure experiment
+.PHONY: setup lint test fuzz demo measure experiment
 
 setup: .venv/ready
 
@@ -20,6 +20,13 @@
 test: setup
 	$(BIN)/python -m pytest
 
+# Feeds drawn documents to every decoder; SEED=N draws the same ones again.
+SEED ?= 0
+
+fuzz: setup
+	$(BIN)/python -m pytest --hypothesis-profile=explore \
+	  --hypothesis-seed=$(SEED) tests/cover/test_unusable_documents.py
+
 demo: setup
 	$(BIN)/python -m standins.demo
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -143,6 +143,33 @@
         gevent.sleep(seconds / SERIES)
 
 
+UNREADABLE = (
+    {"service": "pool", "capacity": "all"},
+    {"service": ["pool"], "address": 80, "labels": "ab"},
+    {"state": "resting"},
+)
+"""Entries as another writer may leave them in the table of instances."""
+
+
+@FAULTS.register("entries-of-others")
+def entries_of_others(world: worlds.World, seconds: float) -> None:
+    """Another writer adds entries, and writes over those of instances.
+
+    An instance writes its own again with its next heartbeat.
+    """
+    rows = world.platform.rows
+    for number, document in enumerate(UNREADABLE):
+        rows.write("servers", f"x-{number}", document)
+    until = world.promises.now + seconds
+    while world.promises.now < until:
+        instance = world.random.choice(world.platform.instances)
+        name = instance.model.registration.instance
+        rows.write("servers", name, world.random.choice(UNREADABLE))
+        gevent.sleep(0.2)
+    for number in range(len(UNREADABLE)):
+        rows.remove("servers", f"x-{number}")
+
+
 @FAULTS.register("configure")
 def configure(world: worlds.World, seconds: float) -> None:
     """The operators write configurations in quick succession."""
--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -153,7 +153,8 @@
     """What is believed of an instance changed.
 
     Attributes:
-        change: "listed", "draining", "silent", "suspended", "lapsed", "gone".
+        change: "listed", "draining", "silent", "suspended", "lapsed", "gone",
+            "distrusted" where its entry can't be read.
         age_ms: time since it was last heard.
         runs: what it ran then.
     """
@@ -166,6 +167,21 @@
     runs: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RowUnusable:
+    """A row of a table can't be used as it now is.
+
+    Attributes:
+        version: commit that wrote it.
+        why: which field is wrong, and how.
+    """
+
+    table: str
+    key: str
+    version: int
+    why: str
+
+
 @dataclasses.dataclass(frozen=True)
 class OwnerChanged:
     """A term of ownership began or ended, or another one's is over.
--- a/src/vanillaswitch/coordination/fleet/instances/core.py
+++ b/src/vanillaswitch/coordination/fleet/instances/core.py
@@ -22,6 +22,7 @@
 from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 
 
 class Core(planning.Planning):
@@ -71,12 +72,19 @@
         version: int,
         now: float,
         age_s: float = 0.0,
-    ) -> None:
-        """Takes in a job with the row that an earlier owner wrote."""
+    ) -> unusable.Unusable | None:
+        """Takes in a job with the row that an earlier owner wrote.
+
+        Returns:
+            Why the row can't be used; the job is not taken in then.
+        """
         entry = books.Entry(job, now, age_s)
-        entry.unpack(document)
+        wrong = entry.unpack(document)
+        if wrong is not None:
+            return wrong
         entry.version = version
         self.book.add(entry)
+        return None
 
     def restore_late(
         self,
@@ -86,7 +94,7 @@
         now: float,
         lapses_at: float,
         age_s: float = 0.0,
-    ) -> None:
+    ) -> unusable.Unusable | None:
         """Takes in a job whose own row could not be read before.
 
         Args:
@@ -97,16 +105,20 @@
             lapses_at: by then the lease of all that runs on an instance that
                 can't be reached has lapsed.
             age_s: how long ago its entry took it in.
+
+        Returns:
+            Why the row can't be used; the job is not taken in then.
         """
-        self.restore(job, document, version, now, age_s)
+        wrong = self.restore(job, document, version, now, age_s)
         entry = self.book.get(job.job_id)
         if entry is None or entry.ended is not None:
-            return
+            return wrong
         self.inherit_late(entry, now, lapses_at)
         self._changed = True
         if job.job_id in self._early_cancels:
             self._early_cancels.remove(job.job_id)
             self._cancel(entry, now)
+        return None
 
     def cancelled(self, job_id: str, now: float) -> None:
         """Takes note that a client cancelled a job.
--- a/src/vanillaswitch/coordination/fleet/instances/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_task.py
@@ -107,9 +107,10 @@
             instance = self._core.instances.get(self._name)
             if instance is None:
                 return
-            if not instance.registration.address:
+            if not self._core.holds(self._name):
                 # An earlier owner's rows name it and no list does, as after
                 # an outage in which its entry lapsed; it may register again.
+                # Or its service is not configured, or not yet.
                 self._clock.sleep(RETRY_S)
                 continue
             self._await_record(instance)
--- a/src/vanillaswitch/coordination/fleet/instances/listing.py
+++ b/src/vanillaswitch/coordination/fleet/instances/listing.py
@@ -5,11 +5,13 @@
 from collections.abc import Mapping
 from typing import Any
 
+from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import unusable
 
 PAUSE_S = 0.2
 """Pause between reads of the instances' heartbeats, which come all the time
@@ -19,7 +21,9 @@
 """An entry that is missing counts as gone only so long after the store came
 back: living instances register again within about 2 s."""
 
-Decode = Callable[[str, Mapping[str, Any]], fleet.Registration]
+Decode = Callable[
+    [str, Mapping[str, Any]], fleet.Registration | unusable.Unusable
+]
 """Decodes a row of the table of instances."""
 
 
@@ -48,9 +52,12 @@
             on_change: called when something may have changed.
         """
         self._core = core
+        self._table = table
         self._decode = decode
         self._clock = clock
+        self._emit = emit
         self._on_change = on_change
+        self._unusable: dict[str, str] = {}
         self._missing: set[str] = set()
         self._follower = follow.Follower(
             feed, table, clock, self._on_snapshot, self._on_rows, emit, PAUSE_S
@@ -82,13 +89,39 @@
     def _on_rows(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
-            if change.value is None:
-                self._missing.add(change.key)
-                continue
-            self._missing.discard(change.key)
-            found = self._decode(change.key, change.value)
-            known = self._core.instances.get(change.key)
-            if known and known.listed and known.registration == found:
-                continue
-            self._core.registered(found, now)
+            self._on_row(change, now)
         self._on_change()
+
+    def _on_row(self, change: feeds.Change, now: float) -> None:
+        if change.value is None and not change.damage:
+            self._missing.add(change.key)
+            self._unusable.pop(change.key, None)
+            return
+        self._missing.discard(change.key)
+        found = self._read(change)
+        if isinstance(found, unusable.Unusable):
+            self._tell_unusable(change, found.reason)
+            self._core.distrusted(change.key, found.reason, now)
+            return
+        self._unusable.pop(change.key, None)
+        known = self._core.instances.get(change.key)
+        same = known is not None and known.registration == found
+        if known and same and known.listed and not known.distrusted:
+            return
+        self._core.registered(found, now)
+
+    def _read(
+        self, change: feeds.Change
+    ) -> fleet.Registration | unusable.Unusable:
+        if change.value is None:
+            return unusable.Unusable(change.damage)
+        return self._decode(change.key, change.value)
+
+    def _tell_unusable(self, change: feeds.Change, why: str) -> None:
+        """Tells of a row once, however often it is written like that."""
+        if self._unusable.get(change.key) == why:
+            return
+        self._unusable[change.key] = why
+        self._emit(
+            events.RowUnusable(self._table, change.key, change.version, why)
+        )
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -108,10 +108,39 @@
             return True
         if registration.draining and not known.registration.draining:
             self._emit_instance(known, "draining", "it says so", now)
+        if known.distrusted:
+            self._emit_instance(known, "listed", "it can be read again", now)
         known.registration = registration
         known.listed = True
+        known.distrusted = False
         return False
 
+    def distrusted(self, name: str, why: str, now: float) -> None:
+        """Takes note that an instance's entry can't be read.
+
+        Another writer may have written over it: the instance may run on, and
+        may be gone. What runs there is held at the address that is known, and
+        keeps its room until its end is heard or its lease has lapsed; started
+        elsewhere at once it could run twice. It gets no new work.
+        """
+        known = self.instances.get(name)
+        if known is None or known.distrusted:
+            return
+        known.distrusted = True
+        self._changed = True
+        self._emit_instance(known, "distrusted", why, now)
+
+    def holds(self, name: str) -> bool:
+        """Whether an instance is asked for its account and held.
+
+        One of a service that the configuration does not name is no instance
+        of ours; what was started there before is held to its end.
+        """
+        known = self.instances.get(name)
+        if known is None or not known.registration.address:
+            return False
+        return bool(known.runs) or known.registration.service in self.pools
+
     def unlisted(self, name: str) -> None:
         """Takes note that an instance left the platform's list.
 
--- a/src/vanillaswitch/coordination/fleet/intake/errands.py
+++ b/src/vanillaswitch/coordination/fleet/intake/errands.py
@@ -20,9 +20,11 @@
 from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.intake import questions
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import peer_transport
 from vanillaswitch.protocol import peers
+from vanillaswitch.protocol import unusable
 
 STANDING_S = 0.3
 """Longest wait for a process to say whether the store answers it; an answer
@@ -206,14 +208,20 @@
         deadline = self._clock.monotonic() + errand.patience_s
         state = ""
         if errand.kind is peers.ErrandKind.SUBMIT:
-            job = job_rows.unpack(json.loads(errand.document))
-            verdict = self._local.submit(job, deadline)
+            verdict = self._submit(errand, deadline)
         elif errand.kind is peers.ErrandKind.CANCEL:
             verdict = self._local.cancel(errand.job_id, errand.known, deadline)
         else:
             verdict, state = _read(self._local.state(errand.job_id))
         reply(peers.ErrandDone(errand.question, verdict.value, state))
 
+    def _submit(self, errand: peers.Errand, deadline: float) -> intakes.Verdict:
+        job = job_rows.unpack(json.loads(errand.document))
+        if isinstance(job, unusable.Unusable):
+            logs.error("an errand names no job: {}", job.reason)
+            return intakes.Verdict.NOT_DONE
+        return self._local.submit(job, deadline)
+
 
 def _read(
     found: jobs.JobState | None | intakes.Unknown,
--- a/src/vanillaswitch/coordination/fleet/intake/intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake/intake.py
@@ -17,6 +17,7 @@
 from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
 
@@ -31,6 +32,9 @@
 told that it is not known, in time to ask again under the same id."""
 
 
+_ENDS = [state.value for state in jobs.JobState if state.ended]
+
+
 class Verdict(enum.StrEnum):
     """What became of a hand-in or a cancel."""
 
@@ -131,8 +135,12 @@
         if recorders.JOB_TABLE not in rows:
             return None
         progress = rows.get(recorders.PROGRESS_TABLE, {})
-        if progress.get("ended"):
-            return jobs.JobState(progress["ended"])
+        ended = progress.get("ended")
+        if ended and ended not in _ENDS:
+            logs.error("job {}: its recorded end is not ours", job_id)
+            return Unknown()
+        if ended:
+            return jobs.JobState(ended)
         if progress.get("started"):
             return jobs.JobState.RUNNING
         return jobs.JobState.QUEUED
--- a/src/vanillaswitch/coordination/fleet/intake/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/intake/job_rows.py
@@ -8,6 +8,7 @@
 import cattrs
 
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 
 
 @functools.cache
@@ -30,6 +31,12 @@
     return document
 
 
-def unpack(document: Mapping[str, Any]) -> jobs.Job:
+def unpack(document: Mapping[str, Any]) -> jobs.Job | unusable.Unusable:
     """Restores what ``pack`` returned."""
-    return cattrs.structure(dict(document), jobs.Job)
+    try:
+        job = cattrs.structure(dict(document), jobs.Job)
+    except (cattrs.BaseValidationError, *unusable.WRONG_FIELDS) as error:
+        return unusable.Unusable("; ".join(cattrs.transform_error(error)))
+    if not job.steps:
+        return unusable.Unusable("it has no steps")
+    return job
--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -10,10 +10,10 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.machines import wave_driver
-from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import platform
+from vanillaswitch.protocol import unusable
 
 FINISHED_TABLE = "wave"
 
@@ -33,8 +33,10 @@
     config_key: str
     wave_prefix: str
     status_table: str
-    config: Callable[[Mapping[str, Any]], fleet.FleetConfig]
-    wave: Callable[[str, Mapping[str, Any]], fleet.WaveOrder]
+    config: Callable[[Mapping[str, Any]], fleet.FleetConfig | unusable.Unusable]
+    wave: Callable[
+        [str, Mapping[str, Any]], fleet.WaveOrder | unusable.Unusable
+    ]
     wave_status: Callable[[bool], Mapping[str, Any]]
 
 
@@ -70,16 +72,25 @@
     def on_changes(self, changes: Iterable[feeds.Change]) -> None:
         """Takes rows of the operators' table that changed."""
         for change in changes:
-            if change.key == self._format.config_key and change.value:
-                self._on_config(change.value)
+            if change.damage:
+                # What it said before holds.
+                self._tell_unusable(change, change.damage)
+            elif change.key == self._format.config_key and change.value:
+                self._on_config(change, change.value)
             elif change.key.startswith(self._format.wave_prefix):
                 self._on_wave(change)
 
-    def _on_config(self, document: Mapping[str, Any]) -> None:
-        try:
-            config = self._format.config(document)
-        except (KeyError, TypeError, ValueError) as error:
-            logs.error("a configuration can't be read: {!r}", error)
+    def _tell_unusable(self, change: feeds.Change, why: str) -> None:
+        self._emit(
+            events.RowUnusable("operators", change.key, change.version, why)
+        )
+
+    def _on_config(
+        self, change: feeds.Change, document: Mapping[str, Any]
+    ) -> None:
+        config = self._format.config(document)
+        if isinstance(config, unusable.Unusable):
+            self._tell_unusable(change, config.reason)
             return
         if self._config is not None and config.version <= self._config.version:
             return
@@ -90,12 +101,11 @@
         if change.value is None:
             self._waves.pop(change.key, None)
             return
-        try:
-            self._waves[change.key] = self._format.wave(
-                change.key, change.value
-            )
-        except (KeyError, TypeError, ValueError) as error:
-            logs.error("wave {} can't be read: {!r}", change.key, error)
+        wave = self._format.wave(change.key, change.value)
+        if isinstance(wave, unusable.Unusable):
+            self._tell_unusable(change, wave.reason)
+            return
+        self._waves[change.key] = wave
 
     def orders(self) -> Iterable[fleet.WaveOrder]:
         """Returns the waves that are ordered."""
@@ -118,10 +128,11 @@
         if isinstance(read, platform.Unavailable) or not read.rows:
             return None
         row = read.rows[0].value
-        return wave_driver.WaveRecord(
-            tuple(row.get("machines", ())),
-            self._time.age_s(row.get("began_store_ms", 0)),
-        )
+        began_ms = row.get("began_store_ms")
+        if not isinstance(began_ms, int | float):
+            began_ms = 0
+        age_s = self._time.age_s(began_ms)
+        return wave_driver.WaveRecord(tuple(_machines(row)), age_s)
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
         """Adds machines to those that are recorded as finished.
@@ -130,8 +141,8 @@
         """
 
         def merged(document: Mapping[str, Any]) -> dict[str, Any]:
-            known = set(document.get("machines", ()))
-            return dict(document) | {"machines": sorted(known | set(machines))}
+            known = _machines(document) | set(machines)
+            return dict(document) | {"machines": sorted(known)}
 
         return self._update(f"{FINISHED_TABLE}/{wave}", merged)
 
@@ -164,3 +175,11 @@
             if isinstance(outcome, platform.Committed):
                 return True
         return False
+
+
+def _machines(document: Mapping[str, Any]) -> set[str]:
+    """Returns the machines that a wave's row names as finished."""
+    named = document.get("machines")
+    if not isinstance(named, list):
+        return set()
+    return {machine for machine in named if isinstance(machine, str)}
--- a/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.instances import core as cores
@@ -13,6 +14,7 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 
 RESTORE_AT_ONCE = 50
 """Jobs restored before other tasks get a turn: some 10 ms of work on half a
@@ -46,6 +48,8 @@
         self._time = time
         self._on_change = on_change
         self._unread: dict[str, feeds.Change] = {}
+        self._damaged: set[str] = set()
+        self._emit = emit
         self._orphans: list[books.Entry] = []
         self._jobs = follow.Follower(
             feed,
@@ -72,7 +76,11 @@
         now: float,
     ) -> None:
         """Restores what earlier owners left, and goes on from there."""
-        rows = {row.key: row for row in progress.rows}
+        rows = {
+            row.key: row
+            for row in progress.rows
+            if row.value is not None or row.damage
+        }
         for number, row in enumerate(accepted.rows, 1):
             self._restore(row, rows.pop(row.key, None), now)
             if number % RESTORE_AT_ONCE == 0:
@@ -100,15 +108,47 @@
     def _restore(
         self, row: feeds.Change, progress: feeds.Change | None, now: float
     ) -> None:
-        if row.value is None:
+        if row.value is None and not row.damage:
+            return
+        job = self._job(row)
+        if job is None:
             return
-        job = job_rows.unpack(row.value)
-        if progress is None or progress.value is None:
+        if progress is None:
             self._core.job_added(job, now, self._age_s(job))
             return
-        self._core.restore(
+        if progress.value is None:
+            self._damaged_progress(progress, progress.damage)
+            return
+        wrong = self._core.restore(
             job, progress.value, progress.version, now, self._age_s(job)
         )
+        if wrong is not None:
+            self._damaged_progress(progress, wrong.reason)
+
+    def _job(self, row: feeds.Change) -> jobs.Job | None:
+        """Decodes a job's row; None for one that is of no use."""
+        found = (
+            unusable.Unusable(row.damage)
+            if row.value is None
+            else job_rows.unpack(row.value)
+        )
+        if isinstance(found, jobs.Job):
+            return found
+        self._tell_unusable(recorders.JOB_TABLE, row, found.reason)
+        return None
+
+    def _damaged_progress(self, row: feeds.Change, why: str) -> None:
+        """Leaves a job alone whose progress can't be read.
+
+        Which of its tasks were done is not known any more: begun anew, one of
+        them would run a second time. What runs for it goes on, nothing starts.
+        """
+        self._tell_unusable(recorders.PROGRESS_TABLE, row, why)
+        self._damaged.add(row.key)
+        self._core.unread = set(self._core.unread) | {row.key}
+
+    def _tell_unusable(self, table: str, row: feeds.Change, why: str) -> None:
+        self._emit(events.RowUnusable(table, row.key, row.version, why))
 
     def _age_s(self, job: jobs.Job) -> float:
         self._time.handed_in(job.submitted_ms, job.submitted_wall_ms)
@@ -125,35 +165,37 @@
         if self._jobs.whole:
             self._orphans.extend(map(_orphan, self._unread.values()))
             self._unread = {}
-        self._core.unread = {
+        self._core.unread = self._damaged | {
             key
             for key, row in self._unread.items()
-            if row.value is not None and not books.has_ended(row.value)
+            if row.value is None or not books.has_ended(row.value)
         }
 
     def _on_jobs(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
-            if change.value is None:
+            if change.value is None and not change.damage:
+                continue
+            job = self._job(change)
+            if job is None or change.key in self._damaged:
                 continue
             progress = self._unread.pop(change.key, None)
             if progress is not None:
-                self._restore_late(change, progress, now)
+                self._restore_late(job, progress, now)
                 continue
-            job = job_rows.unpack(change.value)
             self._core.job_added(job, now, self._age_s(job))
         if self._unread:
             self._judge_unread()
         self._on_change()
 
     def _restore_late(
-        self, row: feeds.Change, progress: feeds.Change, now: float
+        self, job: jobs.Job, progress: feeds.Change, now: float
     ) -> None:
-        if row.value is None or progress.value is None:
+        if progress.value is None:
+            self._damaged_progress(progress, progress.damage)
             return
-        self._core.unread = set(self._core.unread) - {row.key}
-        job = job_rows.unpack(row.value)
-        self._core.restore_late(
+        self._core.unread = set(self._core.unread) - {job.job_id}
+        wrong = self._core.restore_late(
             job,
             progress.value,
             progress.version,
@@ -161,11 +203,15 @@
             instance_task.inherited_lapse_at(now),
             self._age_s(job),
         )
+        if wrong is not None:
+            self._damaged_progress(progress, wrong.reason)
 
     def _on_cancels(self, changes: Iterable[feeds.Change]) -> None:
         now = self._clock.monotonic()
         for change in changes:
-            if change.value is not None:
+            # Its key says all: a cancel whose content was written over was
+            # confirmed to its client.
+            if change.value is not None or change.damage:
                 self._core.cancelled(change.key, now)
         self._on_change()
 
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Mapping
 import contextlib
 import dataclasses
-from typing import Any
 
 import gevent
 import gevent.event
@@ -69,7 +67,7 @@
     machines: fleet.Machines
     advisor: fleet.Advisor
     registrations: str
-    registration: Callable[[str, Mapping[str, Any]], fleet.Registration]
+    registration: listing.Decode
     waves: wave_driver.WaveBoard
     time: shared_time.SharedTime
 
--- a/src/vanillaswitch/coordination/fleet/ownership/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/recorder.py
@@ -63,13 +63,19 @@
         return dataclasses.asdict(self)
 
 
+UNKNOWN_OWNER = OwnerRow("(unknown)", "", "")
+"""Who is taken to own the fleet while its row can't be read: somebody who may
+have ordered a machine a moment ago. Taken as nobody, a new owner ordered
+machines within the distance that two of them keep."""
+
+
 def owner_row(document: Mapping[str, Any]) -> OwnerRow:
     """Decodes the owner's row."""
-    return OwnerRow(
-        str(document.get("holder", "")),
-        str(document.get("address", "")),
-        str(document.get("boot", "")),
-    )
+    fields = [document.get(name) for name in ("holder", "address", "boot")]
+    texts = [field for field in fields if isinstance(field, str)]
+    if len(texts) < len(fields):
+        return UNKNOWN_OWNER
+    return OwnerRow(*texts)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -14,6 +14,7 @@
 
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 
 
 class TaskState(enum.StrEnum):
@@ -211,8 +212,19 @@
             "tasks": tasks,
         }
 
-    def unpack(self, document: Mapping[str, Any]) -> None:
-        """Restores what ``pack`` returned."""
+    def unpack(self, document: Mapping[str, Any]) -> unusable.Unusable | None:
+        """Restores what ``pack`` returned.
+
+        Returns:
+            Why it can't be; the entry is of no use then.
+        """
+        try:
+            self._unpack(document)
+        except unusable.WRONG_FIELDS as error:
+            return unusable.Unusable(f"no progress of ours: {error!r}")
+        return None
+
+    def _unpack(self, document: Mapping[str, Any]) -> None:
         self.started = bool(document.get("started"))
         self._done = {(row[0], row[1]) for row in document.get("done", ())}
         self.begun = bool(self._done)
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -80,6 +80,7 @@
             owner can take effect any more.
         silent: it did not answer lately.
         doubtful: a call to it got no answer and it was not heard of since.
+        distrusted: its entry in the list can't be read.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
@@ -101,6 +102,7 @@
         self.adopted = False
         self.silent = False
         self.doubtful = False
+        self.distrusted = False
         self.cordoned = False
         self.due = False
         self.leaving = False
@@ -159,6 +161,7 @@
             and self.listed
             and not self.silent
             and not self.doubtful
+            and not self.distrusted
             and not self.cordoned
             and not self.leaving
             and not self.registration.draining
--- a/src/vanillaswitch/platform/calls.py
+++ b/src/vanillaswitch/platform/calls.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from vanillaswitch.platform import checked
 from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import requests
 from vanillaswitch.transport import plain_http
@@ -52,7 +53,7 @@
     if isinstance(sent, minions.Lost):
         return NoReply(True, sent.reason)
     try:
-        decoded = json.loads(sent.answer.body) if sent.answer.body else {}
+        decoded = checked.decode(sent.answer.body) if sent.answer.body else {}
     except ValueError:
         decoded = {}
     if not isinstance(decoded, dict):
--- a/src/vanillaswitch/platform/machines.py
+++ b/src/vanillaswitch/platform/machines.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 from typing import Any
 import urllib.parse
 
 from vanillaswitch.platform import calls
+from vanillaswitch.platform import checked
 from vanillaswitch.platform import upstreams
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import requests
+from vanillaswitch.protocol import unusable
 from vanillaswitch.transport import plain_http
 
 LIST_TIMEOUT_S = 1.5
@@ -47,7 +50,12 @@
                 return fleet.NoAnswer(reply.sent, reply.reason)
             if reply.status != _OK:
                 return fleet.NoAnswer(False, f"status {reply.status}")
-            found.extend(_machine(raw) for raw in reply.body["machines"])
+            page = reply.body.get("machines")
+            for raw in page if isinstance(page, list) else [page]:
+                read = machine(raw)
+                if isinstance(read, unusable.Unusable):
+                    return fleet.NoAnswer(True, f"a machine: {read.reason}")
+                found.append(read)
             token = reply.body.get("next_token")
             if not token:
                 return found
@@ -110,16 +118,42 @@
         return reply
 
 
-def _machine(raw: Mapping[str, Any]) -> fleet.Machine:
+_NO_ROOM = upstreams.Room(0, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Line:
+    """A line of the list of machines; ``id`` is null where nothing runs."""
+
+    machine: str
+    pool: str = ""
+    state: str = ""
+    zone: str = ""
+    capacity: upstreams.Room = _NO_ROOM
+    id: str | None = None
+
+
+def machine(raw: Any) -> fleet.Machine | unusable.Unusable:
+    """Decodes a line of the list.
+
+    A list with a line that can't be read is not used: an instance that it
+    does not name is taken to be over, and its tasks start elsewhere.
+    """
+    line = checked.read(_Line, raw)
+    if isinstance(line, unusable.Unusable):
+        return line
+    room = line.capacity.resources()
+    if isinstance(room, unusable.Unusable):
+        return room
     try:
-        state = fleet.MachineState(str(raw.get("state")))
+        state = fleet.MachineState(line.state)
     except ValueError:
         state = fleet.MachineState.UNKNOWN
     return fleet.Machine(
-        name=str(raw["machine"]),
-        pool=str(raw.get("pool", "")),
+        name=line.machine,
+        pool=line.pool,
         state=state,
-        zone=str(raw.get("zone", "")),
-        instance=str(raw.get("id") or ""),
-        capacity=upstreams.resources(raw.get("capacity") or {}),
+        zone=line.zone,
+        instance=line.id or "",
+        capacity=room,
     )
--- a/src/vanillaswitch/platform/operator.py
+++ b/src/vanillaswitch/platform/operator.py
@@ -1,9 +1,12 @@
 """What the operators write: configurations and waves of upkeep."""
 
 from collections.abc import Mapping
+import dataclasses
 from typing import Any
 
+from vanillaswitch.platform import checked
 from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import unusable
 
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
@@ -13,59 +16,101 @@
 _MAX_BODY_BYTES = 262_144
 
 
-def config(document: Mapping[str, Any]) -> fleet.FleetConfig:
+@dataclasses.dataclass(frozen=True)
+class _Advice:
+    decision_ms: float = 0.0
+    period_ms: float = 0.0
+    validity_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Route:
+    name: str
+    path_prefix: str
+    service: str
+    host: str = ""
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_duration_ms: float = 0.0
+    timeout_ms: float = 0.0
+    advice: _Advice | None = None
+
+    def queue(self) -> fleet.Queue:
+        advice = self.advice
+        return fleet.Queue(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.path_prefix,
+            service=self.service,
+            priority=self.priority,
+            max_attempts=max(1, self.max_attempts),
+            stretch=self.stretch,
+            target_ms=self.target_duration_ms,
+            timeout_ms=self.timeout_ms,
+            advice=fleet.Advice(**vars(advice)) if advice else None,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Service:
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+    def pool(self) -> fleet.Pool:
+        return fleet.Pool(self.name, self.enforces_capacity, self.standby)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Limits:
+    max_body_bytes: int = _MAX_BODY_BYTES
+
+
+@dataclasses.dataclass(frozen=True)
+class _Config:
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Wave:
+    wave: int
+    machines: tuple[str, ...] = ()
+    duration_s: float = 0.0
+    max_count: int = 1
+
+
+def config(
+    document: Mapping[str, Any],
+) -> fleet.FleetConfig | unusable.Unusable:
     """Decodes the row "config"."""
-    limits = document.get("limits") or {}
-    pools = [_pool(raw) for raw in document.get("services", ())]
+    read = checked.read(_Config, document)
+    if isinstance(read, unusable.Unusable):
+        return read
     return fleet.FleetConfig(
-        version=int(document["version"]),
-        queues=tuple(_queue(raw) for raw in document.get("routes", ())),
-        pools={pool.name: pool for pool in pools},
-        max_body_bytes=int(limits.get("max_body_bytes", _MAX_BODY_BYTES)),
+        version=read.version,
+        queues=tuple(route.queue() for route in read.routes),
+        pools={service.name: service.pool() for service in read.services},
+        max_body_bytes=(read.limits or _Limits()).max_body_bytes,
     )
 
 
-def _queue(raw: Mapping[str, Any]) -> fleet.Queue:
-    return fleet.Queue(
-        name=str(raw["name"]),
-        host=str(raw.get("host", "")).lower(),
-        prefix=str(raw["path_prefix"]),
-        service=str(raw["service"]),
-        priority=int(raw.get("priority", 0)),
-        max_attempts=max(1, int(raw.get("max_attempts", 1))),
-        stretch=float(raw.get("stretch", 1.0)),
-        target_ms=float(raw.get("target_duration_ms", 0.0)),
-        timeout_ms=float(raw.get("timeout_ms", 0.0)),
-        advice=_advice(raw.get("advice")),
-    )
-
-
-def _advice(raw: Any) -> fleet.Advice | None:
-    if not isinstance(raw, Mapping):
-        return None
-    return fleet.Advice(
-        decision_ms=float(raw.get("decision_ms", 0.0)),
-        period_ms=float(raw.get("period_ms", 0.0)),
-        validity_ms=float(raw.get("validity_ms", 0.0)),
-    )
-
-
-def _pool(raw: Mapping[str, Any]) -> fleet.Pool:
-    return fleet.Pool(
-        name=str(raw["name"]),
-        guarded=bool(raw.get("enforces_capacity", False)),
-        standby=bool(raw.get("standby", False)),
-    )
-
-
-def wave(key: str, document: Mapping[str, Any]) -> fleet.WaveOrder:
+def wave(
+    key: str, document: Mapping[str, Any]
+) -> fleet.WaveOrder | unusable.Unusable:
     """Decodes a row "wave/N"."""
+    read = checked.read(_Wave, document)
+    if isinstance(read, unusable.Unusable):
+        return read
     return fleet.WaveOrder(
         name=key,
-        number=int(document["wave"]),
-        machines=tuple(str(name) for name in document.get("machines", ())),
-        duration_s=float(document.get("duration_s", 0.0)),
-        max_count=max(1, int(document.get("max_count", 1))),
+        number=read.wave,
+        machines=read.machines,
+        duration_s=read.duration_s,
+        max_count=max(1, read.max_count),
     )
 
 
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -25,8 +25,10 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import calls
+from vanillaswitch.platform import checked
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import platform
+from vanillaswitch.protocol import unusable
 from vanillaswitch.transport import plain_http
 
 CALL_TIMEOUT_S = 1.5
@@ -86,25 +88,30 @@
     return base64.b64encode(text.encode()).decode()
 
 
-def _unpack(table: str, packed: str) -> tuple[Mapping[str, Any], str] | None:
-    """Returns a row's document and token, None for one that is no document."""
+def _unpack(
+    table: str, packed: str
+) -> tuple[Mapping[str, Any], str] | unusable.Unusable:
+    """Returns a row's document and token."""
     try:
-        document = json.loads(base64.b64decode(packed))
-    except ValueError:
-        return None
+        document = checked.decode(base64.b64decode(packed, validate=True))
+    except ValueError as error:
+        return unusable.Unusable(f"its bytes can't be read: {error}")
     if not isinstance(document, dict):
-        return None
+        return unusable.Unusable("it is no JSON object")
     if table in _SHARED:
         return document, ""
     if not isinstance(document.get("value"), dict):
-        return None
+        return unusable.Unusable("it has no value of ours")
     return document["value"], str(document.get("token", ""))
 
 
 def _row(raw: Mapping[str, Any]) -> platform.Row:
     table = str(raw["table"])
     version = int(raw.get("row_version", 0))
-    unpacked = _unpack(table, str(raw.get("value") or "")) or ({}, "")
+    unpacked = _unpack(table, str(raw.get("value") or ""))
+    if isinstance(unpacked, unusable.Unusable):
+        logs.warning("row {}/{}: {}", table, raw["key"], unpacked.reason)
+        unpacked = {}, ""
     return platform.Row(
         f"{table}/{raw['key']}", version, unpacked[0], unpacked[1]
     )
@@ -198,8 +205,11 @@
         if isinstance(reply, calls.NoReply):
             kind = platform.OutcomeUnknown if reply.sent else None
             return (kind or platform.Unavailable)(reply.reason)
+        version = reply.body.get("row_version")
+        if reply.status == _OK and type(version) is int:
+            return platform.Committed(version)
         if reply.status == _OK:
-            return platform.Committed(int(reply.body["row_version"]))
+            return platform.OutcomeUnknown("an answer without a version")
         if reply.status == _CONFLICT:
             return _conflict(transaction, reply.body.get("rows", ()))
         if reply.status in _NOT_DONE:
@@ -227,7 +237,7 @@
                 missing[part] = read.reason
                 continue
             versions.append(read.version)
-            rows.extend(_change(table, raw) for raw in read.rows)
+            rows.extend(change(table, raw) for raw in read.rows)
         reason = next(iter(missing.values()), "")
         if not versions:
             return platform.Unavailable(reason)
@@ -273,9 +283,11 @@
             return feeds.HistoryLost()
         if reply.status != _OK:
             return platform.Unavailable(f"status {reply.status}")
-        rows = reply.body.get("rows", ())
+        if not _has_rows(reply.body):
+            return platform.Unavailable("an answer without rows")
+        rows = reply.body["rows"]
         return feeds.Changes(
-            tuple(_change(table, raw) for raw in rows),
+            tuple(change(table, raw) for raw in rows),
             int(reply.body["row_version"]),
         )
 
@@ -294,6 +306,8 @@
             return platform.Unavailable(reply.reason)
         if reply.status != _OK:
             return platform.Unavailable(f"status {reply.status}")
+        if not _has_rows(reply.body):
+            return platform.Unavailable("an answer without rows")
         return reply.body
 
     def _distrusts_kept(self) -> bool:
@@ -343,6 +357,12 @@
             self._heard(now_ms)
 
 
+def _has_rows(body: Mapping[str, Any]) -> bool:
+    """Whether an answer holds rows and the version that they are of."""
+    whole = type(body.get("row_version")) is int
+    return whole and isinstance(body.get("rows"), list)
+
+
 def _transaction_body(transaction: platform.Transaction) -> dict[str, Any]:
     expected = [
         {**_address(key), "row_version": version}
@@ -378,13 +398,13 @@
     )
 
 
-def _change(table: str, raw: Mapping[str, Any]) -> feeds.Change:
+def change(table: str, raw: Mapping[str, Any]) -> feeds.Change:
+    """Decodes a row of a table, or the mark that it was removed."""
     version = int(raw.get("row_version", 0))
     key = str(raw["key"])
     if raw.get("removed"):
         return feeds.Change(key, None, version)
     unpacked = _unpack(table, str(raw.get("value") or ""))
-    if unpacked is None:
-        logs.warning("row {}/{} holds no document", table, key)
-        return feeds.Change(key, None, version)
+    if isinstance(unpacked, unusable.Unusable):
+        return feeds.Change(key, None, version, unpacked.reason)
     return feeds.Change(key, unpacked[0], version)
--- a/src/vanillaswitch/platform/upstreams.py
+++ b/src/vanillaswitch/platform/upstreams.py
@@ -1,16 +1,23 @@
 """Instances: their registrations and the orders that they take."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import ipaddress
 from typing import Any
 
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import calls
+from vanillaswitch.platform import checked
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 from vanillaswitch.transport import plain_http
 
 TABLE = "servers"
 
+MAX_PORTS = 65_536
+
 PACE_TIMEOUT_S = 1.0
 """Limit for a pace order; it answers at once or something is wrong."""
 
@@ -20,28 +27,79 @@
 _INVALID = 400
 
 
+_DRAINING = "draining"
+_STATES = frozenset({"ready", _DRAINING})
+
+
+@dataclasses.dataclass(frozen=True)
+class Room:
+    """``capacity`` as instances and the list of machines spell it."""
+
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+    def resources(self) -> fleet.Resources | unusable.Unusable:
+        """Returns the room; nothing has less than none."""
+        if min(self.cpu, self.mem_mb, self.gpu) < 0:
+            return unusable.Unusable("capacity: a number below 0")
+        return fleet.Resources(self.cpu, self.mem_mb, self.gpu)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Entry:
+    """A row of the table of instances; the last fields tell us nothing.
+
+    They are read all the same: where one has another type, the row comes from
+    another writer.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: Room
+    labels: tuple[str, ...]
+    version: str = ""
+    slots: int = 0
+    cold_left_ms: float = 0.0
+    seq_no: int = 0
+
+
 def registration(
     instance: str, document: Mapping[str, Any]
-) -> fleet.Registration:
+) -> fleet.Registration | unusable.Unusable:
     """Decodes a row of the table of instances."""
+    entry = checked.read(_Entry, document)
+    if isinstance(entry, unusable.Unusable):
+        return entry
+    room = entry.capacity.resources()
+    if isinstance(room, unusable.Unusable):
+        return room
+    if not entry.service:
+        return unusable.Unusable("service: it is empty")
+    if entry.state not in _STATES:
+        return unusable.Unusable(f"state: {entry.state!r} is not known")
+    if not _is_address(entry.address):
+        return unusable.Unusable("address: give an IPv4 address and a port")
     return fleet.Registration(
         instance=instance,
-        service=str(document.get("service", "")),
-        address=str(document.get("address", "")),
-        zone=str(document.get("zone", "")),
-        draining=document.get("state") == "draining",
-        capacity=resources(document.get("capacity") or {}),
-        labels=tuple(str(label) for label in document.get("labels", ())),
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        draining=entry.state == _DRAINING,
+        capacity=room,
+        labels=entry.labels,
     )
 
 
-def resources(raw: Mapping[str, Any]) -> fleet.Resources:
-    """Decodes room or need."""
-    return fleet.Resources(
-        int(raw.get("cpu", 0)),
-        int(raw.get("mem_mb", 0)),
-        int(raw.get("gpu", 0)),
-    )
+def _is_address(text: str) -> bool:
+    host, _, port = text.partition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) < MAX_PORTS
 
 
 def format_task(task: jobs.TaskName) -> str:
@@ -118,7 +176,7 @@
             body["wait_ms"] = int(wait_s * 1000)
         reply = self._post(target, "/-/hold", body, timeout_s, fresh)
         if isinstance(reply, calls.Reply) and reply.status == _OK:
-            return _held(reply.body)
+            return held(reply.body)
         outcome = _order(reply)
         if isinstance(outcome, fleet.Accepted):
             return fleet.NoAnswer(True, "an empty answer")
@@ -164,8 +222,7 @@
 
 
 def _clock(body: Mapping[str, Any]) -> float | None:
-    clock = body.get("clock_ms")
-    return float(clock) if isinstance(clock, int | float) else None
+    return checked.finite(body.get("clock_ms"))
 
 
 def _order(reply: calls.Reply | calls.NoReply) -> fleet.OrderOutcome:
@@ -192,27 +249,43 @@
         return fleet.Reason.INVALID
 
 
-def _held(body: Mapping[str, Any]) -> fleet.Held:
-    return fleet.Held(
-        clock_ms=_clock(body) or 0.0,
-        running=tuple(
-            fleet.Running(
-                parse_task(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                float(row[3]),
-                float(row[4]) if len(row) > 4 else 0.0,
-            )
-            for row in body.get("running") or ()
-        ),
-        ended=tuple(
-            fleet.End(
-                int(row[0]),
-                parse_task(row[1]),
-                int(row[2]),
-                fleet.How(row[3]),
-                str(row[4] or ""),
-            )
-            for row in body.get("ended") or ()
-        ),
+def held(body: Mapping[str, Any]) -> fleet.Held | fleet.NoAnswer:
+    """Decodes an instance's account of itself.
+
+    One that can't be read is no account: an instance that seemed to run
+    nothing would have its tasks started elsewhere.
+    """
+    clock_ms = _clock(body)
+    if clock_ms is None:
+        return fleet.NoAnswer(True, "its account names no clock")
+    try:
+        return fleet.Held(
+            clock_ms=clock_ms,
+            running=tuple(map(_running, body.get("running") or ())),
+            ended=tuple(map(_end, body.get("ended") or ())),
+        )
+    except unusable.WRONG_FIELDS as error:
+        logs.error("an instance's account can't be read: {!r}", error)
+        return fleet.NoAnswer(True, "its account can't be read")
+
+
+def _running(row: Sequence[Any]) -> fleet.Running:
+    gauge = checked.finite(row[4]) if len(row) > 4 else 0.0
+    percent = checked.finite(row[3])
+    return fleet.Running(
+        parse_task(row[0]),
+        int(row[1]),
+        str(row[2] or ""),
+        0.0 if percent is None else percent,
+        0.0 if gauge is None else gauge,
+    )
+
+
+def _end(row: Sequence[Any]) -> fleet.End:
+    return fleet.End(
+        int(row[0]),
+        parse_task(row[1]),
+        int(row[2]),
+        fleet.How(row[3]),
+        str(row[4] or ""),
     )
--- a/src/vanillaswitch/protocol/feeds.py
+++ b/src/vanillaswitch/protocol/feeds.py
@@ -14,13 +14,16 @@
 
     Attributes:
         key: its name within the table.
-        value: its content; None when it was removed.
+        value: its content; None when it was removed or can't be read.
         version: commit that wrote or removed it.
+        damage: why its content can't be read; empty when it can. Such a row
+            is there, and what it said before holds as long as it may.
     """
 
     key: str
     value: Mapping[str, Any] | None
     version: int
+    damage: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/tests/cover/test_unusable_documents.py
@@ -0,0 +1,305 @@
+"""What others write ends in a value and never in an error."""
+
+import base64
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from tests.common import fleets
+from vanillaswitch.coordination.fleet.intake import job_rows
+from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.platform import checked
+from vanillaswitch.platform import machines
+from vanillaswitch.platform import operator
+from vanillaswitch.platform import store
+from vanillaswitch.platform import upstreams
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
+
+ENTRY = {
+    "service": "berthing",
+    "address": "10.128.0.9:8080",
+    "zone": "zone-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "seq_no": 4,
+}
+LINE = {
+    "machine": "m-1",
+    "pool": "berthing",
+    "state": "up",
+    "zone": "zone-1",
+    "labels": ["a", "r1-2"],
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "id": "i-1",
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "host.example",
+            "path_prefix": "/q/",
+            "service": "berthing",
+            "advice": {"decision_ms": 5, "period_ms": 1, "validity_ms": 100},
+        }
+    ],
+    "services": [{"name": "berthing", "standby": False}],
+    "limits": {"max_body_bytes": 1000},
+}
+WAVE = {"wave": 1, "machines": ["m-1"], "duration_s": 20, "max_count": 1}
+HELD = {
+    "clock_ms": 482113,
+    "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 3]],
+    "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+}
+PROGRESS = {
+    "ended": "",
+    "ended_store_ms": 0.0,
+    "started": True,
+    "done": [],
+    "tasks": [[0, 0, 0, "a", 1, "i-1", 0, ""]],
+}
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([10**400, -(10**400), 2**63])
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["\ud800", "ready", "draining", "10.0.0.1:80"])
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=6), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+def _paths(document, before=()):
+    """Returns where values stand in a document, itself included."""
+    yield before
+    entries = (
+        document.items()
+        if isinstance(document, dict)
+        else enumerate(document)
+        if isinstance(document, list)
+        else ()
+    )
+    for name, inner in entries:
+        yield from _paths(inner, (*before, name))
+
+
+def _replaced(document, path, value):
+    if not path:
+        return value
+    copy = document.copy()
+    copy[path[0]] = _replaced(document[path[0]], path[1:], value)
+    return copy
+
+
+def damaged(document):
+    """Draws a document with one value replaced, or any value at all."""
+    return VALUES | st.builds(
+        _replaced,
+        st.just(document),
+        st.sampled_from(list(_paths(document))),
+        VALUES,
+    )
+
+
+def _registration(document):
+    return upstreams.registration("i-1", document)
+
+
+@given(damaged(ENTRY))
+def test_a_row_names_a_sound_instance_or_none(document):
+    found = _registration(document)
+    if isinstance(found, unusable.Unusable):
+        assert found.reason
+        return
+    room = found.capacity
+    assert min(room.cpu, room.mem_mb, room.gpu) >= 0
+    assert found.service
+    assert all(isinstance(label, str) for label in found.labels)
+    host, _, port = found.address.partition(":")
+    assert host.count(".") == 3
+    assert 0 < int(port) < upstreams.MAX_PORTS
+
+
+def test_a_sound_row_names_its_instance():
+    found = _registration(ENTRY)
+    assert found == fleet.Registration(
+        "i-1",
+        "berthing",
+        "10.128.0.9:8080",
+        "zone-1",
+        False,
+        fleet.Resources(16000, 32768, 0),
+        ("a", "r1-3"),
+    )
+    assert _registration(ENTRY | {"new": 1, "remaining_ms": 3}) == found
+    assert _registration(ENTRY | {"state": "draining"}).draining
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("capacity", "16000"),
+        ("capacity", None),
+        ("capacity", {"cpu": "16000", "mem_mb": 1, "gpu": 0}),
+        ("capacity", {"cpu": None, "mem_mb": 1, "gpu": 0}),
+        ("capacity", {"cpu": float("nan"), "mem_mb": 1, "gpu": 0}),
+        ("capacity", {"cpu": -1, "mem_mb": 1, "gpu": 0}),
+        ("labels", 3),
+        ("labels", "ab"),
+        ("labels", [1]),
+        ("service", None),
+        ("service", ["berthing"]),
+        ("service", ""),
+        ("zone", None),
+        ("state", "resting"),
+        ("address", "10.0.0.1"),
+        ("address", ":80"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:99999"),
+        ("address", "10.0.0.1:٣"),
+        ("slots", "8"),
+        ("seq_no", [4]),
+    ],
+)
+def test_a_row_with_a_wrong_field_names_it_and_no_instance(field, value):
+    found = _registration(ENTRY | {field: value})
+    assert isinstance(found, unusable.Unusable)
+    assert field in found.reason
+
+
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "state", "capacity", "labels"]
+)
+def test_a_row_without_a_field_names_it_and_no_instance(field):
+    document = {name: ENTRY[name] for name in ENTRY if name != field}
+    found = _registration(document)
+    assert isinstance(found, unusable.Unusable)
+    assert field in found.reason
+
+
+@given(damaged(LINE))
+def test_a_line_of_the_list_is_a_machine_or_unusable(raw):
+    found = machines.machine(raw)
+    assert isinstance(found, fleet.Machine | unusable.Unusable)
+
+
+@given(damaged(CONFIG))
+def test_a_configuration_is_whole_or_unusable(document):
+    found = operator.config(document)
+    assert isinstance(found, fleet.FleetConfig | unusable.Unusable)
+
+
+def test_a_sound_configuration_is_read():
+    found = operator.config(CONFIG)
+    assert found.queues[0].advice == fleet.Advice(5, 1, 100)
+    assert found.max_body_bytes == 1000
+    bare = {"version": 8, "routes": [], "services": [], "limits": None}
+    assert operator.config(bare).version == 8
+
+
+@given(damaged(WAVE))
+def test_a_wave_is_whole_or_unusable(document):
+    found = operator.wave("wave/1", document)
+    assert isinstance(found, fleet.WaveOrder | unusable.Unusable)
+
+
+@given(damaged(HELD))
+def test_an_account_is_whole_or_no_answer(body):
+    found = upstreams.held(body if isinstance(body, dict) else {})
+    assert isinstance(found, fleet.Held | fleet.NoAnswer)
+
+
+def test_a_sound_account_is_read():
+    found = upstreams.held(HELD)
+    assert found.running[0].percent == 41
+    assert found.ended[0].how is fleet.How.DONE
+
+
+@given(damaged(job_rows.pack(fleets.job(1))))
+def test_a_job_is_whole_or_unusable(document):
+    found = job_rows.unpack(document if isinstance(document, dict) else {})
+    assert isinstance(found, jobs.Job | unusable.Unusable)
+
+
+@given(damaged(PROGRESS))
+def test_progress_is_restored_or_refused(document):
+    entry = books.Entry(fleets.job(1), 0.0)
+    wrong = entry.unpack(document if isinstance(document, dict) else {})
+    assert wrong is None or wrong.reason
+
+
+@given(damaged({"holder": "e", "address": "a:1", "boot": "b"}))
+def test_the_owners_row_names_a_holder(document):
+    row = recorders.owner_row(document if isinstance(document, dict) else {})
+    assert isinstance(row.holder, str)
+
+
+def test_an_owners_row_that_can_not_be_read_is_held_by_somebody():
+    """Two owners order a machine within the distance that they keep.
+
+    Another writer wrote over the owner's row. Read as "nobody owns the
+    fleet", the next owner ordered machines at once, while the one before may
+    have ordered some until its next write failed.
+    """
+    assert recorders.owner_row({}).holder
+    assert not recorders.owner_row(
+        {"holder": "", "address": "", "boot": "b"}
+    ).holder
+
+
+@given(st.binary(max_size=40) | st.text(max_size=40).map(str.encode))
+def test_any_bytes_of_a_row_make_a_change(content):
+    raw = {
+        "table": "servers",
+        "key": "i-1",
+        "row_version": 3,
+        "value": base64.b64encode(content).decode(),
+    }
+    change = store.change("servers", raw)
+    assert isinstance(change, feeds.Change)
+    assert (change.value is None) == bool(change.damage)
+
+
+@given(st.text(max_size=20) | st.none() | st.integers())
+def test_any_value_that_is_not_base64_makes_a_change(value):
+    raw = {"table": "job", "key": "a", "row_version": 3, "value": value}
+    change = store.change("job", raw)
+    assert (change.value is None) == bool(change.damage)
+
+
+def test_deep_nesting_is_refused_as_any_other_text():
+    with pytest.raises(ValueError, match="nested"):
+        checked.decode("[" * 100_000)
+
+
+def test_a_removed_row_is_not_a_damaged_one():
+    raw = {"key": "i-1", "row_version": 3, "removed": True}
+    assert store.change("servers", raw) == feeds.Change("i-1", None, 3)
+
+
+def test_numbers_that_can_not_be_reckoned_with_are_none():
+    for value in (float("nan"), float("inf"), "3", None, True):
+        assert checked.finite(value) is None
+    assert checked.finite(3) == 3.0
+    assert json.loads("1e999") == float("inf")
