--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import signal
+from typing import Any
 
 import gevent
 
@@ -143,7 +144,7 @@
         gevent.sleep(seconds / SERIES)
 
 
-UNREADABLE = (
+UNREADABLE: tuple[dict[str, Any], ...] = (
     {"service": "pool", "capacity": "all"},
     {"service": ["pool"], "address": 80, "labels": "ab"},
     {"state": "resting"},
