Judge by accounts alone whether a task stands still

Cause: a task counted as standing still when its progress was the same for 2.2 s by the owner's clock, also where no account had come meanwhile. An owner that went on after a pause, or heard of its instances again after a cut, stopped all that ran, and it began anew.

Change: only time between two accounts that came within 1.5 s of each other counts.

--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -228,6 +228,7 @@
         if found is not None:
             run.confirmed, run.inherited = found.confirmed, False
             run.percent, run.percent_at = found.percent, found.percent_at
+            run.listed_at, run.still_s = found.listed_at, found.still_s
             run.saved, run.gauge = found.saved, found.gauge
         elif instance.adopted and not any(
             (end.task, end.run) == run.key for end in instance.unread_ends
--- a/src/vanillaswitch/coordination/fleet/queue/progress.py
+++ b/src/vanillaswitch/coordination/fleet/queue/progress.py
@@ -16,6 +16,12 @@
 """A task whose progress stayed the same for so long, over two accounts of its
 instance or more, stands still."""
 
+GAP_S = 1.5
+"""Accounts that are further apart tell nothing of the time between them. An
+instance with work answers within 1.0 s; longer ones are its own silence, a
+pause of the owner or a change of owner. Judged across such a gap, all that ran
+was stopped as standing still in the moment an owner went on after a pause."""
+
 SMOOTHING = 0.3
 """Weight of a new sample of an instance's speed; about three samples tell a
 change."""
@@ -38,6 +44,12 @@
     if percent != run.percent:
         _sample(instance, run, percent, now)
         run.percent, run.percent_at = percent, now
+        run.still_s = 0.0
+    elif now - run.listed_at <= GAP_S:
+        run.still_s += now - run.listed_at
+    else:
+        run.still_s = 0.0
+    run.listed_at = now
 
 
 def _sample(
@@ -56,13 +68,16 @@
 
 
 def stalled(run: rooms.Run, now: float) -> bool:
-    """Whether a run stands still."""
+    """Whether a run stands still, by accounts that came without a gap."""
+    unheard_s = now - run.listed_at
     return (
         run.confirmed
         and run.stopping is None
         and not run.step.long_running
         and run.pace == rooms.FULL_PACE
-        and now - run.percent_at >= STALL_S
+        and unheard_s <= GAP_S
+        and run.still_s > 0
+        and run.still_s + unheard_s >= STALL_S
     )
 
 
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -35,8 +35,10 @@
         decided_at: monotonic seconds at which it was decided.
         percent: how far it is, as last listed.
         percent_at: when ``percent`` last changed, at first when the owner
-            heard of the run; else a new owner would take every young task
-            for one that stands still.
+            heard of the run.
+        listed_at: when its instance last listed it.
+        still_s: for how long its accounts have shown no progress, but for
+            gaps between them.
         saved: newest checkpoint listed.
         gauge: see ``fleet.Running``.
         pace: percent of its speed at which it may work.
@@ -56,6 +58,8 @@
     void_since: float | None = None
     percent: float = 0.0
     percent_at: float = dataclasses.field(init=False)
+    listed_at: float = float("-inf")
+    still_s: float = 0.0
     saved: str = ""
     gauge: float = 0.0
     pace: int = FULL_PACE
