Give the fleet up where its owner's process is too slow

Cause: an owner whose machine turns several times slower renews its lease in time, so nobody takes over, and each start waits.

Change: an owner sees its own timers fire late and releases the fleet. It then lets others go first for 20 s. Whoever follows keeps the distance of machine orders, since the one before lives. Terms that follow such a one are judged later, twice as long each time, so that a fleet of slow machines does not change its owner all the time.

--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -8,6 +8,7 @@
 from vanillaswitch.coordination.fleet import operators
 from vanillaswitch.coordination.fleet.ownership import owner as owners
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.ownership import strain
 from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
@@ -83,6 +84,7 @@
         self._recorder: recorders.Recorder | None = None
         self._leaving = False
         self._looked = False
+        self._rests_until = float("-inf")
         self._store_answered_at = -1e9
 
     @property
@@ -225,7 +227,9 @@
         if not self._succession.may_take_over(self._clock.monotonic()):
             return False
         wait_s = self._rng.random() * SPREAD_S
-        self._clock.sleep(wait_s + weakness(self._settings) * WEAK_S)
+        rests = self._clock.monotonic() < self._rests_until
+        hindrance = 1.0 if rests else weakness(self._settings)
+        self._clock.sleep(wait_s + hindrance * WEAK_S)
         return True
 
     def _take_over(self) -> None:
@@ -238,6 +242,7 @@
         )
         if not recorder.take_over(self._succession.version, orders_from):
             return
+        strained_before = self._succession.row.strained
         self._recorder = recorder
         self._emit_owner("began", self._me.holder, recorder.token, 0.0)
         owner = owners.Owner(
@@ -250,19 +255,27 @@
         )
         if not owner.load(lambda: self._leaving):
             logs.warning("the fleet's rows can't be read")
-            recorder.release(LEAVE_S)
+            recorder.release(LEAVE_S, lives=not self._leaving)
             return
         self._owner = owner
         try:
             with owner.serving():
-                owner.wait(lambda: self._leaving)
+                strained = owner.wait(lambda: self._leaving, strained_before)
                 owner.finish(LEAVE_S)
         finally:
             self._owner = None
             age_s = self._clock.monotonic() - recorder.confirmed_at
             self._emit_owner("ended", self._me.holder, recorder.token, age_s)
-        if not recorder.deposed:
-            recorder.release(LEAVE_S)
+        if recorder.deposed:
+            return
+        if strained:
+            # Others are to go first for a while.
+            self._rests_until = self._clock.monotonic() + strain.REST_S
+        recorder.release(
+            LEAVE_S,
+            lives=not self._leaving,
+            strained=strained_before + 1 if strained else 0,
+        )
 
 
 def weakness(settings: deployments.Deployment) -> float:
