Let steps that wait for a full pool look at no instance

Cause: each plan let each waiting step look at each instance of its pool. In a turn that asks for more than there is hundreds of steps wait, and a plan follows every end: the owner had no time left for calls and renewals.

Change: the most room that any usable instance has free is known to a plan; what needs more fits on none and looks at none. The choice is the same.

--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -13,6 +13,7 @@
 
 from vanillaswitch.coordination.fleet.queue import book
 from vanillaswitch.coordination.fleet.queue import rooms
+from vanillaswitch.protocol import fleet
 
 Chosen = list[tuple[book.Task, rooms.Instance]]
 
@@ -41,6 +42,32 @@
     ]
 
 
+class Widest:
+    """The most room that any of some instances has free, of each kind.
+
+    In a turn that asks for more than there is, hundreds of steps wait for a
+    pool without room, and each would look at each of its instances. What needs
+    more than this fits on none of them.
+    """
+
+    def __init__(self, instances: Iterable[rooms.Instance]):
+        """Looks at instances as they are now."""
+        self._cpu = self._mem = self._gpu = -1
+        for instance in instances:
+            free = instance.free
+            self._cpu = max(self._cpu, free.cpu)
+            self._mem = max(self._mem, free.mem_mb)
+            self._gpu = max(self._gpu, free.gpu)
+
+    def admits(self, need: fleet.Resources) -> bool:
+        """Whether one of them may have room for a need."""
+        return (
+            need.cpu <= self._cpu
+            and need.mem_mb <= self._mem
+            and need.gpu <= self._gpu
+        )
+
+
 def choose(step: book.OpenStep, candidates: Sequence[rooms.Instance]) -> Chosen:
     """Chooses an instance for each waiting task that finds room.
 
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -73,11 +73,21 @@
     ) -> None:
         pools = self.by_pool()
         for service, steps in ready.items():
-            instances = pools.get(service, [])
+            instances = [
+                instance
+                for instance in pools.get(service, [])
+                if instance.usable(now)
+            ]
+            widest = placement.Widest(instances)
             for step in steps:
-                self._place(step, instances, now)
+                if widest.admits(books.need(step.step)) and self._place(
+                    step, instances, now
+                ):
+                    widest = placement.Widest(instances)
                 held = self._held_for(step, instances, now)
-                instances = [item for item in instances if item is not held]
+                if held is not None:
+                    instances = [item for item in instances if item is not held]
+                    widest = placement.Widest(instances)
 
     def _held_for(
         self,
@@ -116,16 +126,17 @@
         step: books.OpenStep,
         instances: Iterable[rooms.Instance],
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Assigns tasks of a step; returns whether any was."""
         tickets = self.tickets_for(step, now)
         if tickets is not None and not tickets:
-            return
+            return False
         candidates = placement.eligible(step, instances, now, tickets)
         if not candidates:
-            return
+            return False
         chosen = placement.choose(step, candidates)
         if not chosen:
-            return
+            return False
         highest = max(task.run for task, _ in chosen)
         for task, instance in chosen:
             run = highest + 1 if step.step.gang else task.run + 1
@@ -133,6 +144,7 @@
             self._assign(step, task, instance, run, ticket, now)
         step.entry.started = True
         self.book.touch(step.entry)
+        return True
 
     def _assign(
         self,
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -141,6 +141,16 @@
         """Thousandths of a core that nothing has taken."""
         return self.registration.capacity.cpu - self._cpu
 
+    @property
+    def free(self) -> fleet.Resources:
+        """Room that nothing has taken."""
+        capacity = self.registration.capacity
+        return fleet.Resources(
+            capacity.cpu - self._cpu,
+            capacity.mem_mb - self._mem,
+            capacity.gpu - self._gpu,
+        )
+
     @property
     def used_cpu(self) -> int:
         """Thousandths of a core that are taken."""
