Let a slow owner keep the fleet again

Cause: giving the fleet up where timers fire late was to help where the owner's machine turns slow.

Change: reverted with its tests.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -199,19 +199,6 @@
     age_ms: int
 
 
-@dataclasses.dataclass(frozen=True)
-class OwnerStrained:
-    """An owner gives the fleet up, since its process is too slow for it.
-
-    Attributes:
-        token: fencing token of its term.
-        late_ms: by how much its timers fired late in the last second.
-    """
-
-    token: int
-    late_ms: int
-
-
 @dataclasses.dataclass(frozen=True)
 class ConfigInForce:
     """A configuration is in force in this process."""
--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -8,7 +8,6 @@
 from vanillaswitch.coordination.fleet import operators
 from vanillaswitch.coordination.fleet.ownership import owner as owners
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
-from vanillaswitch.coordination.fleet.ownership import strain
 from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
@@ -84,7 +83,6 @@
         self._recorder: recorders.Recorder | None = None
         self._leaving = False
         self._looked = False
-        self._rests_until = float("-inf")
         self._store_answered_at = -1e9
 
     @property
@@ -227,9 +225,7 @@
         if not self._succession.may_take_over(self._clock.monotonic()):
             return False
         wait_s = self._rng.random() * SPREAD_S
-        rests = self._clock.monotonic() < self._rests_until
-        hindrance = 1.0 if rests else weakness(self._settings)
-        self._clock.sleep(wait_s + hindrance * WEAK_S)
+        self._clock.sleep(wait_s + weakness(self._settings) * WEAK_S)
         return True
 
     def _take_over(self) -> None:
@@ -242,7 +238,6 @@
         )
         if not recorder.take_over(self._succession.version, orders_from):
             return
-        strained_before = self._succession.row.strained
         self._recorder = recorder
         self._emit_owner("began", self._me.holder, recorder.token, 0.0)
         owner = owners.Owner(
@@ -255,27 +250,19 @@
         )
         if not owner.load(lambda: self._leaving):
             logs.warning("the fleet's rows can't be read")
-            recorder.release(LEAVE_S, lives=not self._leaving)
+            recorder.release(LEAVE_S)
             return
         self._owner = owner
         try:
             with owner.serving():
-                strained = owner.wait(lambda: self._leaving, strained_before)
+                owner.wait(lambda: self._leaving)
                 owner.finish(LEAVE_S)
         finally:
             self._owner = None
             age_s = self._clock.monotonic() - recorder.confirmed_at
             self._emit_owner("ended", self._me.holder, recorder.token, age_s)
-        if recorder.deposed:
-            return
-        if strained:
-            # Others are to go first for a while.
-            self._rests_until = self._clock.monotonic() + strain.REST_S
-        recorder.release(
-            LEAVE_S,
-            lives=not self._leaving,
-            strained=strained_before + 1 if strained else 0,
-        )
+        if not recorder.deposed:
+            recorder.release(LEAVE_S)
 
 
 def weakness(settings: deployments.Deployment) -> float:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -22,7 +22,6 @@
 from vanillaswitch.coordination.fleet.ownership import job_tables
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.coordination.fleet.ownership import retention
-from vanillaswitch.coordination.fleet.ownership import strain
 from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.coordination.fleet.queue import queue_order
@@ -245,32 +244,10 @@
         finally:
             gevent.killall(tasks)
 
-    def wait(self, leaving: Callable[[], bool], strained_before: int) -> bool:
-        """Waits until the term is over, the process leaves or is too slow.
-
-        Args:
-            leaving: whether the process is about to end.
-            strained_before: how many terms in a row, up to the one before,
-                were given up by processes that were too slow.
-
-        Returns:
-            Whether the fleet is given up since this process is too slow.
-        """
-        strained = strain.Strain(self._clock.monotonic(), strained_before)
+    def wait(self, leaving: Callable[[], bool]) -> None:
+        """Waits until the term is over or the process leaves."""
         while not self._recorder.deposed and not leaving():
-            asked_at = self._clock.monotonic()
             self._clock.sleep(TICK_S)
-            now = self._clock.monotonic()
-            strained.timer_fired(TICK_S, now - asked_at)
-            jobs_known = len(self._core.book)
-            if strained.too_much(now, jobs_known, self._settings.link_mbps):
-                self._tell_strained(strained)
-                return True
-        return False
-
-    def _tell_strained(self, strained: strain.Strain) -> None:
-        late_ms = int(strained.late_s * 1000)
-        self._emit(events.OwnerStrained(self._recorder.token, late_ms))
 
     def finish(self, timeout_s: float) -> None:
         """Ends the term in order: what is being written is waited for."""
--- a/src/vanillaswitch/coordination/fleet/ownership/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/recorder.py
@@ -52,17 +52,11 @@
         holder: name of the process; empty when it gave the fleet up.
         address: where it listens to the other processes.
         boot: random id of this start of the process.
-        lives: whether the process goes on after it gave the fleet up. It may
-            have ordered a machine a moment before, as one that is only slow.
-        strained: how many terms in a row, up to this one, were given up since
-            their process was too slow.
     """
 
     holder: str
     address: str
     boot: str
-    lives: bool = False
-    strained: int = 0
 
     def document(self) -> dict[str, Any]:
         """Returns the row's content."""
@@ -77,23 +71,11 @@
 
 def owner_row(document: Mapping[str, Any]) -> OwnerRow:
     """Decodes the owner's row."""
-    holder, address, boot = (
-        document.get(name) for name in ("holder", "address", "boot")
-    )
-    if not (
-        isinstance(holder, str)
-        and isinstance(address, str)
-        and isinstance(boot, str)
-    ):
+    fields = [document.get(name) for name in ("holder", "address", "boot")]
+    texts = [field for field in fields if isinstance(field, str)]
+    if len(texts) < len(fields):
         return UNKNOWN_OWNER
-    strained = document.get("strained")
-    return OwnerRow(
-        holder,
-        address,
-        boot,
-        document.get("lives") is True,
-        strained if type(strained) is int and strained > 0 else 0,
-    )
+    return OwnerRow(*texts)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -180,15 +162,9 @@
         """Writes rows and renews the lease; returns once that is certain."""
         return self._write(self._me, puts, None)
 
-    def release(self, timeout_s: float, lives: bool, strained: int = 0) -> None:
-        """Gives the fleet up, so that another may take it at once.
-
-        Args:
-            timeout_s: longest wait for the write.
-            lives: whether this process goes on.
-            strained: see ``OwnerRow``.
-        """
-        nobody = OwnerRow("", "", self._me.boot, lives, strained)
+    def release(self, timeout_s: float) -> None:
+        """Gives the fleet up, so that another may take it at once."""
+        nobody = OwnerRow("", "", self._me.boot)
         self._write(nobody, (), timeout_s)
         self._deposed = True
 
--- a/src/vanillaswitch/coordination/fleet/ownership/succession.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/succession.py
@@ -95,8 +95,7 @@
         the fleet; two owners keep a distance of ``lease_s``. One whose process
         ended, or which gave the fleet up, orders nothing any more.
         """
-        given_up = not self._row.holder and not self._row.lives
-        if given_up or self._row.boot == self._dead_boot:
+        if not self._row.holder or self._row.boot == self._dead_boot:
             return now
         return now - self.unchanged_s(now) + lease_s
 
