Leave what runs for a job alone whose own row was written over

Cause: found in reading the diff: a new owner that could not read a job's row dropped its progress with it, took its runs for those of nobody and stopped them. And a job that was in the book already would have been put among the unread ones, where its ends are kept back for good.

Change: what runs for a job that was never read is left alone; one that is known goes on as accepted.

--- a/src/vanillaswitch/coordination/fleet/intake/intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake/intake.py
@@ -33,6 +33,7 @@
 
 
 _ENDS = [state.value for state in jobs.JobState if state.ended]
+"""What the row of a job's progress may name as its end."""
 
 
 class Verdict(enum.StrEnum):
--- a/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -126,7 +126,12 @@
             self._damaged_progress(progress, wrong.reason)
 
     def _job(self, row: feeds.Change) -> jobs.Job | None:
-        """Decodes a job's row; None for one that is of no use."""
+        """Decodes a job's row; None for one that is of no use.
+
+        A job that was read before goes on as it was accepted. What runs for
+        one that was not is left alone: it was accepted, and its row may have
+        been written over since.
+        """
         found = (
             unusable.Unusable(row.damage)
             if row.value is None
@@ -135,8 +140,16 @@
         if isinstance(found, jobs.Job):
             return found
         self._tell_unusable(recorders.JOB_TABLE, row, found.reason)
+        if self._core.book.get(row.key) is None:
+            self._leave_alone(row.key)
         return None
 
+    def _leave_alone(self, job_id: str) -> None:
+        """Neither starts nor stops anything for a job."""
+        self._unread.pop(job_id, None)
+        self._damaged.add(job_id)
+        self._core.unread = set(self._core.unread) | {job_id}
+
     def _damaged_progress(self, row: feeds.Change, why: str) -> None:
         """Leaves a job alone whose progress can't be read.
 
@@ -144,8 +157,7 @@
         them would run a second time. What runs for it goes on, nothing starts.
         """
         self._tell_unusable(recorders.PROGRESS_TABLE, row, why)
-        self._damaged.add(row.key)
-        self._core.unread = set(self._core.unread) | {row.key}
+        self._leave_alone(row.key)
 
     def _tell_unusable(self, table: str, row: feeds.Change, why: str) -> None:
         self._emit(events.RowUnusable(table, row.key, row.version, why))
--- a/tests/failures/test_entries_of_others.py
+++ b/tests/failures/test_entries_of_others.py
@@ -17,6 +17,7 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import upstreams
 from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import minions
 from vanillaswitch.transport import plain_http
 
@@ -198,6 +199,45 @@
         assert not owner._tables.take_orphans()
 
 
+def test_what_runs_for_a_job_whose_row_was_written_over_is_left_alone():
+    """A task that works is stopped after a change of owner.
+
+    Another writer wrote over the job's own row. Its progress names the run,
+    which no job in the book accounted for.
+    """
+    job = fleets.job(1)
+    before = fleets.new_core()
+    fleets.adopt(before, "i-0")
+    before.job_added(job, 0.0)
+    batch = fleets.plan(before)
+    feed = _Feed(_rows([ENTRY]))
+    feed.rows["job"] = [_damaged(job.job_id)]
+    packed = batch.entries[0].pack()
+    feed.rows["progress"] = [feeds.Change(job.job_id, packed, 1)]
+    owner = _term(feed)
+    assert owner.load()
+    listed = tuple(
+        fleet.Running(start.task, start.run, "", 10.0) for start in batch.starts
+    )
+    owner.core.held("i-0", fleets.held(running=listed), 0.0, 0.0)
+    assert not owner.core.take_stops()
+    owner._tables._on_jobs([_damaged(job.job_id)])
+    assert job.job_id in owner.core.unread
+    assert not owner._tables.take_orphans()
+
+
+def test_a_job_that_is_known_goes_on_when_its_row_is_written_over():
+    """A job's ends are never noted, and it stays open for good."""
+    job = fleets.job(1)
+    feed = _Feed(_rows([ENTRY]))
+    feed.rows["job"] = [feeds.Change(job.job_id, job_rows.pack(job), 1)]
+    owner = _term(feed)
+    assert owner.load()
+    owner._tables._on_jobs([_damaged(job.job_id)])
+    assert job.job_id not in owner.core.unread
+    assert owner.core.book.get(job.job_id) is not None
+
+
 def test_a_cancel_that_was_written_over_holds():
     """A job runs on although its client was told that it is cancelled."""
     job = fleets.job(1)
