--- a/standins/model/experiment.py
+++ b/standins/model/experiment.py
@@ -6,6 +6,8 @@
 import dataclasses
 import statistics
 
+from standins.model import day as days_lib
+
 # Files the faults under their kinds.
 from standins.model import faults as _faults  # noqa: F401
 from standins.model import judge
@@ -30,7 +32,7 @@
     """An experiment's table, and the first seed's days for its plot."""
 
     rows: Sequence[Row]
-    days: Mapping[str, worlds.Day]
+    days: Mapping[str, days_lib.Day]
 
 
 def run(experiment: scenarios.Experiment, progress: Progress) -> Result:
@@ -41,7 +43,7 @@
         progress: told of each day that was played.
     """
     rows = []
-    days: dict[str, worlds.Day] = {}
+    days: dict[str, days_lib.Day] = {}
     for size in experiment.sizes:
         for policy in experiment.policy:
             verdicts = []
--- a/standins/model/judge.py
+++ b/standins/model/judge.py
@@ -5,9 +5,9 @@
 
 import numpy as np
 
+from standins.model import day as days_lib
 from standins.model import scenario as scenarios
 from standins.model import workload
-from standins.model import world as worlds
 
 LATE_FACTOR = 3.0
 LATE_SHARE = 1 / 14
@@ -61,7 +61,7 @@
     in_time: bool
 
 
-def judge(scenario: scenarios.Scenario, day: worlds.Day) -> Verdict:
+def judge(scenario: scenarios.Scenario, day: days_lib.Day) -> Verdict:
     """Returns what a day was worth."""
     found = _jobs(day)
     owed = sum(job.owed for job in found)
@@ -98,7 +98,7 @@
     )
 
 
-def _jobs(day: worlds.Day) -> list[_Job]:
+def _jobs(day: days_lib.Day) -> list[_Job]:
     short = [made for made in day.made if made.durations]
     works: dict[str, list[float]] = collections.defaultdict(list)
     for made in short:
@@ -106,7 +106,7 @@
     return [_job(made, day, works[made.queue.name]) for made in short]
 
 
-def _job(made: workload.Made, day: worlds.Day, works: list[float]) -> _Job:
+def _job(made: workload.Made, day: days_lib.Day, works: list[float]) -> _Job:
     share = min(4.0, 0.3 + 0.7 * made.work / float(np.mean(works)))
     owed = made.queue.worth * share
     ended = day.ended.get(made.job.job_id)
--- a/standins/model/plots.py
+++ b/standins/model/plots.py
@@ -6,12 +6,12 @@
 import matplotlib as mpl
 from matplotlib import pyplot as plt
 
-from standins.model import world as worlds
+from standins.model import day as days_lib
 
 mpl.use("Agg")
 
 
-def draw(days: Mapping[str, worlds.Day], path: pathlib.Path) -> None:
+def draw(days: Mapping[str, days_lib.Day], path: pathlib.Path) -> None:
     """Draws demand against machines, and the backlog, by policy."""
     figure, axes = plt.subplots(
         2, len(days), sharex=True, sharey="row", squeeze=False
--- a/standins/model/world.py
+++ b/standins/model/world.py
@@ -7,32 +7,29 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Collection
-import dataclasses
 import heapq
 import itertools
 import time
 
 import gevent
 import gevent.event
-from hdrh.histogram import HdrHistogram
 
 from standins import leased_instance
+from standins.model import day as days_lib
 from standins.model import machines as modelled
+from standins.model import outside
 from standins.model import scenario as scenarios
 from standins.model import workload
 from vanillaswitch.coordination.fleet.instances import core as cores
 from vanillaswitch.coordination.fleet.instances import instance_task
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.machines import machine_task
-from vanillaswitch.coordination.fleet.machines import wave_driver
 from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
-from vanillaswitch.state import deployment as deployments
 
 TICK_S = 0.02
 """Time between two plans; about what a transaction and a start take."""
@@ -57,116 +54,6 @@
 PATIENCE_S = 3.0
 """Clients that are refused come back after a second, for three seconds."""
 
-LONGEST_START_MS = 60_000
-
-
-@dataclasses.dataclass
-class Clock:
-    """Virtual time; implements ``clocks.Clock`` as far as decisions use it."""
-
-    now: float = 0.0
-
-    def monotonic(self) -> float:
-        """Returns virtual seconds."""
-        return self.now
-
-    def wall(self) -> float:
-        """Returns the same: days begin at the epoch."""
-        return self.now
-
-    def sleep(self, seconds: float) -> None:
-        """Refuses: nothing that is driven here waits."""
-        raise NotImplementedError(f"a sleep of {seconds} s in virtual time")
-
-
-class _Recorder:
-    """A term that is certain as long as the store is there."""
-
-    def __init__(self, world: "World", token: int):
-        self._world = world
-        self.token = token
-        self.deposed = False
-
-    @property
-    def newest(self) -> int:
-        return self.token
-
-    def may_order(self) -> bool:
-        return not self._world.store_away
-
-    def depose(self) -> None:
-        raise AssertionError("a modelled owner was fenced")
-
-
-class _Board:
-    """The waves of the day."""
-
-    def __init__(self, world: "World"):
-        self._world = world
-        self._finished: dict[str, set[str]] = {}
-        self.completed_at: dict[str, float] = {}
-
-    def orders(self) -> tuple[fleet.WaveOrder, ...]:
-        return tuple(self._world.waves)
-
-    def begin(self, wave: str) -> wave_driver.WaveRecord:
-        return wave_driver.WaveRecord(tuple(self._finished.get(wave, ())), 0.0)
-
-    def save_finished(self, wave: str, machines: Collection[str]) -> bool:
-        self._finished.setdefault(wave, set()).update(machines)
-        return True
-
-    def report(self, wave: str, completed: bool) -> bool:
-        if completed:
-            self.completed_at.setdefault(wave, self._world.clock.now)
-        return True
-
-
-@dataclasses.dataclass(frozen=True)
-class Sample:
-    """The fleet at one moment.
-
-    Attributes:
-        wanted: machines' worth of processors that tasks use and wait for.
-        machines: that stand in pools.
-        waiting: jobs without a running task.
-    """
-
-    at: float
-    wanted: float
-    machines: int
-    waiting: int
-
-
-@dataclasses.dataclass
-class Day:
-    """What came of a day.
-
-    Attributes:
-        made: all jobs.
-        ended: when each that was completed was, by its id.
-        at_work: shares of lasting tasks at work, by sample.
-        thrown_away: core-seconds of runs that did not end as done.
-        starts: milliseconds from hand-in to first start.
-        decisions_s: processor time of the decisions.
-        late_waves: tenths of a wave that were late, summed.
-    """
-
-    made: list[workload.Made]
-    seconds: float
-    ended: dict[str, float] = dataclasses.field(default_factory=dict)
-    at_work: list[float] = dataclasses.field(default_factory=list)
-    samples: list[Sample] = dataclasses.field(default_factory=list)
-    machine_seconds: float = 0.0
-    moves: int = 0
-    thrown_away: float = 0.0
-    decisions_s: float = 0.0
-    late_waves: int = 0
-    starts: HdrHistogram = dataclasses.field(
-        default_factory=lambda: HdrHistogram(1, LONGEST_START_MS, 2)
-    )
-
-
 Act = Callable[["World", scenarios.Fault], Callable[[], None]]
 """Begins a fault and returns what ends it."""
 
@@ -184,14 +71,16 @@
         seed: int,
     ):
         self.scenario = scenario
-        self.clock = Clock()
+        self.clock = outside.Clock()
         self.machines = modelled.Machines(scenario, size)
         self.store_away = False
         self.owner_lost = False
         self.waves: list[fleet.WaveOrder] = []
-        self.day = Day(workload.day(scenario, size, seed), scenario.seconds)
+        self.day = days_lib.Day(
+            workload.day(scenario, size, seed), scenario.seconds
+        )
         self._policy = policy
-        self._board = _Board(self)
+        self._board = outside.Board(self.clock, self.waves)
         self._made = {made.job.job_id: made for made in self.day.made}
         self._unstarted = set(self._made)
         self._coming = list(reversed(self.day.made))
@@ -224,8 +113,8 @@
             core,
             self.machines,
             self._board,
-            _Recorder(self, self._token),  # type: ignore[arg-type]
-            _settings(self.scenario),
+            outside.Recorder(self._token, lambda: not self.store_away),  # type: ignore[arg-type]
+            outside.settings(self.scenario),
             self.clock,
             gevent.event.Event(),
             lambda _: None,
@@ -257,7 +146,7 @@
             self._events, (at, next(self._order), lambda: act(*args))
         )
 
-    def play(self) -> Day:
+    def play(self) -> days_lib.Day:
         """Plays the day to its end."""
         end = self.scenario.seconds + TAIL_S
         while self.clock.now < end and not self._over():
@@ -389,7 +278,9 @@
         if made.durations and made.job.job_id in self._unstarted:
             self._unstarted.discard(made.job.job_id)
             took_ms = max(1, round((now - made.at) * 1000))
-            self.day.starts.record_value(min(took_ms, LONGEST_START_MS))
+            self.day.starts.record_value(
+                min(took_ms, days_lib.LONGEST_START_MS)
+            )
 
     def _run(
         self,
@@ -554,7 +445,7 @@
             not entry.started for entry in self._core.book.live.values()
         )
         wanted = (used + waiting_cpu) / self.scenario.machine_cpu
-        self.day.samples.append(Sample(now, wanted, pooled, waiting))
+        self.day.samples.append(days_lib.Sample(now, wanted, pooled, waiting))
         lasting = sum(
             made.job.steps[0].count
             for made in self.day.made
@@ -570,34 +461,3 @@
             if machine.instance is not None
             for task in machine.instance.running
         )
-
-
-def _settings(scenario: scenarios.Scenario) -> deployments.Deployment:
-    unused = dict.fromkeys(
-        (
-            "process",
-            "zone",
-            "entry_address",
-            "ready_address",
-            "internal_address",
-            "metrics_address",
-            "store_address",
-            "machines_address",
-            "advice_address",
-        ),
-        "",
-    )
-    return deployments.Deployment(
-        **unused,
-        cores=1.0,
-        link_mbps=1000.0,
-        orders="request",
-        contracts=(),
-        heartbeat_s=1.5,
-        writes_per_s=600.0,
-        reads_per_s=2000.0,
-        machine_orders_per_s=64.0,
-        bounds=deployments.Bounds(
-            move_s=scenario.move_s, upkeep_s=scenario.upkeep_s
-        ),
-    )
