Draw histories of owners in which entries are written over

Cause: nothing showed that an instance whose entry can't be read keeps what it runs through crashes, cuts and changes of owner.

--- /dev/null
+++ b/tests/common/owner_histories.py
@@ -0,0 +1,483 @@
+"""Owners of a fleet in any order of events, against a model of instances.
+
+Two or three processes believe in turn, and for a while together, that they own
+the fleet. Orders are delayed, lost, carried out late and after newer ones;
+instances crash, fall silent and come back; rows are written under the owner's
+condition. What must never happen is checked after each event.
+"""
+
+from collections.abc import Callable
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from standins import leased_instance
+from tests.common import fleets
+from vanillaswitch.coordination.fleet.instances import core as cores
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import rooms
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
+
+OWNERS = 3
+INSTANCES = 3
+STEPS = (
+    (jobs.Step(count=2, cpu=1500),),
+    (jobs.Step(count=1, cpu=3000), jobs.Step(count=3, cpu=900, after=(0,))),
+    (jobs.Step(count=2, cpu=2000, gang=True),),
+    (jobs.Step(count=2, cpu=1000, anti_affinity=1),),
+)
+CHOICE = st.integers(0, 1_000_000)
+
+
+class Term:
+    """One process's belief that it owns the fleet."""
+
+    def __init__(self, core: cores.Core, token: int):
+        self.core = core
+        self.token = token
+        self.orders: list[term_state.StartOrder] = []
+        self.stops: list[term_state.StopOrder] = []
+        self.recorded: dict[str, int] = {}
+        self.unanswered: set[rooms.RunKey] = set()
+        self.unread: set[str] = set()
+
+
+class Owners(stateful.RuleBasedStateMachine):
+    """Drives terms, instances and rows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1.0
+        self.token = 0
+        self.lives = 0
+        self.terms: list[Term] = []
+        self.jobs: dict[str, jobs.Job] = {}
+        self.cancelled: set[str] = set()
+        self.rows: dict[str, dict[str, object]] = {}
+        self.instances: dict[str, leased_instance.LeasedInstance] = {}
+        self.done: set[jobs.TaskName] = set()
+        self.late: list[tuple[str, fleet.Start]] = []
+        self.cut: set[str] = set()
+        for _ in range(INSTANCES):
+            self._boot()
+        self.take_over()
+
+    def _boot(self) -> None:
+        self.lives += 1
+        name = f"i-{self.lives}"
+        self.instances[name] = leased_instance.LeasedInstance(
+            fleets.registration(name, rack=f"r{self.lives % 2}")
+        )
+
+    def _pick(self, items: list, choice: int):
+        return items[choice % len(items)] if items else None
+
+    def _up(self) -> list[leased_instance.LeasedInstance]:
+        return [item for item in self.instances.values() if item.up]
+
+    # The store.
+
+    @stateful.rule()
+    def take_over(self) -> None:
+        """Another process becomes the owner and reads what was written."""
+        self._take_over(set())
+
+    @stateful.rule(part=st.integers(0, 2))
+    def take_over_in_part(self, part: int) -> None:
+        """The same, while a part of the table of jobs is away."""
+        numbered = enumerate(sorted(self.jobs))
+        self._take_over({job for at, job in numbered if at % 3 == part})
+
+    @stateful.rule()
+    def part_is_back(self) -> None:
+        """The owner reads the jobs that it could not read before."""
+        term = self.terms[-1]
+        while term.unread:
+            job_id = min(term.unread)
+            term.unread.discard(job_id)
+            job, row = self.jobs[job_id], self.rows.get(job_id)
+            if row is None:
+                term.core.job_added(job, self.now)
+                continue
+            term.core.unread = self._unread_with_rows(term)
+            lapses_at = instance_task.inherited_lapse_at(self.now)
+            term.core.restore_late(job, row, 1, self.now, lapses_at)
+
+    def _unread_with_rows(self, term: Term) -> set[str]:
+        """Returns jobs of which the owner knows progress and no more."""
+        return {
+            job_id
+            for job_id in term.unread
+            if job_id in self.rows and not self.rows[job_id]["ended"]
+        }
+
+    def _take_over(self, unread: set[str]) -> None:
+        self.token += 1
+        core = fleets.new_core()
+        term = Term(core, self.token)
+        for item in self._up():
+            core.registered(item.registration, self.now)
+        term.unread = unread
+        core.unread = self._unread_with_rows(term)
+        for job in self.jobs.values():
+            row = self.rows.get(job.job_id)
+            if job.job_id in unread:
+                continue
+            if row is None:
+                core.job_added(job, self.now)
+            else:
+                core.restore(job, row, 1, self.now)
+        core.inherit_runs(self.now, instance_task.inherited_lapse_at(self.now))
+        for job_id in self.cancelled:
+            core.cancelled(job_id, self.now)
+        self.terms = [*self.terms[-(OWNERS - 1) :], term]
+
+    @stateful.rule(kind=st.integers(0, len(STEPS) - 1))
+    def submit(self, kind: int) -> None:
+        """A client hands in a job; only the owner hears of it in time."""
+        if len(self.jobs) >= 6:
+            return
+        job = fleets.job(len(self.jobs) + 1, STEPS[kind])
+        self.jobs[job.job_id] = job
+        self.terms[-1].core.job_added(job, self.now)
+
+    @stateful.rule(choice=CHOICE)
+    def cancel(self, choice: int) -> None:
+        """A client cancels a job."""
+        job_id = self._pick(sorted(self.jobs), choice)
+        if job_id is not None:
+            self.cancelled.add(job_id)
+            self.terms[-1].core.cancelled(job_id, self.now)
+
+    @stateful.rule(choice=CHOICE)
+    def plan_and_write(self, choice: int) -> None:
+        """A process plans and writes; one that lost the fleet can't."""
+        term = self._pick(self.terms, choice)
+        term.core.plan(self.now, fleets.WALL_MS + self.now * 1000)
+        batch = term.core.take_batch(2)
+        if term is not self.terms[-1]:
+            self.terms.remove(term)
+            return
+        for entry in batch.entries:
+            self.rows[entry.job.job_id] = entry.pack()
+            entry.shown = entry.state
+        term.orders.extend(batch.starts)
+        term.recorded.update(batch.seen)
+        term.stops.extend(term.core.take_stops())
+
+    # Orders.
+
+    @stateful.rule(choice=CHOICE, fate=st.integers(0, 3))
+    def send_start(self, choice: int, fate: int) -> None:
+        """A start is sent; it may be lost, or answered by nobody."""
+        term = self._pick(self.terms, choice)
+        order = self._pick(term.orders, choice)
+        if order is None:
+            return
+        if not term.core.may_send(order):
+            term.orders.remove(order)
+            return
+        known = term.core.instances.get(order.instance)
+        model = self.instances[order.instance]
+        deadline = known.clock_now_ms(self.now) + instance_task.HOLD_S * 1000
+        known.lapses_at = max(
+            known.lapses_at, instance_task.lapses_at(self.now)
+        )
+        start = fleet.Start(
+            order.task, order.run, "", "", term.token, int(deadline)
+        )
+        key = (order.task, order.run)
+        if order.instance in self.cut:
+            if not term.core.start_unanswered(
+                order.instance, key, False, self.now
+            ):
+                term.orders.remove(order)
+            return
+        if fate == 0 or not model.up:
+            # Nobody answers; a copy may be carried out later.
+            self.late.append((order.instance, start))
+            term.unanswered.add(key)
+            if not term.core.start_unanswered(
+                order.instance, key, True, self.now
+            ):
+                term.orders.remove(order)
+            return
+        if fate == 1:
+            outcome = fleet.Refused(fleet.Reason.UNHEALTHY)
+        else:
+            outcome = self._carry_out(order.instance, start)
+        term.orders.remove(order)
+        self._tell(term, order, outcome)
+
+    def _tell(
+        self, term: Term, order: term_state.StartOrder, outcome: object
+    ) -> None:
+        key = (order.task, order.run)
+        if isinstance(outcome, fleet.Accepted):
+            term.core.started(order.instance, key)
+            return
+        if fleet.is_fenced(outcome):
+            if term is not self.terms[-1]:
+                self.terms.remove(term)
+            return
+        sent = key in term.unanswered
+        term.core.start_refused(
+            order.instance, key, outcome.reason, not sent, self.now
+        )
+
+    def _carry_out(self, name: str, start: fleet.Start) -> object:
+        model = self.instances[name]
+        job = self.jobs[start.task.job_id]
+        need = books.need(job.steps[start.task.step])
+        before = len(model.started)
+        outcome = model.start(start, need)
+        if len(model.started) > before:
+            self._check_start(model, start)
+        return outcome
+
+    @stateful.rule(choice=CHOICE)
+    def carry_out_late(self, choice: int) -> None:
+        """A start that was given up is carried out."""
+        found = self._pick(self.late, choice)
+        if found is not None:
+            self.late.remove(found)
+            if self.instances[found[0]].up:
+                self._carry_out(*found)
+
+    @stateful.rule(choice=CHOICE)
+    def send_stops(self, choice: int) -> None:
+        """A process sends its stops."""
+        term = self._pick(self.terms, choice)
+        term.core.stop_again(self.now)
+        term.stops.extend(term.core.take_stops())
+        for stop in term.stops:
+            model = self.instances.get(stop.instance)
+            if model is None or not model.up or stop.instance in self.cut:
+                continue
+            outcome = model.stop(stop.task, stop.run, term.token)
+            if isinstance(outcome, fleet.Accepted):
+                key = (stop.task, stop.run)
+                term.core.stopped(stop.instance, key, self.now)
+        term.stops.clear()
+
+    @stateful.rule(choice=CHOICE, instance=CHOICE)
+    def hold(self, choice: int, instance: int) -> None:
+        """A process holds an instance and hears its account."""
+        term = self._pick(self.terms, choice)
+        name = self._pick(sorted(self.instances), instance)
+        model = self.instances[name]
+        known = term.core.instances.get(name)
+        if known is None:
+            return
+        if not model.up or name in self.cut:
+            term.core.silent(name, self.now)
+            return
+        deadline = None
+        if known.adopted:
+            deadline = int(
+                known.clock_now_ms(self.now) + instance_task.HOLD_S * 1000
+            )
+            known.lapses_at = max(
+                known.lapses_at, instance_task.lapses_at(self.now)
+            )
+        outcome = model.hold(term.token, term.recorded.get(name, 0), deadline)
+        if isinstance(outcome, fleet.Held):
+            term.core.held(name, outcome, self.now, self.now)
+        elif term is not self.terms[-1]:
+            self.terms.remove(term)
+
+    # Instances and time.
+
+    @stateful.rule(choice=CHOICE, how=st.sampled_from(["done", "failed"]))
+    def task_ends(self, choice: int, how: str) -> None:
+        """A task ends by itself; a gang ends together."""
+        running = [
+            (model, task)
+            for model in self._up()
+            for task in sorted(model.running)
+        ]
+        found = self._pick(running, choice)
+        if found is None:
+            return
+        model, task = found
+        step = self.jobs[task.job_id].steps[task.step]
+        if not step.gang:
+            model.end(task, fleet.How(how))
+            return
+        self._gang_ends(task, step, how)
+
+    def _gang_ends(
+        self, task: jobs.TaskName, step: jobs.Step, how: str
+    ) -> None:
+        members = [
+            (model, name, run.run)
+            for model in self._up()
+            for name, run in list(model.running.items())
+            if (name.job_id, name.step) == (task.job_id, task.step)
+        ]
+        if how == "done" and (
+            len(members) < step.count or len({run for *_, run in members}) > 1
+        ):
+            return
+        for model, name, _ in members:
+            broken = how == "failed" and name != task
+            model.end(name, fleet.How.BROKEN if broken else fleet.How(how))
+
+    @stateful.rule(choice=CHOICE)
+    def crash(self, choice: int) -> None:
+        """An instance crashes; the list of machines shows it later."""
+        up = self._up()
+        if len(up) > 1:
+            self._pick(up, choice).crash()
+            self._boot()
+            newest = list(self.instances.values())[-1]
+            for term in self.terms:
+                term.core.registered(newest.registration, self.now)
+
+    @stateful.rule(choice=CHOICE)
+    def cut_or_mend(self, choice: int) -> None:
+        """An instance can't be reached and runs on, or can be again."""
+        name = self._pick(sorted(self.instances), choice)
+        self.cut.symmetric_difference_update({name})
+
+    @stateful.rule()
+    def read_machines(self) -> None:
+        """The owner learns which instances are over."""
+        core = self.terms[-1].core
+        for name in list(core.instances):
+            if not self.instances[name].up:
+                core.gone(name, self.now, "no machine runs it")
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0]))
+    def time_passes(self, seconds: float) -> None:
+        """Time passes everywhere; some clocks are slow."""
+        self.now += seconds
+        for number, model in enumerate(self._up()):
+            slow = 0.98 if number % 2 else 1.0
+            model.advance(seconds * 1000 * slow)
+        for term in self.terms:
+            term.core.lapse(self.now)
+
+    # Entries of others: no rule, since a drawn history is short of them.
+
+    def entry_written_over(self, choice: int) -> None:
+        """Another writer writes over the entry of an instance."""
+        name = self._pick(sorted(self.instances), choice)
+        for term in self.terms:
+            term.core.distrusted(name, "its bytes can't be read", self.now)
+
+    def entry_written_again(self, choice: int) -> None:
+        """An instance that lives writes its own entry."""
+        model = self._pick(self._up(), choice)
+        for term in self.terms:
+            term.core.registered(model.registration, self.now)
+
+    # What must hold.
+
+    def _check_start(
+        self, model: leased_instance.LeasedInstance, start: fleet.Start
+    ) -> None:
+        task = start.task
+        others = [
+            item
+            for item in self._up()
+            if item is not model and task in item.running
+        ]
+        assert not others, f"{task} runs twice at once"
+        assert task not in self._noted_done(), f"{task} was noted as done"
+        job = self.jobs[task.job_id]
+        for before in job.steps[task.step].after:
+            for index in range(job.steps[before].count):
+                name = jobs.TaskName(task.job_id, 0, before, index)
+                assert name in self.done, f"{task} starts before {name}"
+        apart = job.steps[task.step].anti_affinity
+        if apart:
+            same = [
+                name
+                for name in model.running
+                if (name.job_id, name.step) == (task.job_id, task.step)
+            ]
+            assert len(same) <= apart, f"{task} is not apart"
+
+    def _noted_done(self) -> set[jobs.TaskName]:
+        return {name for name in self.done if self._row_says_done(name)}
+
+    def _row_says_done(self, name: jobs.TaskName) -> bool:
+        row = self.rows.get(name.job_id)
+        if row is None:
+            return False
+        return [0, name.step] in row["done"]
+
+    @stateful.invariant()
+    def notes_ends(self) -> None:
+        """Remembers which tasks were listed as done."""
+        for model in self.instances.values():
+            for end in model._ended:
+                if end.how is fleet.How.DONE:
+                    self._note(end.task)
+
+    def _note(self, task: jobs.TaskName) -> None:
+        step = self.jobs[task.job_id].steps[task.step]
+        self.done.add(task)
+        if step.gang:
+            for index in range(step.count):
+                self.done.add(jobs.TaskName(task.job_id, 0, task.step, index))
+
+    @stateful.invariant()
+    def room_is_kept(self) -> None:
+        """No instance runs more than it has room for."""
+        for model in self._up():
+            assert model.used.cpu <= model.registration.capacity.cpu
+
+    @stateful.invariant()
+    def completed_is_true(self) -> None:
+        """A job that is recorded as completed has all tasks done."""
+        for job_id, row in self.rows.items():
+            if row["ended"] != jobs.JobState.COMPLETED.value:
+                continue
+            for number, step in enumerate(self.jobs[job_id].steps):
+                for index in range(step.count):
+                    name = jobs.TaskName(job_id, 0, number, index)
+                    assert name in self.done, f"{name} is not done"
+
+
+def busy_events(
+    machine: Owners, chooser: random.Random
+) -> dict[Callable[[], None], float]:
+    """Returns events with weights, as often as they come in a busy fleet."""
+
+    def number() -> int:
+        return chooser.randrange(1_000_000)
+
+    def cycle() -> None:
+        """What an owner does in a moment without trouble."""
+        newest = len(machine.terms) - 1
+        machine.plan_and_write(newest)
+        for _ in range(4):
+            machine.send_start(number(), chooser.choice([2, 2, 2, 0, 1]))
+        machine.send_stops(newest)
+        for instance in range(len(machine.instances)):
+            machine.hold(newest, instance)
+
+    return {
+        cycle: 10,
+        lambda: machine.submit(chooser.randrange(len(STEPS))): 3,
+        lambda: machine.plan_and_write(number()): 4,
+        lambda: machine.send_start(number(), chooser.randrange(4)): 6,
+        lambda: machine.send_stops(number()): 2,
+        lambda: machine.hold(number(), number()): 6,
+        lambda: machine.task_ends(
+            number(), chooser.choice(["done", "done", "failed"])
+        ): 4,
+        lambda: machine.time_passes(chooser.choice([0.05, 0.3, 1.0, 3.0])): 4,
+        lambda: machine.carry_out_late(number()): 2,
+        lambda: machine.cancel(number()): 0.1,
+        lambda: machine.crash(number()): 0.3,
+        lambda: machine.cut_or_mend(number()): 0.6,
+        machine.read_machines: 1,
+        machine.take_over: 0.6,
+    }
