--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import shared_time
 from vanillaswitch.coordination.fleet.machines import wave_driver
+from vanillaswitch.internal import logs
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import platform
@@ -130,6 +131,8 @@
         row = read.rows[0].value
         began_ms = row.get("began_store_ms")
         if not isinstance(began_ms, int | float):
+            # Counted from now on: nobody knows when it began.
+            logs.warning("{}: its beginning can't be read", key)
             began_ms = 0
         age_s = self._time.age_s(began_ms)
         return wave_driver.WaveRecord(tuple(_machines(row)), age_s)
@@ -180,6 +183,10 @@
 def _machines(document: Mapping[str, Any]) -> set[str]:
     """Returns the machines that a wave's row names as finished."""
     named = document.get("machines")
+    if named is None:
+        return set()
     if not isinstance(named, list):
+        # Each of them has its upkeep again, which harms no promise.
+        logs.warning("a wave's finished machines can't be read")
         return set()
     return {machine for machine in named if isinstance(machine, str)}
--- a/src/vanillaswitch/platform/upstreams.py
+++ b/src/vanillaswitch/platform/upstreams.py
@@ -270,17 +270,24 @@
 
 
 def _running(row: Sequence[Any]) -> fleet.Running:
-    gauge = checked.finite(row[4]) if len(row) > 4 else 0.0
-    percent = checked.finite(row[3])
     return fleet.Running(
         parse_task(row[0]),
         int(row[1]),
         str(row[2] or ""),
-        0.0 if percent is None else percent,
-        0.0 if gauge is None else gauge,
+        _figure(row[3]),
+        _figure(row[4]) if len(row) > 4 else 0.0,
     )
 
 
+def _figure(raw: Any) -> float:
+    """Reads a rough figure of a run; the run is there without it too."""
+    figure = checked.finite(raw)
+    if figure is None:
+        logs.warning("a run's figure can't be read: {!r}", raw)
+        return 0.0
+    return figure
+
+
 def _end(row: Sequence[Any]) -> fleet.End:
     return fleet.End(
         int(row[0]),
