Take over nothing as at work that may be stopping

Ruled out: a lost count within one owner (each stop marks its run before the next is judged); orders of the owner before that come late (their token is refused once an instance was heard).

Change: a run of an earlier owner counts as away until an account lists it that was asked for later than its instance's first answer by the longest time of a stop.

--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -38,11 +38,13 @@
         listed = set()
         for row in held.running:
             listed.add((row.task, row.run))
-            self._listed(instance, row, now)
+            self._listed(instance, row, began_at, now)
         for run in list(instance.runs.values()):
             if run.key not in listed:
                 self._missing(instance, run, began_at)
-        instance.adopted = True
+        if not instance.adopted:
+            instance.adopted = True
+            instance.adopted_at = now
 
     def _end_heard(
         self, instance: rooms.Instance, end: fleet.End, now: float
@@ -59,7 +61,11 @@
             self._ended(instance, end, now)
 
     def _listed(
-        self, instance: rooms.Instance, row: fleet.Running, now: float
+        self,
+        instance: rooms.Instance,
+        row: fleet.Running,
+        began_at: float,
+        now: float,
     ) -> None:
         run = instance.runs.get((row.task, row.run))
         if run is None:
@@ -68,6 +74,10 @@
                 return
         run.confirmed = True
         run.inherited = False
+        # Orders of the owner before are void since the instance was adopted; a
+        # stop that it accepted until then ends its run within ``stop_s``.
+        if began_at >= instance.adopted_at + self._stop_s:
+            run.in_doubt = False
         self._begun(row.task.job_id)
         progress.observe(instance, run, row.percent, now)
         run.gauge = row.gauge
@@ -265,5 +275,5 @@
             task.name, task.run, step.step, books.need(step.step), now
         )
         run.sent = True
-        run.inherited = True
+        run.inherited = run.in_doubt = True
         self.instances[task.instance].add(run)
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -12,6 +12,7 @@
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.state import deployment as deployments
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,14 +67,19 @@
     """
 
     def __init__(
-        self, order: queue_order.Order, emit: Callable[[object], None]
+        self,
+        order: queue_order.Order,
+        emit: Callable[[object], None],
+        stop_s: float = deployments.Bounds.stop_s,
     ):
         """Makes the state of a term that knows nothing yet.
 
         Args:
             order: which open step gets room first.
             emit: takes each event of ``events``.
+            stop_s: longest time that an instance takes to stop a run.
         """
+        self._stop_s = stop_s
         self._order = order
         self._emit = emit
         self.book = books.Book()
--- a/src/vanillaswitch/coordination/fleet/machines/evacuation.py
+++ b/src/vanillaswitch/coordination/fleet/machines/evacuation.py
@@ -16,15 +16,27 @@
 
 
 def away(core: cores.Core, step: books.OpenStep) -> set[int]:
-    """Returns the indices of a step's tasks that are not at work."""
+    """Returns the indices of a step's tasks that are not surely at work."""
     missing = set()
     for task in step.tasks:
         run = _run(core, task)
-        if run is None or run.percent < AT_WORK or run.stopping is not None:
+        if run is None or not _at_work(run):
             missing.add(task.name.index)
     return missing
 
 
+def _at_work(run: rooms.Run) -> bool:
+    """Whether a run is at work and goes on.
+
+    Guards against a change of owner in the middle of an evacuation: runs that
+    the owner before told to stop are listed as at work for as long as a stop
+    takes. The next owner ended as many again, and a job that spares two was
+    three short. So a run of an earlier owner counts as away until it is listed
+    after any such stop is over.
+    """
+    return run.percent >= AT_WORK and run.stopping is None and not run.in_doubt
+
+
 def _run(core: cores.Core, task: books.Task) -> rooms.Run | None:
     instance = core.instances.get(task.instance)
     if instance is None or task.state is not books.TaskState.ASSIGNED:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -99,7 +99,9 @@
         self._recording = False
         self._wake = gevent.event.Event()
         self._core = cores.Core(
-            queue_order.ORDERS.get(queue_order.DEFAULT_ORDER), emit
+            queue_order.ORDERS.get(queue_order.DEFAULT_ORDER),
+            emit,
+            settings.bounds.stop_s,
         )
         self._means = instance_task.Means(
             self._core, outside.upstreams, recorder, clock, self._wake
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -27,6 +27,8 @@
         sent: its start was recorded and may be sent.
         confirmed: the instance has accepted it or lists it.
         inherited: an earlier owner recorded it; not yet seen by this one.
+        in_doubt: an earlier owner may have told it to stop, and it would still
+            be listed as at work.
         unread: its job lies in a part of the store that is away. What it
             needs is not known, so it takes a whole instance.
         stopping: it is to be stopped, since this monotonic second.
@@ -52,6 +54,7 @@
     sent: bool = False
     confirmed: bool = False
     inherited: bool = False
+    in_doubt: bool = False
     unread: bool = False
     stopping: float | None = None
     stop_sent_at: float = 0.0
@@ -82,6 +85,7 @@
         listed: it stands in the platform's list.
         adopted: it has answered this owner, so that no order of an earlier
             owner can take effect any more.
+        adopted_at: monotonic seconds of that answer.
         silent: it did not answer lately.
         doubtful: a call to it got no answer and it was not heard of since.
         distrusted: its entry in the list can't be read.
@@ -104,6 +108,7 @@
         self.registration = registration
         self.listed = True
         self.adopted = False
+        self.adopted_at = float("inf")
         self.silent = False
         self.doubtful = False
         self.distrusted = False
