Stop no task whose start has no answer beyond what its job spares

The time without an answer was counted from the decision, and these stops alone did not ask what the job spares.

Ruled out: a change of owner (one term, 55.2 to 61.5 s); machines in upkeep.

Change: that time counts from the first copy; a start beyond what its job spares is sent again until an account or an answer tells.

--- a/src/vanillaswitch/coordination/fleet/instances/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_task.py
@@ -196,6 +196,7 @@
         sent = False
         late = 0
         attempts = 0
+        first_at = self._clock.monotonic()
         while not self._means.recorder.deposed and self._core.may_send(order):
             began = self._clock.monotonic()
             outcome = self._start_once(order, attempts > 0)
@@ -209,7 +210,9 @@
             if isinstance(outcome, fleet.NoAnswer):
                 sent = sent or outcome.sent
                 self._core.unanswered(self._name, began)
-                if not self._core.start_unanswered(self._name, key, sent, now):
+                if not self._core.start_unanswered(
+                    self._name, key, sent, now, first_at
+                ):
                     return
                 self._clock.sleep(RETRY_S)
                 continue
--- a/src/vanillaswitch/coordination/fleet/instances/orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/orders.py
@@ -5,6 +5,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import accounts
 from vanillaswitch.coordination.fleet.instances import endings
+from vanillaswitch.coordination.fleet.instances import sparing
 from vanillaswitch.coordination.fleet.queue import progress
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
@@ -77,10 +78,23 @@
             self.stop_run(instance, run, now, why)
 
     def start_unanswered(
-        self, name: str, key: rooms.RunKey, sent: bool, now: float
+        self,
+        name: str,
+        key: rooms.RunKey,
+        sent: bool,
+        now: float,
+        first_at: float | None = None,
     ) -> bool:
         """Takes note that a start got no answer.
 
+        Args:
+            name: the instance.
+            key: task and run.
+            sent: whether any copy of it left.
+            now: monotonic seconds.
+            first_at: when its first copy was sent; a slow owner sends late
+                what it decided. Left out, the time of the decision.
+
         Returns:
             Whether to send it again.
         """
@@ -90,12 +104,18 @@
             return False
         if run.confirmed:
             return False
-        if now - run.decided_at < DOUBT_S:
+        since = run.decided_at if first_at is None else first_at
+        if now - since < DOUBT_S:
             return True
-        if sent:
-            self.stop_run(instance, run, now, "its start has no answer")
-        else:
+        if not sent:
             self._release(instance, run)
+            return False
+        # The start may have taken effect, and its task be at work: stopped
+        # beside others of its step, it is one more than their job spares. The
+        # next account tells, or a copy is answered.
+        if not sparing.may_end(self, [run]):
+            return True
+        self.stop_run(instance, run, now, "its start has no answer")
         return False
 
     def stopped(self, name: str, key: rooms.RunKey, now: float) -> None:
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/instances/sparing.py
@@ -0,0 +1,71 @@
+"""Which lasting tasks may be ended by our own doing.
+
+A job whose tasks last says how many of them may be away at once by our own
+doing. Whatever the cause, a task that is not at work counts as away here, so
+that a crash and a planned stop never add up to more than the job bears.
+"""
+
+from collections.abc import Iterable
+
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import book as books
+from vanillaswitch.coordination.fleet.queue import rooms
+
+AT_WORK = 100.0
+"""Percent that a lasting task shows while it serves."""
+
+
+def away(state: term_state.State, step: books.OpenStep) -> set[int]:
+    """Returns the indices of a step's tasks that are not surely at work."""
+    missing = set()
+    for task in step.tasks:
+        run = _run(state, task)
+        if run is None or not _at_work(run):
+            missing.add(task.name.index)
+    return missing
+
+
+def _at_work(run: rooms.Run) -> bool:
+    """Whether a run is at work and goes on.
+
+    Guards against a change of owner in the middle of an evacuation: runs that
+    the owner before told to stop are listed as at work for as long as a stop
+    takes. The next owner ended as many again, and a job that spares two was
+    three short. So a run of an earlier owner counts as away until it is listed
+    after any such stop is over.
+    """
+    return run.percent >= AT_WORK and run.stopping is None and not run.in_doubt
+
+
+def _run(state: term_state.State, task: books.Task) -> rooms.Run | None:
+    instance = state.instances.get(task.instance)
+    if instance is None or task.state is not books.TaskState.ASSIGNED:
+        return None
+    # Its end is certain, although the instance has not listed it yet: orders
+    # for several machines follow each other within milliseconds.
+    if instance.leaving:
+        return None
+    return instance.runs.get((task.name, task.run))
+
+
+def may_end(state: term_state.State, runs: Iterable[rooms.Run]) -> bool:
+    """Whether these runs may be ended together by our own doing."""
+    ending: dict[tuple[str, int, int], set[int]] = {}
+    for run in runs:
+        if run.unread:
+            # How many of its step may be away is not known.
+            return False
+        if run.step.may_miss and run.stopping is None:
+            name = run.task
+            key = (name.job_id, name.occurrence, name.step)
+            ending.setdefault(key, set()).add(name.index)
+    for (job_id, occurrence, number), indices in ending.items():
+        entry = state.book.get(job_id)
+        step = entry.open.get((occurrence, number)) if entry else None
+        if step is None:
+            continue
+        # What is to be ended counts as at work whatever was listed last: an
+        # owner that has just taken over has not heard of any run yet.
+        if len(away(state, step) | indices) > step.step.may_miss:
+            return False
+    return True
--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -73,6 +73,7 @@
     "instances/core.py",
     "instances/endings.py",
     "instances/orders.py",
+    "instances/sparing.py",
     "instances/term_state.py",
     "intake/job_rows.py",
     "ownership/succession.py",
--- a/tests/failures/test_slow_processor.py
+++ b/tests/failures/test_slow_processor.py
@@ -47,7 +47,7 @@
     began = clock.monotonic()
     owner._plan_all()
     whole_s = clock.monotonic() - began
-    assert _PLANS * _PLAN_S <= whole_s / 4
+    assert whole_s / 4 >= _PLANS * _PLAN_S
 
 
 def test_a_plan_works_out_only_what_has_changed(monkeypatch):
