Send whole jobs between processes, refuse one without its spec

Cause, from the owner's log: "row-unusable", table spec, "it is not there", for jobs that came by an errand. The errand carried the job's row in place of the job, so the helping process wrote a row with a digest and no spec.

Ruled out: reads that come before the row (the same 16 s later).

Change: messages carry whole jobs; a hand-in without its spec is a broken invariant instead of a job that waits for good.

Figures: both new tests fail without the change.

--- a/src/vanillaswitch/coordination/fleet/intake/errands.py
+++ b/src/vanillaswitch/coordination/fleet/intake/errands.py
@@ -105,7 +105,7 @@
 
     def submit(self, job: jobs.Job, deadline: float) -> intakes.Verdict:
         """Has a job handed in; NOT_DONE when nobody could be asked."""
-        document = json.dumps(job_rows.pack(job)).encode()
+        document = json.dumps(job_rows.pack_whole(job)).encode()
         done = self._send(
             peers.ErrandKind.SUBMIT, job.job_id, document, False, deadline
         )
--- a/src/vanillaswitch/coordination/fleet/intake/intake.py
+++ b/src/vanillaswitch/coordination/fleet/intake/intake.py
@@ -14,6 +14,7 @@
 import enum
 import itertools
 
+from vanillaswitch import errors
 from vanillaswitch.coordination import commits
 from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
@@ -82,7 +83,13 @@
         Args:
             job: the job.
             deadline: monotonic seconds after which nobody waits any more.
+
+        Raises:
+            errors.InvariantError: the job comes without its spec; accepted, it
+                could never run.
         """
+        if job.spec_digest:
+            raise errors.InvariantError("a job is handed in without its spec")
         if self._silent():
             return Verdict.NOT_DONE
         document = job_rows.pack(job)
--- a/src/vanillaswitch/coordination/fleet/intake/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/intake/job_rows.py
@@ -31,14 +31,21 @@
 
 
 def pack(job: jobs.Job) -> dict[str, Any]:
-    """Returns a job as a document; defaults of steps are left out.
+    """Returns a job's row: all but a long spec, see ``pack_spec``."""
+    document = pack_whole(job)
+    if _is_apart(job):
+        document[_SPEC], document[_DIGEST] = "", jobs.digest(job.spec)
+    return document
+
 
-    A long spec is left out as well: ``pack_spec`` returns it.
+def pack_whole(job: jobs.Job) -> dict[str, Any]:
+    """Returns a whole job as a document; defaults are left out.
+
+    For messages between processes: whoever gets it may have to write both of
+    the job's rows.
     """
     document = dataclasses.asdict(job)
-    if _is_apart(job):
-        document[_SPEC], document[_DIGEST] = "", jobs.digest(job.spec)
-    elif not job.spec_digest:
+    if not job.spec_digest:
         del document[_DIGEST]
     defaults = _defaults()
     document["steps"] = [
--- a/tests/failures/test_refused_path.py
+++ b/tests/failures/test_refused_path.py
@@ -8,9 +8,11 @@
 import pytest
 
 from tests.common import fleets
+from vanillaswitch import errors
 from vanillaswitch.coordination.fleet.intake import errands
 from vanillaswitch.coordination.fleet.intake import helped_intake
 from vanillaswitch.coordination.fleet.intake import intake as intakes
+from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.intake import questions
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
@@ -41,12 +43,13 @@
         self.commits += 1
         if self.refuses:
             return platform.Unavailable("status 503")
-        put = transaction.puts[0]
-        if put.key in self.rows:
-            return platform.Conflict((self.rows[put.key],))
-        self.rows[put.key] = platform.Row(
-            put.key, 1, put.value, transaction.token
-        )
+        found = [put.key for put in transaction.puts if put.key in self.rows]
+        if found:
+            return platform.Conflict(tuple(self.rows[key] for key in found))
+        for put in transaction.puts:
+            self.rows[put.key] = platform.Row(
+                put.key, 1, put.value, transaction.token
+            )
         if not self.answers:
             gevent.sleep(_DEADLINE_S)
             return platform.OutcomeUnknown("silent")
@@ -210,3 +213,30 @@
         owner.owner = following.address
         verdict = cut.serving.submit(fleets.job(), _deadline())
         assert verdict is intakes.Verdict.ACCEPTED
+
+
+def test_a_job_taken_in_through_another_process_keeps_its_long_spec(pair):
+    """A job that was accepted never runs: "it is not there", says the owner.
+
+    Its entry had another process hand it in, and sent what it would have
+    written into the job's row. The spec, which lies in a row of its own, was
+    not among it; the owner asked for that row every 2 s.
+    """
+    cut, owner = pair
+    job = fleets.job(spec="x" * 1000)
+    assert cut.serving.submit(job, _deadline()) is intakes.Verdict.ACCEPTED
+    specs = [
+        row.value["spec"]
+        for key, row in owner.table.rows.items()
+        if key.startswith("spec/")
+    ]
+    assert specs == [job.spec]
+
+
+def test_a_job_without_its_spec_is_never_taken_in(pair):
+    """No job could ever run that was accepted from its row alone."""
+    _, owner = pair
+    stored = job_rows.unpack(job_rows.pack(fleets.job(spec="x" * 1000)))
+    with pytest.raises(errors.InvariantError):
+        owner.serving.submit(stored, _deadline())
+    assert not owner.table.rows
