Refuse a job whose spec is no text by name

Symptom, by reading: a spec with half of a surrogate pair raised an error that is not a refusal; its client got no answer that says what to change.

Cause: its length in UTF-8 was asked of a text that has none.

Ruled out: other texts of a job, which are only stored as JSON's escapes.

Change: such a spec is refused as any other that is too long or no text.

Figures: the new case of the table of bad jobs fails without the change.

--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -71,7 +71,7 @@
         raise BadJobError(f"the body is not JSON: {error}") from None
     _only(raw, _JOB_FIELDS, "the job")
     spec = raw.get("spec", "")
-    if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
+    if not isinstance(spec, str) or not _is_short_text(spec):
         raise BadJobError(
             f"spec: give a text of at most {MAX_SPEC_BYTES} bytes"
         )
@@ -95,6 +95,18 @@
     )
 
 
+def _is_short_text(spec: str) -> bool:
+    """Whether a spec is at most so long, in UTF-8.
+
+    JSON may spell half of a surrogate pair, which no UTF-8 text holds; it
+    ended the request without an answer that says so.
+    """
+    try:
+        return len(spec.encode()) <= MAX_SPEC_BYTES
+    except UnicodeEncodeError:
+        return False
+
+
 def _only(raw: Any, fields: set[str], where: str) -> None:
     if not isinstance(raw, dict):
         raise BadJobError(f"{where}: give a JSON object")
--- a/tests/cover/test_edge_platform.py
+++ b/tests/cover/test_edge_platform.py
@@ -220,6 +220,7 @@
         (b'{"steps":[{"count":1}],"colour":1}', "colour"),
         (b'{"steps":[{"count":1,"gang":1}]}', "gang"),
         (b'{"spec":1,"steps":[{"count":1}]}', "spec"),
+        (b'{"spec":"\\ud800","steps":[{"count":1}]}', "spec"),
         (b'{"steps":[{"count":20000}]}', "tasks"),
     ],
 )
