--- a/src/vanillaswitch/coordination/fleet/ownership/spec_table.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/spec_table.py
@@ -33,6 +33,9 @@
 AGAIN_S = 2.0
 """Pause before a spec is read again that could not be used."""
 
+_CHANGES = f"table {recorders.SPEC_TABLE}"
+_ROWS = f"rows of table {recorders.SPEC_TABLE}"
+
 MAX_EARLY = 1000
 """Specs kept whose jobs are not heard of yet. Both come from one transaction,
 by the changes of two tables: a few milliseconds lie between them."""
@@ -71,7 +74,7 @@
         self._emit = emit
         self._on_change = on_change
         self._version = platform.ABSENT
-        self._failing = False
+        self._failing: set[str] = set()
         self._early: dict[str, str] = {}
         self._not_before: dict[str, float] = {}
 
@@ -92,12 +95,15 @@
                 recorders.SPEC_TABLE, self._version, follow.WAIT_S
             )
             if isinstance(outcome, platform.Unavailable):
-                self._tell(failing=True, why=outcome.reason)
+                self._tell(_CHANGES, outcome.reason)
                 self._clock.sleep(follow.RETRY_S)
                 continue
-            self._tell(failing=False, why="")
+            self._tell(_CHANGES, "")
             if isinstance(outcome, feeds.HistoryLost):
+                # What came in between is read singly. The owner's newest write
+                # may be too old as well, until its next one.
                 self._version = self._newest()
+                self._clock.sleep(follow.RETRY_S)
                 continue
             self._version = outcome.version
             for change in outcome.changes:
@@ -130,8 +136,10 @@
     def _read(self, job_id: str) -> None:
         read = self._table.read([f"{recorders.SPEC_TABLE}/{job_id}"])
         if isinstance(read, platform.Unavailable):
-            self._tell(failing=True, why=read.reason)
+            self._tell(_ROWS, read.reason)
+            self._pause(job_id, follow.RETRY_S)
             return
+        self._tell(_ROWS, "")
         if not read.rows:
             self._unusable(job_id, 0, "it is not there")
             return
@@ -166,14 +174,27 @@
 
         Started with another text, it would do what nobody asked for.
         """
-        self._not_before[job_id] = self._clock.monotonic() + AGAIN_S
+        self._pause(job_id, AGAIN_S)
         self._emit(
             events.RowUnusable(recorders.SPEC_TABLE, job_id, version, why)
         )
 
-    def _tell(self, failing: bool, why: str) -> None:
-        if failing != self._failing:
-            state = "lost" if failing else "back"
-            name = f"table {recorders.SPEC_TABLE}"
-            self._emit(events.Dependency(name, state, why))
-        self._failing = failing
+    def _pause(self, job_id: str, seconds: float) -> None:
+        """Leaves a job's spec unread for a while."""
+        self._not_before[job_id] = self._clock.monotonic() + seconds
+
+    def _tell(self, name: str, why: str) -> None:
+        """Tells once that something was lost, and once that it is back.
+
+        Args:
+            name: what it is.
+            why: why it fails; empty when it does not.
+        """
+        if bool(why) == (name in self._failing):
+            return
+        if why:
+            self._failing.add(name)
+        else:
+            self._failing.remove(name)
+        state = "lost" if why else "back"
+        self._emit(events.Dependency(name, state, why))
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -105,8 +105,9 @@
         begun: a task of it has begun, by the word of its instance. An owner
             that can't send what it decided has jobs started and not begun.
         spec: text that its instances are given; None until it is read.
-        left_ms: the longest chain of work that is left, by occurrence, as far
-            as it was worked out since a step was last done.
+        whole_ms: its longest chain of work; None until it is worked out.
+        left_ms: the longest chain that is left, by occurrence, as far as it
+            was worked out since a step was last done.
     """
 
     def __init__(self, job: jobs.Job, now: float, age_s: float = 0.0):
@@ -127,6 +128,7 @@
         self.shown = jobs.JobState.QUEUED
         self.version = 0
         self.ended_ms = 0.0
+        self.whole_ms: float | None = None
         self.left_ms: dict[int, float] = {}
         self.open: dict[tuple[int, int], OpenStep] = {}
         self._may_open = True
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 
 from vanillaswitch import errors
 from vanillaswitch.coordination.fleet import events
@@ -224,14 +225,13 @@
 def _without_spec(
     ready: Mapping[str, list[books.OpenStep]],
 ) -> tuple[str, ...]:
-    """Returns jobs that wait for their spec, those of each pool in order."""
-    found = {
-        step.entry.job.job_id: None
+    """Returns jobs that wait for their spec, by turns from each pool."""
+    waiting = [
+        [step.entry.job.job_id for step in steps if step.entry.spec is None]
         for steps in ready.values()
-        for step in steps
-        if step.entry.spec is None
-    }
-    return tuple(found)
+    ]
+    turns = itertools.chain.from_iterable(itertools.zip_longest(*waiting))
+    return tuple(dict.fromkeys(job_id for job_id in turns if job_id))
 
 
 def _by_key(
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -78,15 +78,11 @@
     return queue.stretch * chain + queue.target_ms
 
 
-_WHOLE = -1
-"""Stands for the whole chain among those that are left of occurrences."""
-
-
 def _whole_ms(entry: book.Entry) -> float:
     """Returns a job's longest chain of work."""
-    if _WHOLE not in entry.left_ms:
-        entry.left_ms[_WHOLE] = chain_ms(entry.job, lambda _: False)
-    return entry.left_ms[_WHOLE]
+    if entry.whole_ms is None:
+        entry.whole_ms = chain_ms(entry.job, lambda _: False)
+    return entry.whole_ms
 
 
 def _left_ms(step: book.OpenStep) -> float:
--- a/tests/cover/test_spec_table.py
+++ b/tests/cover/test_spec_table.py
@@ -4,16 +4,19 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from standins import table as tables
 from tests.common import clocks
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet.intake import intake as intakes
 from vanillaswitch.coordination.fleet.intake import job_rows
 from vanillaswitch.coordination.fleet.ownership import spec_table
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
 
 _LONG = "x" * (job_rows.INLINE_SPEC_BYTES + 1)
 
@@ -128,3 +131,64 @@
         core.job_added(_stored(table, job), 0.0)
     fleets.plan(core)
     assert len(_specs(core, table)._wanted()) == spec_table.READERS
+
+
+def test_specs_in_a_part_that_is_away_are_asked_for_at_intervals(monkeypatch):
+    """A part of the store that is away gets 80 calls a second more.
+
+    Each job whose spec lies there was asked for again after 50 ms, and each
+    time two lines told that the table was lost and back.
+    """
+    table, core, told = tables.MemoryTable(), fleets.new_core(), []
+    job = fleets.job(spec=_LONG)
+    _accept(table, job)
+    core.job_added(_stored(table, job), 0.0)
+    fleets.plan(core)
+    specs = _specs(core, table, told)
+    away = platform.Unavailable("status 503")
+    monkeypatch.setattr(table, "read", lambda _: away)
+    _read_wanted(specs)
+    assert not specs._wanted()
+    specs._clock.advance(follow.RETRY_S)
+    assert specs._wanted() == [job.job_id]
+    _read_wanted(specs)
+    assert [event.state for event in told] == ["lost"]
+
+
+def test_jobs_of_all_pools_get_their_specs_by_turns():
+    table, core = tables.MemoryTable(), fleets.new_core()
+    for number, service in enumerate(["one"] * 9 + ["two"] * 9):
+        job = fleets.job(number, spec=_LONG, queue=service, service=service)
+        _accept(table, job)
+        core.job_added(_stored(table, job), 0.0)
+    fleets.plan(core)
+    wanted = _specs(core, table)._wanted()
+    queues = [core.book.get(job_id).job.queue for job_id in wanted]
+    assert sorted(queues) == ["one", "one", "two", "two"]
+
+
+def test_lost_history_goes_on_from_the_newest_write():
+    """The owner asks the store without a pause while its history is short."""
+    core = fleets.new_core()
+    clock = clocks.ManualClock()
+    asked = []
+
+    class _Stop(Exception):  # noqa: N818
+        pass
+
+    class _Feed:
+        def changes(self, table, after, wait_s):
+            del table, wait_s
+            asked.append((after, clock.monotonic()))
+            if len(asked) == 3:
+                raise _Stop
+            return feeds.HistoryLost()
+
+    specs = spec_table.SpecTable(
+        core, None, _Feed(), clock, lambda: 77, lambda _: None, lambda: None
+    )
+    specs.start_from(5)
+    with pytest.raises(_Stop):
+        specs.follow()
+    assert [after for after, _ in asked] == [5, 77, 77]
+    assert asked[2][1] - asked[1][1] >= follow.RETRY_S
