Part the store's rows from its calls

Ruled out: splitting the reading of pages off as well, which shares the calls.

Change: platform/store_rows.py; tests that named the moved functions follow. No decision changes.

--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -1,34 +1,24 @@
 """The platform's store of rows as the product's table, and its changes.
 
-A key "job/ab12" is the row "ab12" of the table "job". What the owner of the
-fleet writes lies in one part, so that one transaction may span it. What
-clients hand in is spread over several parts, since a part takes one
-transaction after the other. The tables that the platform shares with us have
-no part and hold bare documents. In our own rows
-a document stands beside the token of the transaction that wrote it, by which
-a lost answer is settled (see ``coordination.commits``).
+``store_rows`` tells where rows lie and how they are spelled.
 """
 
-import base64
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import itertools
-import json
 from typing import Any
 import urllib.parse
-import zlib
 
 import gevent
 
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import calls
-from vanillaswitch.platform import checked
+from vanillaswitch.platform import store_rows
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import platform
-from vanillaswitch.protocol import unusable
 from vanillaswitch.transport import page_size
 from vanillaswitch.transport import plain_http
 
@@ -44,80 +34,12 @@
 their own: the kept ones may have gone silent together, and each would hold
 the call that meets it up to its time limit. An idle store answers in 7 ms."""
 
-SPREAD = 24
-"""Parts of a table that clients write to. A store 60 times slower takes some
-four transactions a second in a part, and a fleet of 97 machines hands in 57
-jobs a second: 8 parts took 34 of them, counted in the log of such seconds.
-Each part costs a new owner one more call."""
-
-_PART = "vanillaswitch"
-_SPREAD_TABLES = frozenset({"job", "spec", "cancel"})
-_SHARED = frozenset({"op", "servers", "status"})
 _OK = 200
 _CONFLICT = 412
 _HISTORY_LOST = 410
 _NOT_DONE = frozenset({429, 503})
 
 
-def _split(key: str) -> tuple[str, str]:
-    table, _, name = key.partition("/")
-    return table, name
-
-
-def _parts(table: str) -> tuple[str, ...]:
-    """Returns the parts that the rows of a table lie in."""
-    if table in _SHARED:
-        return ("",)
-    if table in _SPREAD_TABLES:
-        return tuple(f"{_PART}-{number}" for number in range(SPREAD))
-    return (_PART,)
-
-
-def _part(table: str, name: str) -> str:
-    parts = _parts(table)
-    return parts[zlib.crc32(name.encode()) % len(parts)]
-
-
-def _address(key: str) -> dict[str, Any]:
-    table, name = _split(key)
-    return {"table": table, "part": _part(table, name), "key": name}
-
-
-def _pack(table: str, value: Mapping[str, Any], token: str) -> str:
-    document = value if table in _SHARED else {"token": token, "value": value}
-    text = json.dumps(document, separators=(",", ":"))
-    return base64.b64encode(text.encode()).decode()
-
-
-def _unpack(
-    table: str, packed: str
-) -> tuple[Mapping[str, Any], str] | unusable.Unusable:
-    """Returns a row's document and token."""
-    try:
-        document = checked.decode(base64.b64decode(packed, validate=True))
-    except ValueError as error:
-        return unusable.Unusable(f"its bytes can't be read: {error}")
-    if not isinstance(document, dict):
-        return unusable.Unusable("it is no JSON object")
-    if table in _SHARED:
-        return document, ""
-    if not isinstance(document.get("value"), dict):
-        return unusable.Unusable("it has no value of ours")
-    return document["value"], str(document.get("token", ""))
-
-
-def _row(raw: Mapping[str, Any]) -> platform.Row:
-    table = str(raw["table"])
-    version = int(raw.get("row_version", 0))
-    unpacked = _unpack(table, str(raw.get("value") or ""))
-    if isinstance(unpacked, unusable.Unusable):
-        logs.warning("row {}/{}: {}", table, raw["key"], unpacked.reason)
-        unpacked = {}, ""
-    return platform.Row(
-        f"{table}/{raw['key']}", version, unpacked[0], unpacked[1]
-    )
-
-
 @dataclasses.dataclass(frozen=True)
 class _Read:
     """The rows of one part, and the version of their first page."""
@@ -165,25 +87,25 @@
         """Reads rows one by one; each is as of its own moment."""
         found: list[platform.Row] = []
         for key in keys:
-            table, name = _split(key)
-            part = _part(table, name)
+            table, name = store_rows.split(key)
+            part = store_rows.part_of(table, name)
             outcome = self._page(table, part, name, name + "\0", 1)
             if isinstance(outcome, platform.Unavailable):
                 return outcome
-            found.extend(_row(raw) for raw in outcome["rows"])
+            found.extend(store_rows.decode(raw) for raw in outcome["rows"])
         return platform.Rows(tuple(found))
 
     def scan(
         self, prefix: str, after: str = "", limit: int = 0
     ) -> platform.ReadOutcome:
         """Reads the rows of a table whose keys start with ``prefix``."""
-        table, _ = _split(prefix)
+        table, _ = store_rows.split(prefix)
         found: list[platform.Row] = []
-        for part in _parts(table):
+        for part in store_rows.parts(table):
             read = self._all(table, part)
             if isinstance(read, platform.Unavailable):
                 return read
-            found.extend(_row(raw) for raw in read.rows)
+            found.extend(store_rows.decode(raw) for raw in read.rows)
         wanted = sorted(
             (
                 row
@@ -201,7 +123,7 @@
         reply = self._call(
             "POST",
             "/-/rows-tx",
-            _transaction_body(transaction),
+            store_rows.transaction_body(transaction),
             CALL_TIMEOUT_S,
         )
         if isinstance(reply, calls.NoReply):
@@ -213,7 +135,7 @@
         if reply.status == _OK:
             return platform.OutcomeUnknown("an answer without a version")
         if reply.status == _CONFLICT:
-            return _conflict(transaction, reply.body.get("rows", ()))
+            return store_rows.conflict(transaction, reply.body.get("rows", ()))
         if reply.status in _NOT_DONE:
             return platform.Unavailable(f"status {reply.status}")
         logs.error("the store refused a transaction: {}", reply)
@@ -227,7 +149,7 @@
         Pages and parts are read at different moments, so a row may be newer
         than the version of the oldest; changes from there on repeat it.
         """
-        wanted = parts or _parts(table)
+        wanted = parts or store_rows.parts(table)
         readings = [gevent.spawn(self._all, table, part) for part in wanted]
         gevent.joinall(readings, raise_error=True)
         rows: list[feeds.Change] = []
@@ -239,7 +161,7 @@
                 missing[part] = read.reason
                 continue
             versions.append(read.version)
-            rows.extend(change(table, raw) for raw in read.rows)
+            rows.extend(store_rows.change(table, raw) for raw in read.rows)
         reason = next(iter(missing.values()), "")
         if not versions:
             return platform.Unavailable(reason)
@@ -292,7 +214,7 @@
             return platform.Unavailable("an answer without rows")
         rows = reply.body["rows"]
         return feeds.Changes(
-            tuple(change(table, raw) for raw in rows),
+            tuple(store_rows.change(table, raw) for raw in rows),
             int(reply.body["row_version"]),
         )
 
@@ -368,50 +290,3 @@
     """Whether an answer holds rows and the version that they are of."""
     whole = type(body.get("row_version")) is int
     return whole and isinstance(body.get("rows"), list)
-
-
-def _transaction_body(transaction: platform.Transaction) -> dict[str, Any]:
-    expected = [
-        {**_address(key), "row_version": version}
-        for key, version in _expected(transaction).items()
-    ]
-    writes = []
-    removed = []
-    for put in transaction.puts:
-        if put.value is None:
-            removed.append(_address(put.key))
-            continue
-        table, _ = _split(put.key)
-        packed = _pack(table, put.value, transaction.token)
-        writes.append({**_address(put.key), "value": packed})
-    return {"expected": expected, "writes": writes, "remove": removed}
-
-
-def _expected(transaction: platform.Transaction) -> dict[str, int]:
-    """Returns the versions that rows must have, by key."""
-    expected = {check.key: check.version for check in transaction.checks}
-    expected.update({put.key: put.version for put in transaction.puts})
-    return expected
-
-
-def _conflict(
-    transaction: platform.Transaction, raw_rows: Sequence[Mapping[str, Any]]
-) -> platform.Conflict:
-    """Keeps the rows whose versions differ; the answer names all of them."""
-    expected = _expected(transaction)
-    rows = [_row(raw) for raw in raw_rows]
-    return platform.Conflict(
-        tuple(row for row in rows if row.version != expected.get(row.key))
-    )
-
-
-def change(table: str, raw: Mapping[str, Any]) -> feeds.Change:
-    """Decodes a row of a table, or the mark that it was removed."""
-    version = int(raw.get("row_version", 0))
-    key = str(raw["key"])
-    if raw.get("removed"):
-        return feeds.Change(key, None, version)
-    unpacked = _unpack(table, str(raw.get("value") or ""))
-    if isinstance(unpacked, unusable.Unusable):
-        return feeds.Change(key, None, version, unpacked.reason)
-    return feeds.Change(key, unpacked[0], version)
--- a/tests/cover/test_unusable_documents.py
+++ b/tests/cover/test_unusable_documents.py
@@ -14,7 +14,7 @@
 from vanillaswitch.platform import checked
 from vanillaswitch.platform import machines
 from vanillaswitch.platform import operator
-from vanillaswitch.platform import store
+from vanillaswitch.platform import store_rows
 from vanillaswitch.platform import upstreams
 from vanillaswitch.protocol import feeds
 from vanillaswitch.protocol import fleet
@@ -276,7 +276,7 @@
         "row_version": 3,
         "value": base64.b64encode(content).decode(),
     }
-    change = store.change("servers", raw)
+    change = store_rows.change("servers", raw)
     assert isinstance(change, feeds.Change)
     assert (change.value is None) == bool(change.damage)
 
@@ -284,7 +284,7 @@
 @given(st.text(max_size=20) | st.none() | st.integers())
 def test_any_value_that_is_not_base64_makes_a_change(value):
     raw = {"table": "job", "key": "a", "row_version": 3, "value": value}
-    change = store.change("job", raw)
+    change = store_rows.change("job", raw)
     assert (change.value is None) == bool(change.damage)
 
 
@@ -295,7 +295,7 @@
 
 def test_a_removed_row_is_not_a_damaged_one():
     raw = {"key": "i-1", "row_version": 3, "removed": True}
-    assert store.change("servers", raw) == feeds.Change("i-1", None, 3)
+    assert store_rows.change("servers", raw) == feeds.Change("i-1", None, 3)
 
 
 def test_numbers_that_can_not_be_reckoned_with_are_none():
