--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 from soak import clients
 from soak import faults
 from soak import promises as promise_lib
+from soak import standing
 from soak import world as worlds
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import jobs
@@ -47,7 +48,9 @@
 def soak(seed: int, seconds: float, folder: pathlib.Path) -> Result:
     """Runs one soak; logs of the processes are left in the folder."""
     with worlds.running(seed, folder) as world:
-        _await_ready(world)
+        not_ready = _await_ready(world)
+        if not_ready:
+            return Result(seed, not_ready, (0, 0, 0), ())
         numbers = itertools.count(seed * 1_000_000 + 1)
         working = [
             gevent.spawn(clients.Client(world, numbers).run)
@@ -71,14 +74,20 @@
         )
 
 
-def _await_ready(world: worlds.World) -> None:
-    with (
-        gevent.Timeout(WARM_UP_S),
-        plain_http.open_client(clocks.SystemClock()) as client,
-    ):
-        for edge in world.edges:
-            while not clients.is_ready(client, edge):
-                gevent.sleep(0.1)
+def _await_ready(world: worlds.World) -> tuple[str, ...]:
+    """Waits for all processes; returns where they stand if that takes long."""
+    with plain_http.open_client(clocks.SystemClock()) as client:
+        waiting = list(world.edges)
+        with gevent.Timeout(WARM_UP_S, False):
+            while waiting:
+                if clients.is_ready(client, waiting[0]):
+                    waiting.pop(0)
+                else:
+                    gevent.sleep(0.1)
+    if not waiting:
+        return ()
+    lines = [f"not ready, {standing.describe(edge)}" for edge in waiting]
+    return (*lines, standing.machine())
 
 
 def _harm(world: worlds.World, seconds: float) -> list[str]:
