Let an owner keep the fleet while a slow store answers its writes

Cause, from the log: one process alone finds the owner over, at 13.27 s, when the row is 17 ms old: it had looked at the owner for another reason than a row that stays the same. The owner gave way since the newest write that it knew of had been sent 1.56 s before, with timers in time: the store took most of a second for each, and answered all.

Change: an owner that is asked counts from the last answer to a write, not from when that write was sent. One that gets no answer gives way as before.

--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -212,7 +212,9 @@
         # an owner that gave way then would never get to serve.
         if recorder is None or recorder.deposed:
             return True
-        age = self._clock.monotonic() - recorder.confirmed_at
+        # Counted from the answer: from when that write was sent, an owner on
+        # a store 45 times slower gave way to any process that had just begun.
+        age = self._clock.monotonic() - recorder.answered_at
         if age < patience_s:
             return False
         self._emit_owner("yielded", self._me.holder, recorder.token, age)
--- a/src/vanillaswitch/coordination/fleet/ownership/recorder.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/recorder.py
@@ -104,6 +104,7 @@
         self._ids = itertools.count(1)
         self._token = 0
         self._confirmed_at = -1e9
+        self._answered_at = -1e9
         self._deposed = False
         self._orders_from = 0.0
 
@@ -126,6 +127,16 @@
         """Monotonic seconds at which the newest write was first sent."""
         return self._confirmed_at
 
+    @property
+    def answered_at(self) -> float:
+        """Monotonic seconds at which the newest write was answered.
+
+        ``confirmed_at`` is what a lease counts from. This tells whether the
+        store answers at all: one that is slow takes a second for a write, so
+        the newest one that is known began two seconds ago.
+        """
+        return self._answered_at
+
     @property
     def deposed(self) -> bool:
         """Whether this term is over."""
@@ -187,6 +198,7 @@
                 self._version = version
                 # Which copy took effect is not known: the first, at worst.
                 self._confirmed_at = began
+                self._answered_at = self._clock.monotonic()
                 return Written(version)
             if isinstance(outcome, platform.Conflict):
                 break
