Make a process's part in owning the fleet in one place for tests

Ruled out: sharing with tests whose member has other limits or probes.

Change: tests/common/terms.member; no check and no bound changes, no source.

--- a/tests/common/terms.py
+++ b/tests/common/terms.py
@@ -1,10 +1,13 @@
 """Terms of owning the fleet for tests, with as little outside as they need."""
 
 from collections.abc import Mapping
+import random
+import types
 from typing import Any
 
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import shared_time
+from vanillaswitch.coordination.fleet.ownership import member as members
 from vanillaswitch.coordination.fleet.ownership import owner as owners
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as clocks
@@ -81,3 +84,21 @@
         clock,
         lambda _: None,
     )
+
+
+def member(
+    table: platform.Table, clock: clocks.Clock, boot: str = "boot-1"
+) -> members.Member:
+    """Returns a process's part in owning the fleet that meets nobody else."""
+    return members.Member(
+        types.SimpleNamespace(table=table),  # type: ignore[arg-type]
+        types.SimpleNamespace(config=object()),  # type: ignore[arg-type]
+        fleets.deployment(),
+        boot,
+        clock,
+        random.Random(1),
+        lambda _: 0,
+        lambda *_: False,
+        lambda _: None,
+        lambda _: None,
+    )
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -9,6 +9,7 @@
 
 from tests.common import clocks
 from tests.common import fleets
+from tests.common import terms
 from vanillaswitch.coordination.fleet.ownership import member as members
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.coordination.fleet.ownership import succession
@@ -122,18 +123,7 @@
     """
     clock = clocks.ManualClock()
     table = _Unreadable(clock)
-    member = members.Member(
-        types.SimpleNamespace(table=table),
-        types.SimpleNamespace(config=object()),
-        fleets.deployment(),
-        "new",
-        clock,
-        random.Random(1),
-        lambda _: 0,
-        lambda *_: False,
-        lambda _: None,
-        lambda _: None,
-    )
+    member = terms.member(table, clock, "new")
     with pytest.raises(_TakenOverError):
         member.run()
     assert table.readings <= 5
--- a/tests/failures/test_long_take_over.py
+++ b/tests/failures/test_long_take_over.py
@@ -1,12 +1,7 @@
 """Taking over a fleet with many jobs takes a while."""
 
-import random
-import types
-
 from tests.common import clocks
-from tests.common import fleets
 from tests.common import terms
-from vanillaswitch.coordination.fleet.ownership import member as members
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.internal import clock as system_clock
 from vanillaswitch.protocol import feeds
@@ -33,18 +28,7 @@
     met the same.
     """
     clock = clocks.ManualClock()
-    member = members.Member(
-        types.SimpleNamespace(table=_Table()),
-        types.SimpleNamespace(config=object()),
-        fleets.deployment(),
-        "boot-1",
-        clock,
-        random.Random(1),
-        lambda _: 0,
-        lambda *_: False,
-        lambda _: None,
-        lambda _: None,
-    )
+    member = terms.member(_Table(), clock)
     recorder = recorders.Recorder(
         member._outside.table, clock, recorders.OwnerRow("e", "a", "boot-1")
     )
--- a/tests/failures/test_slow_writes.py
+++ b/tests/failures/test_slow_writes.py
@@ -1,11 +1,7 @@
 """An owner whose writes are answered, late, by a store that is slow."""
 
-import random
-import types
-
 from tests.common import clocks as manual
-from tests.common import fleets
-from vanillaswitch.coordination.fleet.ownership import member as members
+from tests.common import terms
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.protocol import platform
 
@@ -32,18 +28,7 @@
 
 def _owner(clock, table):
     """Returns a process that owns the fleet, and its recorder."""
-    member = members.Member(
-        types.SimpleNamespace(table=table),
-        types.SimpleNamespace(config=object()),
-        fleets.deployment(),
-        "boot-1",
-        clock,
-        random.Random(1),
-        lambda _: 0,
-        lambda *_: False,
-        lambda _: None,
-        lambda _: None,
-    )
+    member = terms.member(table, clock)
     me = recorders.OwnerRow("edge-1", "a:1", "boot-1")
     recorder = recorders.Recorder(table, clock, me)
     assert recorder.take_over(platform.ABSENT, 0.0)
