Tell which runs had just begun as their instance was lost

Cause: a run that is lost with its instance was told as task-ended "lost", without how long it had been there, whether the instance had listed it, or what else began there. In the record 14 runs are lost with each instance, and the log can't tell the one that crashes it from those beside it.

Change: one line run-crashed for each run that had not been listed for 0.25 s, with its age, the runs beside it and those as new. Not where the instance left on our order or as it had announced. Nothing is decided by it.

Ruled out: a line for each lost run (100 a second in the record, above what a kind may write) and more starts in the log (1000 were left out there).

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -100,6 +100,30 @@
     failed: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RunCrashed:
+    """An instance was lost soon after a run of a task began there.
+
+    Attributes:
+        why: how that was found.
+        decided_ms: time since its start was decided.
+        begun_ms: time since it was first known to have begun; -1 where that
+            is not known.
+        beside: other runs on the instance.
+        beginning: those of them that had begun as lately.
+    """
+
+    job: str
+    task: str
+    run: int
+    instance: str
+    why: str
+    decided_ms: int
+    begun_ms: int
+    beside: int
+    beginning: int
+
+
 @dataclasses.dataclass(frozen=True)
 class StartRefused:
     """An instance refused a start.
--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -106,7 +106,7 @@
             run = self._found(instance, row, now)
             if run is None:
                 return
-        run.confirmed = True
+        run.begin(now)
         run.inherited = False
         # Orders of the owner before are void since the instance was adopted; a
         # stop that it accepted until then ends its run within ``stop_s``.
--- a/src/vanillaswitch/coordination/fleet/instances/orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/orders.py
@@ -41,7 +41,7 @@
             self._heed_clock(instance, clock_ms, now)
         run = self._run(name, key)
         if run is not None:
-            run.confirmed = True
+            run.begin(now)
             self._begun(key[0].job_id)
 
     def start_refused(
--- a/src/vanillaswitch/coordination/fleet/instances/restarts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/restarts.py
@@ -73,6 +73,7 @@
         """
         why = f"started at {instance.lives.current}, again at {born_ms}"
         self._emit_instance(instance, "restarted", why, now)
+        self._tell_crashes(instance, why, now)
         runs = list(instance.runs.values())
         instance.lives.begin(born_ms, now)
         # Calls of before that reach the new start name times of another
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -25,6 +25,9 @@
 
 _NEVER = float("-inf")
 
+PROVEN_S = 0.25
+"""A run that its instance lists for so long did not crash it by starting."""
+
 FULL_PACE = 100
 """Percent at which a task works when nobody paces it."""
 
@@ -51,6 +54,7 @@
         percent_at: when ``percent`` last changed, at first when the owner
             heard of the run.
         listed_at: when its instance last listed it.
+        begun_at: when it was first known to have begun there; None before.
         still_s: for how long its accounts have shown no progress, but for
             gaps between them.
         saved: newest checkpoint listed.
@@ -75,6 +79,7 @@
     percent: float = 0.0
     percent_at: float = dataclasses.field(init=False)
     listed_at: float = _NEVER
+    begun_at: float | None = None
     still_s: float = 0.0
     saved: str = ""
     gauge: float = 0.0
@@ -94,9 +99,22 @@
         """Whether its instance has listed it in its present life."""
         return self.listed_at > _NEVER
 
+    @property
+    def proven(self) -> bool:
+        """Whether its instance has listed it for long enough."""
+        if self.begun_at is None:
+            return False
+        return self.listed_at - self.begun_at >= PROVEN_S
+
+    def begin(self, now: float) -> None:
+        """Takes note that it has begun, by the word of its instance."""
+        self.confirmed = True
+        if self.begun_at is None:
+            self.begun_at = now
+
     def take_listing(self, other: "Run") -> None:
         """Takes over what its instance has listed of it under another entry."""
-        self.confirmed = other.confirmed
+        self.confirmed, self.begun_at = other.confirmed, other.begun_at
         self.percent, self.percent_at = other.percent, other.percent_at
         self.listed_at, self.still_s = other.listed_at, other.still_s
         self.saved, self.gauge = other.saved, other.gauge
@@ -104,6 +122,7 @@
     def begin_doubt(self) -> None:
         """Forgets what its instance said of it before it started again."""
         self.confirmed = False
+        self.begun_at = None
         self.percent = 0.0
         self.listed_at = _NEVER
         self.void_since = None
