Weigh a start against the room again where it leaves

What callers saw: a start brings an instance over its room, where the room has shrunk since the start was decided; the instance starts it all the same.

Cause: room was weighed where a start is decided only. It leaves after its row is written, and again as a copy where the first had no answer.

Evidence: three starts of 900 decided, the room shrinks to 1000 before they are sent: all three left, one fits.

Change: a start that no longer fits beside all whose starts may have left, what is being stopped among them, is not sent: its task waits again, with its gang. No copy leaves while it does not fit. The room is the smaller of what the entry and the list of machines name, so an old one of either harms nothing, also after a change of owner; while entries can't be read for contact and a beat, the smallest that this life of the instance has named. Nothing is stopped because a room has shrunk.

Ruled out: to take the newer of entry and list: neither tells its age. To start nothing while entries are old: each outage of the store would stop all work on instances whose room never changed.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -88,7 +88,7 @@
 
     Attributes:
         how: see ``fleet.How``; "lost" when its instance is gone or its lease
-            has lapsed.
+            has lapsed, "withheld" when its start no longer fitted.
         failed: failed runs of it so far.
     """
 
@@ -147,6 +147,22 @@
     evidence: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class StartWithheld:
+    """A start no longer fitted where it was to leave, and was not sent.
+
+    Attributes:
+        free_cpu: thousandths of a core left there with all that was decided;
+            below 0 where the room has shrunk.
+    """
+
+    job: str
+    task: str
+    run: int
+    instance: str
+    free_cpu: int
+
+
 @dataclasses.dataclass(frozen=True)
 class StartRefused:
     """An instance refused a start.
--- a/src/vanillaswitch/coordination/fleet/instances/endings.py
+++ b/src/vanillaswitch/coordination/fleet/instances/endings.py
@@ -187,7 +187,9 @@
         for member in step.tasks if step.step.gang else [task]:
             member.saved = saved
 
-    def _release(self, instance: rooms.Instance, run: rooms.Run) -> None:
+    def _release(
+        self, instance: rooms.Instance, run: rooms.Run, how: str = "lost"
+    ) -> None:
         """Frees a run that is surely over without a listed end."""
         instance.remove(run.key)
         self._changed = True
@@ -197,5 +199,5 @@
             return
         current = task.run == run.run and task.instance == instance.name
         if current and task.state is books.TaskState.ASSIGNED:
-            self._emit_run_end(task, run.run, instance, "lost")
+            self._emit_run_end(task, run.run, instance, how)
             self._requeue(entry, task, run.saved)
--- a/src/vanillaswitch/coordination/fleet/instances/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_task.py
@@ -244,6 +244,13 @@
                 # Decided for the instance as it was before it started again.
                 return
             began = self._clock.monotonic()
+            if attempts and self._core.holds_back(order):
+                if not self._core.start_unanswered(
+                    self._name, key, sent, began, first_at
+                ):
+                    return
+                self._clock.sleep(RETRY_S)
+                continue
             outcome = self._start_once(order, attempts > 0)
             now = self._clock.monotonic()
             attempts += 1
--- a/src/vanillaswitch/coordination/fleet/instances/listing.py
+++ b/src/vanillaswitch/coordination/fleet/instances/listing.py
@@ -39,6 +39,7 @@
         clock: clocks.Clock,
         emit: Callable[[object], None],
         on_change: Callable[[], None],
+        old_s: float,
     ):
         """Makes a listing that has read nothing.
 
@@ -50,6 +51,8 @@
             clock: paces the reads.
             emit: takes events.
             on_change: called when something may have changed.
+            old_s: entries that can't be read for so long may no longer tell
+                the room of now.
         """
         self._core = core
         self._table = table
@@ -57,6 +60,8 @@
         self._clock = clock
         self._emit = emit
         self._on_change = on_change
+        self._old_s = old_s
+        self._read_at = clock.monotonic()
         self._unusable: dict[str, str] = {}
         self._missing: set[str] = set()
         self._follower = follow.Follower(
@@ -81,6 +86,12 @@
             self._core.unlisted(name)
         self._missing.clear()
 
+    def judge_rooms(self, now: float) -> None:
+        """Tells whether entries may be too old to tell the room of now."""
+        if not self._follower.failing:
+            self._read_at = now
+        self._core.entries_are_old(now - self._read_at >= self._old_s)
+
     def _on_snapshot(self, snapshot: feeds.Snapshot) -> None:
         present = {row.key for row in snapshot.rows}
         self._missing |= self._core.instances.keys() - present
--- a/src/vanillaswitch/coordination/fleet/instances/orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/orders.py
@@ -4,7 +4,7 @@
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import endings
-from vanillaswitch.coordination.fleet.instances import inheritance
+from vanillaswitch.coordination.fleet.instances import sends
 from vanillaswitch.coordination.fleet.instances import sparing
 from vanillaswitch.coordination.fleet.queue import progress
 from vanillaswitch.coordination.fleet.queue import rooms
@@ -18,7 +18,7 @@
 the task may start elsewhere once that is certain."""
 
 
-class Orders(inheritance.Inheritance):
+class Orders(sends.Sends):
     """Takes note of answers to orders, and of their absence."""
 
     def started(
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -128,7 +128,7 @@
             self._emit_instance(known, "draining", "it says so", now)
         if known.distrusted:
             self._emit_instance(known, "listed", "it can be read again", now)
-        known.registration = registration
+        known.register(registration)
         known.listed = True
         known.distrusted = False
         return False
@@ -238,11 +238,3 @@
         """Takes the stops that are to be sent."""
         stops, self._stops = self._stops, []
         return stops
-
-    def may_send(self, start: StartOrder) -> bool:
-        """Whether a recorded start is still wanted; it then counts as sent."""
-        run = self._run(start.instance, (start.task, start.run))
-        if run is None or run.stopping is not None:
-            return False
-        run.sent = True
-        return True
--- a/src/vanillaswitch/coordination/fleet/machines/machine_task.py
+++ b/src/vanillaswitch/coordination/fleet/machines/machine_task.py
@@ -90,6 +90,8 @@
             logs.warning("the list of machines: {}", listed.reason)
             return False
         self._listed = {machine.name: machine for machine in listed}
+        for machine in listed:
+            self._core.room_listed(machine.instance, machine.capacity)
         self._judge_instances(began)
         return True
 
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -129,6 +129,7 @@
             clock,
             emit,
             self._wake.set,
+            settings.bounds.contact_s + settings.heartbeat_s,
         )
         self._specs = spec_table.SpecTable(
             self._core,
@@ -305,6 +306,7 @@
         """Looks for what time alone brings, over all that runs."""
         self._refresh_config()
         self._listing.judge_missing(now)
+        self._listing.judge_rooms(now)
         self._instances.ensure()
         self._core.lapse(now)
         self._core.stop_again(now)
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -161,6 +161,7 @@
         silent: it did not answer lately.
         doubtful: a call to it got no answer and it was not heard of since.
         distrusted: its entry in the list can't be read.
+        capacity: its room, as far as it is known to be there now.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
@@ -186,6 +187,8 @@
         self.due = False
         self.leaving = False
         self.heard_at = now
+        self._listed_room: fleet.Resources | None = None
+        self._room_is_old = False
         self.runs: dict[RunKey, Run] = {}
         self._granting: list[float] = []
         self._unanswered: dict[RunKey, float] = {}
@@ -222,6 +225,39 @@
         self.clock_ms = 0.0
         self.clock_at = now
         self.lapses_at = lapses_at
+        self._smallest = self.registration.capacity
+        self._judge_room()
+
+    def register(self, registration: fleet.Registration) -> None:
+        """Takes note of what it says of itself now."""
+        self.registration = registration
+        self._smallest = _smaller(self._smallest, registration.capacity)
+        self._judge_room()
+
+    def list_room(self, room: fleet.Resources) -> None:
+        """Takes note of its room by the list of machines."""
+        self._listed_room = room
+        self._judge_room()
+
+    def age_room(self, old: bool) -> None:
+        """Takes note of whether its entry may no longer tell its room."""
+        if old != self._room_is_old:
+            self._room_is_old = old
+            self._judge_room()
+
+    def _judge_room(self) -> None:
+        """Works out the room that is surely there.
+
+        An entry and the list of machines reach an owner on different ways, so
+        the smaller one counts; while entries may be old, the smallest that
+        this life of it has named.
+        """
+        room = self.registration.capacity
+        if self._room_is_old:
+            room = self._smallest
+        if self._listed_room is not None:
+            room = _smaller(room, self._listed_room)
+        self.capacity = room
 
     @property
     def name(self) -> str:
@@ -231,12 +267,12 @@
     @property
     def free_cpu(self) -> int:
         """Thousandths of a core that nothing has taken."""
-        return self.registration.capacity.cpu - self._cpu
+        return self.capacity.cpu - self._cpu
 
     @property
     def free(self) -> fleet.Resources:
         """Room that nothing has taken."""
-        capacity = self.registration.capacity
+        capacity = self.capacity
         return fleet.Resources(
             capacity.cpu - self._cpu,
             capacity.mem_mb - self._mem,
@@ -323,13 +359,27 @@
 
     def fits(self, need: fleet.Resources) -> bool:
         """Whether there is room besides all that may run there."""
-        capacity = self.registration.capacity
+        capacity = self.capacity
         return (
             self._cpu + need.cpu <= capacity.cpu
             and self._mem + need.mem_mb <= capacity.mem_mb
             and self._gpu + need.gpu <= capacity.gpu
         )
 
+    def has_room_for(self, run: Run) -> bool:
+        """Whether a decided run fits beside all whose starts may have left."""
+        capacity = self.capacity
+        needs = [
+            other.need
+            for other in self.runs.values()
+            if other.sent or other is run
+        ]
+        return (
+            sum(need.cpu for need in needs) <= capacity.cpu
+            and sum(need.mem_mb for need in needs) <= capacity.mem_mb
+            and sum(need.gpu for need in needs) <= capacity.gpu
+        )
+
     def takes_over(self, run: Run, now: float) -> bool:
         """Whether it may run now what another instance runs."""
         return self.fits(run.need) and self._suits(run.step, run.task, now)
@@ -342,7 +392,7 @@
         now: float,
     ) -> bool:
         """Whether a task may run here once the short tasks have ended."""
-        capacity = self.registration.capacity
+        capacity = self.capacity
         lasting = [
             run.need for run in self.runs.values() if run.step.long_running
         ]
@@ -356,7 +406,7 @@
 
     def free_share(self, need: fleet.Resources) -> float:
         """Returns which part of a need it has free of what it lacks most."""
-        capacity = self.registration.capacity
+        capacity = self.capacity
         shares = [
             free / wanted
             for free, wanted in (
@@ -377,7 +427,7 @@
 
     def count_of(self, task: jobs.TaskName) -> int:
         """Returns how many tasks of this one's step it may run."""
-        return self._per_step.get(_step_key(task), 0)
+        return self._per_step.get(step_key(task), 0)
 
     def add(self, run: Run) -> None:
         """Takes room for a run."""
@@ -388,7 +438,7 @@
         self._mem += run.need.mem_mb
         self._gpu += run.need.gpu
         self._short = self._short.plus(run.step, 1)
-        key = _step_key(run.task)
+        key = step_key(run.task)
         self._per_step[key] = self._per_step.get(key, 0) + 1
 
     def remove(self, key: RunKey) -> Run | None:
@@ -403,7 +453,7 @@
         self._mem -= run.need.mem_mb
         self._gpu -= run.need.gpu
         self._short = self._short.plus(run.step, -1)
-        step = _step_key(run.task)
+        step = step_key(run.task)
         self._per_step[step] -= 1
         if not self._per_step[step]:
             del self._per_step[step]
@@ -417,5 +467,14 @@
         return self.clock_ms + (now - self.clock_at) * 1000
 
 
-def _step_key(task: jobs.TaskName) -> tuple[str, int, int]:
+def _smaller(one: fleet.Resources, other: fleet.Resources) -> fleet.Resources:
+    return fleet.Resources(
+        min(one.cpu, other.cpu),
+        min(one.mem_mb, other.mem_mb),
+        min(one.gpu, other.gpu),
+    )
+
+
+def step_key(task: jobs.TaskName) -> tuple[str, int, int]:
+    """Returns what tells the step of a task from any other."""
     return task.job_id, task.occurrence, task.step
--- a/tests/failures/test_entries_of_others.py
+++ b/tests/failures/test_entries_of_others.py
@@ -118,6 +118,7 @@
         clock,
         told.append,
         lambda: None,
+        10.0,
     )
     view.start_from(feed.snapshot("servers"))
     return view
