Send no copy of a suspected start to an instance that fell silent

What callers saw: one more instance lost under a task that was suspected already, and other tasks that waited seconds for the instance that tried it.

Cause: a start without an answer is sent again after 0.15 s, for 1.5 s; the first copy may have crashed its instance, and one that is back takes the next. And an instance without other work is asked for its account every 2 s.

Change: no copy of a suspected task's start leaves until the instance was heard of; after 1.5 s the start is given up as before. An instance that tries a suspect answers within 0.25 s.

Both tests failed before: 2 starts for 1, a wait of 1.0 s for 0.25.

--- a/src/vanillaswitch/coordination/fleet/instances/instance_task.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_task.py
@@ -14,6 +14,7 @@
 from vanillaswitch.coordination.fleet.instances import sparing
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
+from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.coordination.fleet.queue import sharing
 from vanillaswitch.internal import clock as clocks
@@ -144,6 +145,9 @@
         wait_s = 0.0
         if instance.adopted and not instance.silent and not again:
             wait_s = BUSY_WAIT_S if instance.runs else IDLE_WAIT_S
+            if instance.apart:
+                # What may start beside a suspected task waits for this answer.
+                wait_s = crash_evidence.PROVEN_S
             if instance.last_end > self.acknowledged(instance):
                 wait_s = 0.0
         deadline_ms = self._deadline_ms(instance, began)
--- a/src/vanillaswitch/coordination/fleet/instances/sends.py
+++ b/src/vanillaswitch/coordination/fleet/instances/sends.py
@@ -31,14 +31,16 @@
     def holds_back(self, start: term_state.StartOrder) -> bool:
         """Whether no further copy of a start may leave now.
 
-        The first one may yet be carried out, or may have been lost: a copy to
-        a room that has shrunk since fills it.
+        The first one may have crashed its instance, or may yet be carried
+        out: a copy to the instance that is back is one crash more, and one to
+        a room that has shrunk fills it.
         """
         instance = self.instances.get(start.instance)
         run = self._run(start.instance, (start.task, start.run))
         if instance is None or run is None:
             return False
-        return not instance.has_room_for(run)
+        unheard = instance.doubtful or instance.silent
+        return (run.apart and unheard) or not instance.has_room_for(run)
 
     def _withhold(self, instance: rooms.Instance, run: rooms.Run) -> None:
         """Puts back a task whose start no longer fits, with all its gang."""
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -17,11 +17,17 @@
 39 instances of one pool went down in 5.4 s; the task came to its run 106.
 """
 
+import types
+
+import gevent.event
 import pytest
 
+from tests.common import clocks
 from tests.common import crashing_days
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -195,3 +201,63 @@
     most = crashing_days.MOST_STARTS_AFTERWARDS
     assert drawn.most_starts_afterwards <= most
     assert not drawn.given_up
+
+
+class _Silent:
+    """Calls to an instance that takes orders and answers none.
+
+    Attributes:
+        starts: how many came.
+        waits_s: for how long each hold was to wait.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.starts = 0
+        self.waits_s = []
+
+    def start(self, target, order, timeout_s, fresh):
+        del target, order, fresh
+        self.starts += 1
+        self._clock.advance(timeout_s)
+        return fleet.NoAnswer(True, "no answer")
+
+    def hold(
+        self, target, token, seen, deadline_ms, wait_s, timeout_s, fresh=False
+    ):
+        del target, token, seen, deadline_ms, timeout_s, fresh
+        self.waits_s.append(wait_s)
+        return fleet.NoAnswer(True, "no answer")
+
+
+def _calls(core, name, now):
+    clock = clocks.ManualClock()
+    clock.advance(now)
+    recorder = types.SimpleNamespace(
+        token=9, deposed=False, confirmed_at=clock.monotonic()
+    )
+    upstream = _Silent(clock)
+    means = instance_task.Means(
+        core, upstream, recorder, clock, gevent.event.Event()
+    )
+    return upstream, instance_task.InstanceTask(means, name)
+
+
+def test_a_suspect_is_not_started_again_where_nothing_was_heard_since():
+    """The first copy crashed the instance, and the next one its next life."""
+    core = _after_a_crash(jobs.Step(count=1, cpu=100))
+    (start,) = fleets.plan(core, 1.5).starts
+    upstream, task = _calls(core, start.instance, 1.5)
+    task._start_until_known(start)
+    assert upstream.starts == 1
+    (stop,) = core.take_stops()
+    assert stop.run == start.run
+
+
+def test_an_instance_with_a_suspect_is_asked_soon_whether_it_works():
+    """Other tasks wait seconds for an instance that tries a suspect."""
+    core = _after_a_crash(jobs.Step(count=1, cpu=100))
+    (start,) = fleets.plan(core, 1.5).starts
+    upstream, task = _calls(core, start.instance, 1.5)
+    task._hold(core.instances[start.instance], again=False)
+    assert upstream.waits_s == [crash_evidence.PROVEN_S]
