Try a suspected gang as a whole, and look at cleared runs once

What callers saw: a gang with a member that crashes its instance took eight instances of a small pool down before its job was given up.

Cause: the check of what may start looks at single tasks, and a gang was placed past it, like any other. Now it starts on instances where nothing else is new, and nothing starts beside it. The test of the gang that is given up failed before (8 instances lost, 3 allowed); the one that nothing starts beside it passed before and stays.

Runs that have worked and whose tasks nothing speaks against are no longer looked at with each account. The room that the list of machines names is weighed where it changes.

--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -116,7 +116,8 @@
         self._begun(row.task.job_id)
         progress.observe(instance, run, row.percent, now)
         run.gauge = row.gauge
-        self._note_work(instance, run)
+        if not run.cleared:
+            self._note_work(instance, run)
         run.saved = row.saved or run.saved
 
     def _found(
--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -239,6 +239,7 @@
         if len(left) < len(task.crashes):
             task.crashes = left
             self.book.touch(entry)
+        run.cleared = not left
 
     def _tell_crash(
         self,
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -137,12 +137,13 @@
         """Waiting tasks that may start anywhere.
 
         Tasks of a step behave alike: as long as none of them was seen to
-        work, one after the other is tried, and the others wait.
+        work, one after the other is tried, and the others wait. A gang is
+        tried as a whole.
         """
         if not self.crashed:
             return self.waiting
         suspected = any(task.suspect for task in self.tasks)
-        if suspected and not self.works:
+        if suspected and (self.step.gang or not self.works):
             return []
         return [task for task in self.waiting if not task.suspect]
 
--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -74,7 +74,7 @@
     A gang gets places for all its tasks or none.
     """
     if step.step.gang:
-        return _gang(step, candidates)
+        return gang(step, candidates) if step.startable else []
     chosen: Chosen = []
     taken = _Tentative()
     for task in step.startable:
@@ -110,7 +110,7 @@
             instance.remove(key)
 
 
-def _gang(step: book.OpenStep, candidates: Sequence[rooms.Instance]) -> Chosen:
+def gang(step: book.OpenStep, candidates: Sequence[rooms.Instance]) -> Chosen:
     """Places a whole gang, on one rack where that serves it and is possible.
 
     A part of a gang would only hold room while it waits for the others.
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -194,14 +194,19 @@
         *,
         apart: bool = False,
     ) -> bool:
-        """Assigns tasks of a step; returns whether any was."""
+        """Assigns tasks of a step, or a gang that is tried apart.
+
+        Returns:
+            Whether any was.
+        """
         tickets = self.tickets_for(step, now)
         if tickets is not None and not tickets:
             return False
         candidates = placement.eligible(step, instances, now, tickets)
         if not candidates:
             return False
-        chosen = placement.choose(step, candidates)
+        choose = placement.gang if apart else placement.choose
+        chosen = choose(step, candidates)
         if not chosen:
             return False
         highest = max(task.run for task, _ in chosen)
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -58,6 +58,7 @@
         saved: newest checkpoint listed.
         apart: its task is suspected to crash its instance, so that nothing
             else starts there until it has worked for a while.
+        cleared: nothing speaks against its task any more.
         proof_s: it has to work for so long to show that it does not crash
             its instance.
         begun_before: it was listed when this owner first heard of it, so it
@@ -91,6 +92,7 @@
     apart: bool = False
     begun_before: bool = False
     unsent: bool = False
+    cleared: bool = False
     proof_s: float = crash_evidence.PROVEN_S
     born_ms: int | None = None
     gauge: float = 0.0
@@ -236,8 +238,9 @@
 
     def list_room(self, room: fleet.Resources) -> None:
         """Takes note of its room by the list of machines."""
-        self._listed_room = room
-        self._judge_room()
+        if room != self._listed_room:
+            self._listed_room = room
+            self._judge_room()
 
     def age_room(self, old: bool) -> None:
         """Takes note of whether its entry may no longer tell its room."""
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -261,3 +261,23 @@
     upstream, task = _calls(core, start.instance, 1.5)
     task._hold(core.instances[start.instance], again=False)
     assert upstream.waits_s == [crash_evidence.PROVEN_S]
+
+
+def test_a_gang_with_a_member_that_crashes_its_instance_is_given_up():
+    """A gang starts as a whole, so each crash takes all its members along."""
+    day = crashing_days.Day()
+    job = fleets.job(steps=(jobs.Step(count=3, cpu=900, gang=True),))
+    day.hand_in(job, bad=[(0, 1)])
+    day.run(10.0)
+    assert day.state(job) is jobs.JobState.FAILED
+    assert day.instances_lost <= crashing_days.MOST_CRASHES
+
+
+def test_a_gang_that_is_suspected_starts_beside_nothing_else():
+    """Other jobs are lost with the instances of a gang that crashes them."""
+    core = _after_a_crash(jobs.Step(count=3, cpu=900, gang=True))
+    starts = fleets.plan(core, 1.5).starts
+    assert len(starts) == 3
+    core.job_added(fleets.job(2, (jobs.Step(count=1, cpu=100),)), 1.6)
+    (other,) = fleets.plan(core, 1.6).starts
+    assert other.instance not in {start.instance for start in starts}
