Let suspected tasks try idle instances, and forgive lasting ones sooner

Cause: a crash makes suspects of all that began lately, most of them sound, and at most a quarter of a pool tried them, one instance of four. And a lasting task was held crashes that nobody knew to be such.

Change: up to three quarters of a pool try suspects where the instance has no other work; a run is taken to work after 0.1 s on the list instead of 0.25, so fewer are suspected. A lasting task that works for 2 s is cleared, and what is unsure does not count against it.

Test: 16 suspects on four instances all start within 3 s; they did not before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -45,6 +45,13 @@
 )
 
 
+CRASHING = {"spec": "x", "steps": [{"count": 2, "cpu": 1000, "mem_mb": 100}]}
+"""A job whose tasks crash the instances that start them."""
+
+FIRST_CRASHING = 0xC000_0000_0000_0000
+"""Ids of these jobs count from here."""
+
+
 class Client:
     """One client; it keeps its connections until they break."""
 
@@ -92,17 +99,40 @@
         self, client: plain_http.PlainClient, record: promise_lib.JobRecord
     ) -> int:
         body = next(item for item in BODIES if item["spec"] == record.job.spec)
-        # The soak may end while the call is under way: what comes of it is
-        # not known then, and the job may run after an earlier refusal.
-        record.unknown += 1
-        status, _ = call(client, self._world, "POST", record.job, body)
-        if status == OK:
-            record.unknown -= 1
-            record.accepted_at = record.accepted_at or self._world.promises.now
-        elif status in (_BUSY, _AWAY):
-            record.unknown -= 1
-            record.refusals += 1
-        return status
+        return _send(client, self._world, record, body)
+
+
+def hand_in_crashing(
+    client: plain_http.PlainClient, world: worlds.World
+) -> None:
+    """Hands in a job whose tasks crash instances, until it is answered."""
+    job_id = f"{FIRST_CRASHING + len(world.promises.records):016x}"
+    record = promise_lib.JobRecord(parse(CRASHING, job_id), crashes=True)
+    world.promises.records[job_id] = record
+    for _ in range(TRIES):
+        if _send(client, world, record, CRASHING) == OK:
+            return
+        gevent.sleep(world.random.random() * 0.5)
+
+
+def _send(
+    client: plain_http.PlainClient,
+    world: worlds.World,
+    record: promise_lib.JobRecord,
+    body: object,
+) -> int:
+    """Hands a job in once and keeps what its client was told."""
+    # The soak may end while the call is under way: what comes of it is not
+    # known then, and the job may run after an earlier refusal.
+    record.unknown += 1
+    status, _ = call(client, world, "POST", record.job, body)
+    if status == OK:
+        record.unknown -= 1
+        record.accepted_at = record.accepted_at or world.promises.now
+    elif status in (_BUSY, _AWAY):
+        record.unknown -= 1
+        record.refusals += 1
+    return status
 
 
 def parse(body: object, job_id: str) -> jobs.Job:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,10 +10,15 @@
 
 import gevent
 
+from soak import clients
+from soak import promises as promise_lib
 from soak import world as worlds
 from standins import edge_processes
 from standins import relays
+from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import registry
+from vanillaswitch.protocol import fleet
+from vanillaswitch.transport import plain_http
 
 Fault = Callable[[worlds.World, float], None]
 """Harms a world for so many seconds."""
@@ -29,6 +34,9 @@
 WAVE_S = 10.0
 """Time of a wave besides: four machines, and the upkeep of each."""
 
+SHRUNK = fleet.Resources(5_000, 8_192)
+"""Room of an instance that has shrunk: less than some tasks need."""
+
 SERIES = 3
 """Signals of one kind that come in a row."""
 
@@ -189,6 +197,29 @@
         gevent.sleep(seconds / SERIES)
 
 
+@FAULTS.register("tasks-crash-instances")
+def tasks_crash_instances(world: worlds.World, seconds: float) -> None:
+    """Jobs come whose tasks crash each instance that starts them."""
+    with plain_http.open_client(clocks.SystemClock()) as client:
+        for _ in range(SERIES):
+            clients.hand_in_crashing(client, world)
+            gevent.sleep(seconds / SERIES)
+
+
+@FAULTS.register("rooms-shrink")
+def rooms_shrink(world: worlds.World, seconds: float) -> None:
+    """The room of two instances shrinks, and grows again."""
+    chosen = world.random.sample(world.platform.instances, 2)
+    for instance in chosen:
+        instance.room = SHRUNK
+        name = instance.model.registration.instance
+        world.promises.shrink(name, SHRUNK)
+    gevent.sleep(promise_lib.ROOM_S + seconds)
+    for instance in chosen:
+        world.promises.grow(instance.model.registration.instance)
+        instance.room = promise_lib.CAPACITY
+
+
 @FAULTS.register("configure")
 def configure(world: worlds.World, seconds: float) -> None:
     """The operators write configurations in quick succession."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -24,6 +24,16 @@
 CAPACITY = fleet.Resources(16_000, 32_768)
 """Room of each instance of the stand-in platform."""
 
+ROOM_S = 3.0 + edge_http.HEARTBEAT_S
+"""Time in which a room that has shrunk becomes known."""
+
+MOST_CRASHES = 3
+MOST_STARTS_AFTERWARDS = 2
+"""After so many crashes under it a task is started so often more at most."""
+
+GIVE_UP_CRASHES = 2
+"""Crashes after which a job may be shown as failed."""
+
 
 @dataclasses.dataclass
 class JobRecord:
@@ -35,6 +45,7 @@
         unknown: hand-ins without such an answer or an acceptance.
         cancelled_at: when the acknowledgement of its cancel arrived.
         shown: the newest state that was read.
+        crashes: its tasks crash the instances that start them.
     """
 
     job: jobs.Job
@@ -44,6 +55,7 @@
     cancel_sent: bool = False
     cancelled_at: float | None = None
     shown: str = ""
+    crashes: bool = False
 
 
 class Promises(edge_http.Observer):
@@ -56,6 +68,9 @@
         self._started: dict[jobs.TaskName, int] = {}
         self._idle_since: dict[jobs.TaskName, float] = {}
         self._by_order: set[jobs.TaskName] = set()
+        self._crashes: dict[jobs.TaskName, int] = {}
+        self._after_crashes: dict[jobs.TaskName, int] = {}
+        self._rooms: dict[str, tuple[fleet.Resources, float]] = {}
         self.records: dict[str, JobRecord] = {}
 
     @property
@@ -84,6 +99,26 @@
         step = record.job.steps[order.task.step]
         return fleet.Resources(step.cpu, step.mem_mb)
 
+    def crashes(self, order: fleet.Start) -> bool:
+        """Whether a task crashes its instance; counts those that do."""
+        record = self.records.get(order.task.job_id)
+        if record is None or not record.crashes:
+            return False
+        self._crashes[order.task] = self._crashes.get(order.task, 0) + 1
+        return True
+
+    def shrink(self, instance: str, room: fleet.Resources) -> None:
+        """Takes note that an instance has less room from now on."""
+        self._rooms[instance] = (room, self.now + ROOM_S)
+
+    def grow(self, instance: str) -> None:
+        """Takes note that an instance has its usual room again."""
+        self._rooms.pop(instance, None)
+
+    def _room(self, instance: str) -> fleet.Resources:
+        room, counts_at = self._rooms.get(instance, (CAPACITY, 0.0))
+        return room if self.now >= counts_at else CAPACITY
+
     @property
     def at_work(self) -> set[jobs.TaskName]:
         """Lasting tasks that serve."""
@@ -149,9 +184,25 @@
         self._judge_cancel(record, task)
         self._judge_once(instance, task)
         self._judge_order(record, task)
-        used = self._instances[instance].used
-        if used.cpu > CAPACITY.cpu or used.mem_mb > CAPACITY.mem_mb:
-            self.breach("room", f"{instance} holds {used}")
+        self._judge_crashes(task)
+        used, room = self._instances[instance].used, self._room(instance)
+        if used.cpu > room.cpu or used.mem_mb > room.mem_mb:
+            self.breach("room", f"{instance} holds {used} of {room}")
+
+    def _judge_crashes(self, task: jobs.TaskName) -> None:
+        if self._crashes.get(task, 0) < MOST_CRASHES:
+            return
+        starts = self._after_crashes.get(task, 0) + 1
+        self._after_crashes[task] = starts
+        if starts > MOST_STARTS_AFTERWARDS:
+            self.breach("crashes", f"{task} starts again, time {starts}")
+
+    def _may_fail(self, record: JobRecord) -> bool:
+        """Whether instances enough have crashed under a task of a job."""
+        return any(
+            task.job_id == record.job.job_id and crashes >= GIVE_UP_CRASHES
+            for task, crashes in self._crashes.items()
+        )
 
     def _judge_cancel(self, record: JobRecord, task: jobs.TaskName) -> None:
         since = record.cancelled_at
@@ -194,7 +245,7 @@
             self.breach("kept", f"{job_id} was accepted and is not known")
             return
         record.shown = state
-        if state == jobs.JobState.FAILED:
+        if state == jobs.JobState.FAILED and not self._may_fail(record):
             self.breach("kept", f"{job_id} failed and no task of it did")
         if state == jobs.JobState.CANCELLED and not record.cancel_sent:
             self.breach("kept", f"{job_id} was cancelled by nobody")
--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -235,7 +235,9 @@
             return
         entry.open[run.task.occurrence, run.task.step].works = True
         task.suspect = False
-        left = crash_evidence.left_after(task.crashes, run.worked_s)
+        left = crash_evidence.left_after(
+            task.crashes, run.worked_s, lasting=run.step.long_running
+        )
         if len(left) < len(task.crashes):
             task.crashes = left
             self.book.touch(entry)
--- a/src/vanillaswitch/coordination/fleet/instances/suspicion.py
+++ b/src/vanillaswitch/coordination/fleet/instances/suspicion.py
@@ -18,10 +18,16 @@
 """Most of a pool on which suspected tasks run at a time: the others serve the
 jobs that did nothing."""
 
+IDLE_SHARE = 0.75
+"""The same where the instance has no other work. Most of the tasks that are
+lost with an instance are sound, and waited for each other beside idle ones."""
 
-def most_apart(pool: Sequence[rooms.Instance]) -> int:
-    """Returns on how many instances of a pool suspected tasks may run."""
-    return max(1, int(len(pool) * APART_SHARE))
+
+def may_try(pool: Sequence[rooms.Instance], chosen: rooms.Instance) -> bool:
+    """Whether one more instance of a pool may run a suspected task."""
+    share = APART_SHARE if chosen.runs else IDLE_SHARE
+    apart = sum(instance.apart for instance in pool)
+    return apart < max(1, int(len(pool) * share))
 
 
 def least_harm(
--- a/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
+++ b/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
@@ -30,7 +30,7 @@
     UNSURE = "unsure"
 
 
-PROVEN_S = 0.25
+PROVEN_S = 0.1
 """A run that its instance lists for so long did not crash it by starting."""
 
 PROOF_FACTOR = 2.0
@@ -53,7 +53,8 @@
 
 MORE_OF_LASTING = 1
 """One that lasts is given up so many crashes later: it is there for minutes, so
-instances crash under it by chance, and its job serves users of its own."""
+instances crash under it by chance, and its job serves users of its own. What
+is unsure does not count against it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,21 +102,24 @@
         (alone > 0 and new >= MOST_ALONE + more)
         or new >= MOST_NEW + more
         or known >= MOST_KNOWN + more
-        or len(kinds) >= MOST_CRASHES
+        or (not lasting and len(kinds) >= MOST_CRASHES)
     )
 
 
-def left_after(crashes: Sequence[Crash], worked_s: float) -> list[Crash]:
+def left_after(
+    crashes: Sequence[Crash], worked_s: float, *, lasting: bool
+) -> list[Crash]:
     """Returns the crashes that still speak against a task.
 
     Args:
         crashes: instances that were lost under it.
         worked_s: for how long its run has worked now.
+        lasting: whether it runs until its job is cancelled.
     """
-    if worked_s >= FORGIVEN_S:
-        return []
     if worked_s < MOST_PROOF_S:
         return list(crashes)
+    if lasting or worked_s >= FORGIVEN_S:
+        return []
     return [crash for crash in crashes if crash.kind is Kind.WORKED]
 
 
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -134,11 +134,10 @@
             quiet = [item for item in instances if not item.unproven]
             self._place(step, quiet, now, apart=True)
             return [item for item in instances if not item.apart]
-        free = suspicion.most_apart(pool) - sum(item.apart for item in pool)
-        for task in suspects[: max(0, free)]:
+        for task in suspects:
             eligible = placement.eligible(step, instances, now, tickets)
             found = suspicion.least_harm(self, step, task, eligible, now)
-            if found is None:
+            if found is None or not suspicion.may_try(pool, found):
                 break
             instances = [item for item in instances if item is not found]
             if not suspicion.is_free_for(step, task, found):
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -281,3 +281,20 @@
     core.job_added(fleets.job(2, (jobs.Step(count=1, cpu=100),)), 1.6)
     (other,) = fleets.plan(core, 1.6).starts
     assert other.instance not in {start.instance for start in starts}
+
+
+def test_suspects_do_not_wait_for_each_other_while_instances_are_idle():
+    """Jobs that only stood beside a crash wait though instances are idle."""
+    day = crashing_days.Day(4, cpu=16_000)
+    one = jobs.Step(count=1, cpu=900, estimate_ms=600)
+    beside = [fleets.job(number, (one,)) for number in range(1, 17)]
+    for job in beside:
+        day.hand_in(job)
+    day.run(0.1)
+    (name,) = {
+        day.core.book.get(job.job_id).open[0, 0].tasks[0].instance
+        for job in beside
+    }
+    day.crash(name)
+    day.run(crashing_days.FOUND_S + 3.0)
+    assert all(day.tally(job).starts == 2 for job in beside)
