Keep crashes beside the rows of tasks, so that versions read each other's rows

What callers would see: during an update an owner of the version before finds jobs it can't read, which wait until a newer one owns the fleet.

Cause: the crashes under a task and the start of its instance were further columns of its row, which the version before reads with a fixed number of them. They now stand in a list of their own, which that version ignores. Three tests, the first of which failed before.

--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -25,8 +25,8 @@
 machines is read every 0.25 s, and tells of a crash after as long again."""
 
 IMAGE_DOUBT_S = 60.0
-"""For so long a task of an image that crashed instances is tried apart first:
-the next hour's release of it may be sound."""
+"""For so long the first task of a step whose image crashed instances is tried
+apart; later the image may have been replaced under its name."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -290,21 +290,35 @@
                 task.instance,
                 task.failed,
                 task.saved,
-                *_pack_crashes(task),
             ]
             for step in self.open.values()
             for task in step.tasks
             if task.run
         ]
-        document = {
+        document: dict[str, Any] = {
             "ended": self.ended.value if self.ended else "",
             "ended_store_ms": self.ended_ms,
             "started": self.started,
             "done": [list(key) for key in sorted(self._done)],
             "tasks": tasks,
         }
+        # Apart from the rows of tasks, which earlier versions read as well.
+        evidence = [
+            [
+                step.occurrence,
+                step.number,
+                task.name.index,
+                task.born_ms,
+                _pack_crashes(task.crashes),
+            ]
+            for step in self.open.values()
+            for task in step.tasks
+            if task.crashes or task.born_ms is not None
+        ]
+        if evidence:
+            document["evidence"] = evidence
         if self.given_up:
-            document["given_up"] = _pack_all(self.given_up)
+            document["given_up"] = _pack_crashes(self.given_up)
         return document
 
     def unpack(self, document: Mapping[str, Any]) -> unusable.Unusable | None:
@@ -328,11 +342,13 @@
         self.ended = jobs.JobState(ended) if ended else None
         self.shown = self.state
         self.ended_ms = float(document.get("ended_store_ms", 0.0))
-        self.given_up = _unpack_all(document.get("given_up", ()))
+        self.given_up = _unpack_crashes(document.get("given_up", ()))
         if self.ended is not None:
             return
         for row in document.get("tasks", ()):
             self._restore(*row)
+        for row in document.get("evidence", ()):
+            self._restore_evidence(*row)
 
     def _restore(
         self,
@@ -344,8 +360,6 @@
         instance: str,
         failed: int,
         saved: str,
-        born_ms: int | None = None,
-        crashes: Iterable[Sequence[Any]] = (),
     ) -> None:
         key = (occurrence, number)
         if key not in self.open:
@@ -359,29 +373,34 @@
         task.failed = failed
         task.counted_run = run if task.state is TaskState.WAITING else run - 1
         task.saved = saved
+
+    def _restore_evidence(
+        self,
+        occurrence: int,
+        number: int,
+        index: int,
+        born_ms: int | None,
+        crashes: Iterable[Sequence[Any]],
+    ) -> None:
+        step = self.open[occurrence, number]
+        task = step.tasks[index]
         task.born_ms = born_ms
-        for crash in _unpack_all(crashes):
+        for crash in _unpack_crashes(crashes):
             task.add_crash(crash)
-        opened = self.open[key]
-        opened.crashed = opened.crashed or bool(task.crashes)
-        opened.works = opened.works or task.state is TaskState.DONE
-
-
-def _pack_crashes(task: Task) -> list[Any]:
-    """Returns what a task's row holds besides, where there is any of it."""
-    if task.crashes:
-        return [task.born_ms, _pack_all(task.crashes)]
-    return [] if task.born_ms is None else [task.born_ms]
+        step.crashed = step.crashed or bool(task.crashes)
+        step.works = any(item.state is TaskState.DONE for item in step.tasks)
 
 
-def _pack_all(crashes: Iterable[crash_evidence.Crash]) -> list[list[Any]]:
+def _pack_crashes(
+    crashes: Iterable[crash_evidence.Crash],
+) -> list[list[Any]]:
     return [
         [crash.run, crash.instance, crash.kind, round(crash.worked_s, 2)]
         for crash in crashes
     ]
 
 
-def _unpack_all(
+def _unpack_crashes(
     rows: Iterable[Sequence[Any]],
 ) -> tuple[crash_evidence.Crash, ...]:
     return tuple(
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -27,9 +27,11 @@
 from tests.common import fleets
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import instance_task
+from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import unusable
 
 _ONE = (jobs.Step(count=1, cpu=900),)
 
@@ -298,3 +300,34 @@
     day.crash(name)
     day.run(crashing_days.FOUND_S + 3.0)
     assert all(day.tally(job).starts == 2 for job in beside)
+
+
+def test_an_owner_of_the_version_before_reads_rows_with_crashes():
+    """During an update, an owner of before finds jobs that it can't read."""
+    core = _after_a_crash()
+    row = core.book.get(f"{1:016x}").pack()
+    before = {"ended", "ended_store_ms", "started", "done", "tasks"}
+    assert row.keys() == {*before, "evidence"}
+    assert {len(task) for task in row["tasks"]} == {8}
+
+
+def test_rows_of_the_version_before_are_read():
+    """After an update, a new owner finds jobs that it can't read."""
+    core = _after_a_crash()
+    row = core.book.get(f"{1:016x}").pack()
+    del row["evidence"]
+    entry = books.Entry(core.book.get(f"{1:016x}").job, 0.0)
+    assert entry.unpack(row) is None
+    assert not entry.open[0, 0].crashed
+
+
+@pytest.mark.parametrize(
+    "evidence",
+    [7, [[0, 0, 0, None, [[1, "i-1", "guilty", 0.0]]]], [[0, 9, 0, None, []]]],
+)
+def test_a_row_whose_evidence_can_not_be_read_is_told(evidence):
+    """An owner ends, or starts a task anew, for a row of another writer."""
+    core = _after_a_crash()
+    row = core.book.get(f"{1:016x}").pack() | {"evidence": evidence}
+    entry = books.Entry(core.book.get(f"{1:016x}").job, 0.0)
+    assert isinstance(entry.unpack(row), unusable.Unusable)
