Let the model and the soak's tests have tasks that crash instances

The model gets three faults: crashing_tasks and crashing_steps (a share of the jobs that come has a task, or a first step, that crashes each instance that starts it, down for 3 s) and shrunk (rooms grow smaller for a while). A job that can't be done is neither owed nor missed; the table tells bad jobs, instances lost, runs of others lost, and jobs that were given up wrongly. The law that nothing exceeds a room is kept at each start against the room of now: what was there before a room has shrunk may fill it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,14 +22,21 @@
 @click.option("--fresh", default=0, help="So many seeds drawn now instead.")
 @click.option("--seconds", default=20.0, help="How long faults come.")
 @click.option("--keep", type=click.Path(), help="Folder for the logs.")
-def main(seeds: str, fresh: int, seconds: float, keep: str | None) -> None:
+@click.option("--fault", "names", multiple=True, help="Only faults so named.")
+def main(
+    seeds: str,
+    fresh: int,
+    seconds: float,
+    keep: str | None,
+    names: tuple[str, ...],
+) -> None:
     """Runs a soak for each seed and prints what was broken."""
     failed = 0
     for seed in _seeds(seeds, fresh):
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep)
         )
-        result = run.soak(seed, seconds, folder)
+        result = run.soak(seed, seconds, folder, names)
         handed_in, accepted, completed = result.jobs
         click.echo(
             f"seed {seed}: {handed_in} jobs, {accepted} accepted, "
--- a/standins/model/day.py
+++ b/standins/model/day.py
@@ -37,6 +37,10 @@
         thrown_away: core-seconds of runs that did not end as done.
         starts: milliseconds from hand-in to first start.
         decisions_s: processor time of the decisions.
+        bad: jobs with a task that crashes the instances that start it.
+        given_up: jobs that were shown as failed.
+        instances_lost: instances that tasks crashed.
+        runs_lost: runs of other jobs that were lost with them.
         late_waves: tenths of a wave that were late, summed.
     """
 
@@ -50,6 +54,10 @@
     thrown_away: float = 0.0
     decisions_s: float = 0.0
     late_waves: int = 0
+    bad: set[str] = dataclasses.field(default_factory=set)
+    given_up: set[str] = dataclasses.field(default_factory=set)
+    instances_lost: int = 0
+    runs_lost: int = 0
     starts: HdrHistogram = dataclasses.field(
         default_factory=lambda: HdrHistogram(1, LONGEST_START_MS, 2)
     )
--- a/standins/model/experiment.py
+++ b/standins/model/experiment.py
@@ -95,6 +95,10 @@
     "p95 ms",
     "p99 ms",
     "ms/s",
+    "bad jobs",
+    "inst. lost",
+    "runs lost",
+    "wronged",
 )
 
 
@@ -124,6 +128,10 @@
             f"{mean.thrown_away:.0f}",
             *(f"{value:.0f}" for value in mean.start_ms),
             f"{mean.decisions_ms:.1f}",
+            f"{mean.bad:.1f}",
+            f"{mean.instances_lost:.1f}",
+            f"{mean.runs_lost:.1f}",
+            f"{mean.wronged:.2f}",
         ]
         lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines)
--- a/standins/model/faults.py
+++ b/standins/model/faults.py
@@ -69,6 +69,36 @@
     return restart
 
 
+@worlds.FAULTS.register("crashing_tasks")
+def crashing_tasks(
+    world: worlds.World, fault: scenarios.Fault
+) -> Callable[[], None]:
+    """Jobs come of which one task crashes each instance that starts it."""
+    return world.begin_crashing(fault.share, whole=False)
+
+
+@worlds.FAULTS.register("crashing_steps")
+def crashing_steps(
+    world: worlds.World, fault: scenarios.Fault
+) -> Callable[[], None]:
+    """Jobs come of which all tasks of the first step do."""
+    return world.begin_crashing(fault.share, whole=True)
+
+
+@worlds.FAULTS.register("shrunk")
+def shrunk(world: worlds.World, fault: scenarios.Fault) -> Callable[[], None]:
+    """The room of some instances shrinks, and grows again."""
+    machines = world.hit(fault)
+    for machine in machines:
+        world.resize(machine, fault.factor)
+
+    def end() -> None:
+        for machine in machines:
+            world.resize(machine, 1.0)
+
+    return end
+
+
 @worlds.FAULTS.register("owner_lost")
 def owner_lost(
     world: worlds.World, fault: scenarios.Fault
--- a/standins/model/world.py
+++ b/standins/model/world.py
@@ -7,8 +7,10 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import heapq
 import itertools
+import random
 import time
 
 import gevent
@@ -40,6 +42,9 @@
 SAMPLE_S = 0.25
 """Time between two points of the series."""
 
+CRASH_DOWN_S = 3.0
+"""Time for which an instance is down that a task has crashed."""
+
 DOUBT_S = 1.0
 SILENT_S = 2.0
 """When a call to an instance that went dark has found no answer, and a second
@@ -76,6 +81,9 @@
         self.store_away = False
         self.owner_lost = False
         self.waves: list[fleet.WaveOrder] = []
+        self._crashing: tuple[float, bool] = (0.0, False)
+        self._whole: dict[str, bool] = {}
+        self._random = random.Random(seed)
         self.day = days_lib.Day(
             workload.day(scenario, size, seed), scenario.seconds
         )
@@ -159,9 +167,8 @@
     def _over(self) -> bool:
         """Whether all short jobs have ended and no more will come."""
         short = [made for made in self.day.made if made.durations]
-        return self.clock.now >= self.scenario.seconds and (
-            len(self.day.ended) == len(short)
-        )
+        ended = len(self.day.ended) + len(self.day.given_up)
+        return self.clock.now >= self.scenario.seconds and ended == len(short)
 
     def _late_waves(self) -> int:
         late = 0
@@ -199,6 +206,10 @@
     def _try(self, made: workload.Made, now: float) -> None:
         if not self.store_away:
             self._taken[made.job.job_id] = made.job
+            share, whole = self._crashing
+            if made.durations and self._random.random() < share:
+                self.day.bad.add(made.job.job_id)
+                self._whole[made.job.job_id] = whole
             if not self.owner_lost:
                 self._core.job_added(made.job, now, self._age_s(made.job))
         elif now + TRY_AGAIN_S <= made.at + PATIENCE_S:
@@ -244,6 +255,8 @@
             entry.shown = entry.state
             if entry.ended is jobs.JobState.COMPLETED:
                 self.day.ended.setdefault(entry.job.job_id, now)
+            elif entry.ended is jobs.JobState.FAILED:
+                self.day.given_up.add(entry.job.job_id)
         for name, number in batch.seen.items():
             known = self._core.instances.get(name)
             if known is not None and known.life == batch.lives[name]:
@@ -276,6 +289,36 @@
             self._run(instance, machine, order, made, now)
         else:
             instance.running[order.task].percent = 100.0
+        if self._is_bad(order.task):
+            self._at(now, self._crash, machine, instance)
+
+    def _is_bad(self, task: jobs.TaskName) -> bool:
+        """Whether a task crashes the instance that starts it."""
+        whole = self._whole.get(task.job_id)
+        if whole is None or task.step:
+            return False
+        return whole or task.index == 0
+
+    def _crash(
+        self,
+        machine: modelled.Machine,
+        instance: leased_instance.LeasedInstance,
+    ) -> None:
+        """Crashes an instance; its machine is down for a while."""
+        if machine.instance is not instance:
+            return
+        self.day.instances_lost += 1
+        self.day.runs_lost += sum(
+            task.job_id not in self.day.bad for task in instance.running
+        )
+        machine.down = True
+        self.machines.end_instance(machine, None)
+        self.unheard(instance.registration.instance, self.clock.now)
+        self._at(self.clock.now + CRASH_DOWN_S, self._come_back, machine)
+
+    def _come_back(self, machine: modelled.Machine) -> None:
+        machine.down = False
+        machine.back_at = self.clock.now
 
     def _note_start(self, made: workload.Made, now: float) -> None:
         if made.durations and made.job.job_id in self._unstarted:
@@ -394,6 +437,27 @@
         self._noted.pop(registration.instance, None)
         self._hold(instance)
 
+    def begin_crashing(
+        self, share: float, *, whole: bool
+    ) -> Callable[[], None]:
+        """Has a share of the jobs that come crash instances."""
+        self._crashing = (share, whole)
+
+        def end() -> None:
+            self._crashing = (0.0, False)
+
+        return end
+
+    def resize(self, machine: modelled.Machine, smaller: float) -> None:
+        """Changes the room of a machine, of which its instance tells."""
+        machine.smaller = smaller
+        instance = machine.instance
+        if instance is not None:
+            instance.registration = dataclasses.replace(
+                instance.registration, capacity=self.machines.room(machine)
+            )
+            self._at(self.clock.now + self.scenario.seen_s, self._see, instance)
+
     def take_over(self) -> None:
         """Has another process own the fleet, from the rows alone."""
         now = self.clock.now
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -20,6 +20,11 @@
 """Tasks ran again after they were done, and jobs never ended, where the id of
 an instance that starts again was taken for its life."""
 
+CRASHES_SEED = 2
+CRASHES_S = 10.0
+CRASHES = ("tasks-crash-instances", "rooms-shrink", "kill-owner")
+"""Jobs waited for a minute where suspected tasks tried one instance of four."""
+
 _STEPS = (
     jobs.Step(count=1, cpu=9000),
     jobs.Step(count=1, cpu=1000, after=(0,)),
@@ -43,6 +48,42 @@
     assert not result.broken
 
 
+def test_a_soak_with_tasks_that_crash_instances_breaks_no_promise(tmp_path):
+    """Tasks crash instances again and again, or sound jobs wait for them."""
+    result = run.soak(CRASHES_SEED, CRASHES_S, tmp_path, CRASHES)
+    assert CRASHES[0] in result.faults
+    assert not result.broken
+
+
+def test_a_start_after_too_many_crashes_is_found():
+    """The soak passes over a task that crashes instances without end."""
+    world = _World()
+    world.record.crashes = True
+    order = fleet.Start(_FIRST, 1, "a", "", 1, 60_000)
+    for number in range(1, 7):
+        name = f"i-{number % 2}"
+        world.start(name, run_number=number)
+        assert world.promises.crashes(order)
+        world.models[name].restart(number)
+    assert world.kinds() == ["crashes"]
+
+
+def test_a_sound_job_that_is_shown_as_failed_is_found():
+    """The soak passes over a job that was given up for another's crashes."""
+    world = _World()
+    world.promises.answered(world.record, "failed")
+    assert world.kinds() == ["kept"]
+
+
+def test_a_start_above_a_room_that_has_shrunk_is_found():
+    """The soak passes over a start that no longer fits."""
+    world = _World()
+    world.promises.shrink("i-0", fleet.Resources(5000, 8192))
+    world.clock.now = promise_lib.ROOM_S
+    world.start("i-0")
+    assert world.kinds() == ["room"]
+
+
 class _World:
     """Two instances that start what they are told to, without an owner."""
 
