Weigh rooms without a look at every run and machine

Read, not measured apart: on 540 machines each reading of the list made a new empty room to compare with for every machine, four times a second, each tick told every instance that entries are not old, and each start summed the needs of all runs of its instance.

Now a line of the list that stays the same costs one comparison of identity, instances are told only while entries are old, and runs are summed only where not all of them fit. Losses of instances are forgotten as new ones come. No decision changes.

--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -109,7 +109,7 @@
         unproven = [run for run in begun if not run.proven]
         suspected = any(run.apart for run in unproven)
         if sure:
-            self._losses.append(_Loss(now, instance.name, suspected))
+            self._note_loss(_Loss(now, instance.name, suspected))
         for run in begun:
             if _is_innocent(run, suspected):
                 continue
@@ -120,6 +120,15 @@
             if not run.proven:
                 self._tell_crash(instance, run, crash, why, unproven, now)
 
+    def _note_loss(self, loss: _Loss) -> None:
+        """Keeps a loss for as long as crashes may be weighed against it."""
+        self._losses = [
+            known
+            for known in self._losses
+            if loss.at - known.at <= 2 * MOMENT_S
+        ]
+        self._losses.append(loss)
+
     def _count_crash(
         self,
         run: rooms.Run,
@@ -159,9 +168,6 @@
             self.book.touch(entry)
             if all(item.task is not other.task for other in self._undecided):
                 self._judge(entry, item.task, now)
-        self._losses = [
-            loss for loss in self._losses if now - loss.at <= 2 * MOMENT_S
-        ]
 
     def _judge_inherited(self, entry: books.Entry, now: float) -> None:
         """Judges the crashes that an earlier owner recorded of a job.
--- a/src/vanillaswitch/coordination/fleet/instances/sends.py
+++ b/src/vanillaswitch/coordination/fleet/instances/sends.py
@@ -12,6 +12,9 @@
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 
+_NO_ROOM = fleet.Resources(0, 0)
+"""What the list of machines names where it says nothing of a room."""
+
 
 class Sends(inheritance.Inheritance):
     """Weighs starts where they leave."""
@@ -69,7 +72,9 @@
     def room_listed(self, name: str, room: fleet.Resources) -> None:
         """Takes note of the room that the list of machines names."""
         instance = self.instances.get(name)
-        if instance is None or room == fleet.Resources(0, 0):
+        # The list is read four times a second, and lines that stay the same
+        # name the same room.
+        if instance is None or room is instance.listed_room or room == _NO_ROOM:
             return
         known = instance.capacity
         instance.list_room(room)
@@ -78,5 +83,8 @@
 
     def entries_are_old(self, old: bool) -> None:
         """Takes note of whether entries may no longer tell the room of now."""
+        if not old and not self._entries_old:
+            return
+        self._entries_old = old
         for instance in self.instances.values():
             instance.age_room(old)
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -99,6 +99,7 @@
         self.waiting_cpu: Mapping[str, int] = {}
         self.arrivals: dict[str, arrivals.Arrivals] = {}
         self.waiting_load: Mapping[str, fleet.Load] = {}
+        self._entries_old = False
         self._early_cancels: set[str] = set()
         self._starts: list[StartOrder] = []
         self._stops: list[StopOrder] = []
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -164,6 +164,7 @@
         doubtful: a call to it got no answer and it was not heard of since.
         distrusted: its entry in the list can't be read.
         capacity: its room, as far as it is known to be there now.
+        listed_room: its room by the list of machines; None where not known.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
@@ -189,7 +190,7 @@
         self.due = False
         self.leaving = False
         self.heard_at = now
-        self._listed_room: fleet.Resources | None = None
+        self.listed_room: fleet.Resources | None = None
         self._room_is_old = False
         self.runs: dict[RunKey, Run] = {}
         self._granting: list[float] = []
@@ -238,9 +239,8 @@
 
     def list_room(self, room: fleet.Resources) -> None:
         """Takes note of its room by the list of machines."""
-        if room != self._listed_room:
-            self._listed_room = room
-            self._judge_room()
+        self.listed_room = room
+        self._judge_room()
 
     def age_room(self, old: bool) -> None:
         """Takes note of whether its entry may no longer tell its room."""
@@ -258,8 +258,8 @@
         room = self.registration.capacity
         if self._room_is_old:
             room = self._smallest
-        if self._listed_room is not None:
-            room = _smaller(room, self._listed_room)
+        if self.listed_room is not None:
+            room = _smaller(room, self.listed_room)
         self.capacity = room
 
     @property
@@ -371,6 +371,8 @@
 
     def has_room_for(self, run: Run) -> bool:
         """Whether a decided run fits beside all whose starts may have left."""
+        if self._is_within():
+            return True
         capacity = self.capacity
         needs = [
             other.need
@@ -383,6 +385,15 @@
             and sum(need.gpu for need in needs) <= capacity.gpu
         )
 
+    def _is_within(self) -> bool:
+        """Whether all that may run here, decided or sent, fits."""
+        capacity = self.capacity
+        return (
+            self._cpu <= capacity.cpu
+            and self._mem <= capacity.mem_mb
+            and self._gpu <= capacity.gpu
+        )
+
     def takes_over(self, run: Run, now: float) -> bool:
         """Whether it may run now what another instance runs."""
         return self.fits(run.need) and self._suits(run.step, run.task, now)
