End a run whose stop has to wait once no start of it may arrive

What callers saw: a service stayed away for good after its instances had started again while none of its starts had an answer.

Cause: such a run is stopped before its task starts again, since a copy of the start may still be carried out. A stop is weighed by the tasks of its step that are at work beside it; where all of them wait in this way, none is ever sent, and nothing else ends the run.

Change: a run that is to be stopped is over once an account that was asked for after LATE_S does not list it: no copy leaves after the stop was decided, and a copy that left before may be as late as that at most, which is what ends that are over reckon with already.

Ruled out: sending the stop at once, since it may end a task that has begun by then beside more than its job spares.

--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -224,7 +224,7 @@
             why = "its instance started again"
             self._crashed(instance, [run], why, now, sure=False)
         void = run.void_since is not None and run.void_since < began_at
-        if inherited or void:
+        if inherited or void or _is_too_late(run, began_at):
             self._release(instance, run)
 
     def unanswered(self, name: str, began_at: float) -> None:
@@ -268,6 +268,18 @@
                 self.gone(instance.name, now, "unlisted and silent")
 
 
+def _is_too_late(run: rooms.Run, asked_at: float) -> bool:
+    """Whether no start of a run may arrive any more, stopped or not.
+
+    No copy leaves once it is to be stopped, and the stop may have to wait: it
+    could end one task more than its job spares, while the others of its step
+    wait in the same way.
+    """
+    if run.stopping is None:
+        return False
+    return asked_at - run.stopping >= rooms.LATE_S
+
+
 def _meant_for_former(instance: rooms.Instance, run: rooms.Run) -> bool:
     """Whether an instance has started again since a run was decided."""
     known = (run.born_ms, instance.lives.current)
--- a/tests/failures/test_restarted_instance.py
+++ b/tests/failures/test_restarted_instance.py
@@ -10,6 +10,7 @@
 from vanillaswitch.coordination.fleet.instances import instance_task
 from vanillaswitch.coordination.fleet.machines import evacuation
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -278,6 +279,42 @@
     assert (again.task, again.run) == (start.task, start.run + 1)
 
 
+_SERVICE = jobs.Step(
+    count=3, cpu=100, long_running=True, may_miss=1, anti_affinity=1
+)
+
+
+def _without_answers(core, starts, now):
+    """Lets starts get no answer, and their instances start again."""
+    for start in starts:
+        core.start_unanswered(
+            start.instance, (start.task, start.run), True, now
+        )
+        _account(core, start.instance, now + 0.1, SECOND)
+
+
+def _stops_that_leave(core, now):
+    core.stop_again(now)
+    return [stop for stop in core.take_stops() if core.may_send_stop(stop, now)]
+
+
+def test_tasks_wait_for_each_other_no_longer_than_a_start_may_be_late():
+    """A service is away for good after all its instances started again.
+
+    None of its starts had an answer, and each stop waited for the others to be
+    at work.
+    """
+    core, _ = _owner("i-1", "i-2", "i-3")
+    core.job_added(fleets.job(steps=(_SERVICE,)), 0.0)
+    _without_answers(core, fleets.plan(core).starts, 1.2)
+    for now in range(2, 10):
+        assert not _stops_that_leave(core, now), "one may be at work by now"
+    now = 1.3 + rooms.LATE_S
+    for name in ("i-1", "i-2", "i-3"):
+        _account(core, name, now, SECOND)
+    assert fleets.plan(core, now).starts
+
+
 def test_a_copy_of_a_start_whose_run_is_done_is_stopped_at_the_new_one():
     """A quote that is done runs again, seconds after a crash.
 
