Try suspected tasks on while one is to be stopped

Cause: tasks of a step that are suspected to crash their instances are tried one after the other, and on a quarter of a pool at a time. A trial whose start had no answer when its instance started again is to be stopped first; that stop waits for the other tasks of the step to be at work, and they waited for the trial, which also held the only place of the pool for suspects.

Evidence: from the log, run 4 of 0.0.0 apart on i-2, run-stopped "its instance started again" with away 2, spared 1 at 567.6 s; no line of the step until its client cancelled it at 598.9 s; 7.7 s later the suspects of other jobs were tried at once.

Change: a run that is to be stopped is no trial; its instance still gets no other work.

Test: fails before (no second start).

--- a/src/vanillaswitch/coordination/fleet/instances/suspicion.py
+++ b/src/vanillaswitch/coordination/fleet/instances/suspicion.py
@@ -26,8 +26,8 @@
 def may_try(pool: Sequence[rooms.Instance], chosen: rooms.Instance) -> bool:
     """Whether one more instance of a pool may run a suspected task."""
     share = APART_SHARE if chosen.runs else IDLE_SHARE
-    apart = sum(instance.apart for instance in pool)
-    return apart < max(1, int(len(pool) * share))
+    tried = sum(instance.tries for instance in pool)
+    return tried < max(1, int(len(pool) * share))
 
 
 def least_harm(
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -124,14 +124,6 @@
         found = [task for task in self.waiting if task.suspect]
         return sorted(found, key=lambda task: -len(task.crashes))
 
-    @property
-    def is_tried(self) -> bool:
-        """Whether a task of it runs of which that is still suspected."""
-        return self.crashed and any(
-            task.suspect and task.state is TaskState.ASSIGNED
-            for task in self.tasks
-        )
-
     @property
     def startable(self) -> list[Task]:
         """Waiting tasks that may start anywhere.
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -126,7 +126,8 @@
         suspects = [task for task in step.suspects if now >= task.judged_at]
         if not step.works:
             judged = len(suspects) == len(step.suspects)
-            suspects = suspects[:1] if judged and not step.is_tried else []
+            idle = judged and not self._is_tried(step)
+            suspects = suspects[:1] if idle else []
         if not suspects:
             return instances
         tickets = self.tickets_for(step, now)
@@ -153,6 +154,19 @@
             self.book.touch(step.entry)
         return instances
 
+    def _is_tried(self, step: books.OpenStep) -> bool:
+        """Whether a suspected task of a step runs, and what comes of it tells.
+
+        A run that is to be stopped tells nothing. Its stop may wait for other
+        tasks of its step to be at work, so they can't wait for it.
+        """
+        trials = [
+            self._run(task.instance, (task.name, task.run))
+            for task in step.tasks
+            if task.suspect and task.state is books.TaskState.ASSIGNED
+        ]
+        return any(run is not None and run.stopping is None for run in trials)
+
     def _held_for(
         self,
         step: books.OpenStep,
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -299,6 +299,11 @@
         """Whether a suspected task runs here, beside which nothing starts."""
         return bool(self._apart)
 
+    @property
+    def tries(self) -> bool:
+        """Whether a suspected task runs here that is not to be stopped."""
+        return any(self.runs[key].stopping is None for key in self._apart)
+
     @property
     def unproven(self) -> list[Run]:
         """Runs that were not seen to work here for a while."""
--- a/tests/failures/test_restarted_instance.py
+++ b/tests/failures/test_restarted_instance.py
@@ -315,6 +315,35 @@
     assert fleets.plan(core, now).starts
 
 
+def test_suspected_tasks_do_not_wait_for_one_that_is_to_be_stopped():
+    """A service is away for good after instances crashed twice under it.
+
+    Its tasks are tried one after the other. The first one's start had no
+    answer when its instance started again: its stop waited for the others to
+    be at work, and they waited for its trial.
+    """
+    core, _ = _owner("i-1", "i-2", "i-3", "i-4")
+    core.job_added(fleets.job(steps=(_SERVICE,)), 0.0)
+    for start in fleets.plan(core).starts:
+        key = (start.task, start.run)
+        core.started(start.instance, key, None, 1.1)
+        _account(core, start.instance, 1.15, running=[key])
+        _account(core, start.instance, 1.5, SECOND)
+    (tried,) = fleets.plan(core, 2.1).starts
+    core.start_unanswered(tried.instance, (tried.task, tried.run), True, 2.3)
+    _account(core, tried.instance, 2.4, THIRD)
+    assert not _stops_that_leave(core, 3.0)
+    for now in (3.1, 3.8):
+        (start,) = fleets.plan(core, now).starts
+        key = (start.task, start.run)
+        assert start.instance != tried.instance
+        core.started(start.instance, key)
+        for later in (now + 0.1, now + 0.5):
+            _account(core, start.instance, later, SECOND, running=[key])
+    (stop,) = _stops_that_leave(core, 4.4)
+    assert (stop.task, stop.run) == (tried.task, tried.run)
+
+
 def test_a_copy_of_a_start_whose_run_is_done_is_stopped_at_the_new_one():
     """A quote that is done runs again, seconds after a crash.
 
