Take a room that was not known for none that has shrunk

What callers saw: nothing, as far as is known; found by reading. While the store can't be read, an owner that had known an instance by its id alone, from the rows of the one before, took its room as zero, and started nothing there.

Cause: the smallest room of a life of an instance counts while entries are old, and the zero that stands for an unknown room was the smallest.

Test: fails before (no start where three fit).

--- a/src/vanillaswitch/coordination/fleet/instances/sends.py
+++ b/src/vanillaswitch/coordination/fleet/instances/sends.py
@@ -12,9 +12,6 @@
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.protocol import fleet
 
-_NO_ROOM = fleet.Resources(0, 0)
-"""What the list of machines names where it says nothing of a room."""
-
 
 class Sends(inheritance.Inheritance):
     """Weighs starts where they leave."""
@@ -72,13 +69,7 @@
     def room_listed(self, name: str, room: fleet.Resources) -> None:
         """Takes note of the room that the list of machines names."""
         instance = self.instances.get(name)
-        # The list is read four times a second, and lines that stay the same
-        # name the same room.
-        if instance is None or room is instance.listed_room or room == _NO_ROOM:
-            return
-        known = instance.capacity
-        instance.list_room(room)
-        if instance.capacity != known:
+        if instance is not None and instance.list_room(room):
             self._changed = True
 
     def entries_are_old(self, old: bool) -> None:
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -10,6 +10,7 @@
 
 from vanillaswitch.coordination.fleet.instances import lives
 from vanillaswitch.coordination.fleet.queue import crash_evidence
+from vanillaswitch.coordination.fleet.queue import known_room
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -164,7 +165,6 @@
         doubtful: a call to it got no answer and it was not heard of since.
         distrusted: its entry in the list can't be read.
         capacity: its room, as far as it is known to be there now.
-        listed_room: its room by the list of machines; None where not known.
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
@@ -190,8 +190,7 @@
         self.due = False
         self.leaving = False
         self.heard_at = now
-        self.listed_room: fleet.Resources | None = None
-        self._room_is_old = False
+        self._room = known_room.KnownRoom(registration.capacity)
         self.runs: dict[RunKey, Run] = {}
         self._granting: list[float] = []
         self._unanswered: dict[RunKey, float] = {}
@@ -228,45 +227,40 @@
         self.clock_ms = 0.0
         self.clock_at = now
         self.lapses_at = lapses_at
-        self._smallest = self.registration.capacity
-        self._judge_room()
+        self._room.begin_life(self.registration.capacity)
+        self.capacity = self._room.now
 
     def register(self, registration: fleet.Registration) -> None:
         """Takes note of what it says of itself now."""
         self.registration = registration
-        self._smallest = _smaller(self._smallest, registration.capacity)
-        self._judge_room()
+        self._room.entry_names(registration.capacity)
+        self.capacity = self._room.now
 
-    def list_room(self, room: fleet.Resources) -> None:
-        """Takes note of its room by the list of machines."""
-        self.listed_room = room
-        self._judge_room()
+    def list_room(self, room: fleet.Resources) -> bool:
+        """Takes note of its room by the list of machines.
+
+        Returns:
+            Whether it has another one now.
+        """
+        changed = self._room.list_names(room)
+        self.capacity = self._room.now
+        return changed
 
     def age_room(self, old: bool) -> None:
         """Takes note of whether its entry may no longer tell its room."""
-        if old != self._room_is_old:
-            self._room_is_old = old
-            self._judge_room()
-
-    def _judge_room(self) -> None:
-        """Works out the room that is surely there.
-
-        An entry and the list of machines reach an owner on different ways, so
-        the smaller one counts; while entries may be old, the smallest that
-        this life of it has named.
-        """
-        room = self.registration.capacity
-        if self._room_is_old:
-            room = self._smallest
-        if self.listed_room is not None:
-            room = _smaller(room, self.listed_room)
-        self.capacity = room
+        self._room.age(old)
+        self.capacity = self._room.now
 
     @property
     def name(self) -> str:
         """Its id."""
         return self.registration.instance
 
+    @property
+    def full_cpu(self) -> int:
+        """Thousandths of a core that it has where its room has not shrunk."""
+        return self._room.full.cpu
+
     @property
     def free_cpu(self) -> int:
         """Thousandths of a core that nothing has taken."""
@@ -486,14 +480,6 @@
         return self.clock_ms + (now - self.clock_at) * 1000
 
 
-def _smaller(one: fleet.Resources, other: fleet.Resources) -> fleet.Resources:
-    return fleet.Resources(
-        min(one.cpu, other.cpu),
-        min(one.mem_mb, other.mem_mb),
-        min(one.gpu, other.gpu),
-    )
-
-
 def step_key(task: jobs.TaskName) -> tuple[str, int, int]:
     """Returns what tells the step of a task from any other."""
     return task.job_id, task.occurrence, task.step
--- a/tests/failures/test_shrunk_room.py
+++ b/tests/failures/test_shrunk_room.py
@@ -114,6 +114,21 @@
     assert len(fleets.plan(core, 1.1).starts) == 2
 
 
+def test_a_room_that_was_not_known_is_none_that_has_shrunk():
+    """Nothing starts on an instance that an earlier owner knew better."""
+    first = fleets.new_core()
+    fleets.adopt(first, "i-1")
+    first.job_added(fleets.job(steps=(_THREE,)), 0.0)
+    fleets.run_all(first, fleets.plan(first))
+    (entry,) = first.book.live.values()
+    core = fleets.new_core()
+    core.restore(entry.job, entry.pack(), 1, 3.0)
+    core.inherit_runs(3.0, 9.0)
+    fleets.adopt(core, "i-1", now=3.5)
+    core.entries_are_old(True)
+    assert len(fleets.plan(core, 3.6).starts) == 3
+
+
 def test_nothing_is_stopped_only_because_a_room_has_shrunk():
     """Tasks at work are stopped though their instance goes on with them."""
     core = fleets.new_core()
