Bring machines in place of room that has shrunk

What callers would see: jobs wait beside idle machines on standby, as long as the room of their pool's instances has shrunk.

Cause: a pool's machines are counted by the room that they have in full, or, where the list of machines names the smaller one for all of them, by that: as many came then as if every machine of the fleet had shrunk.

Change: what the machines of a pool lack of their full room is added to what it needs; waves spare what the mover does not want, so they reckon with it as well. Held places and moves of tasks asked for the room of now before.

Figures: the test wants one machine; before, 0 or 4 came.

--- a/src/vanillaswitch/coordination/fleet/machines/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/machines/capacity.py
@@ -75,7 +75,7 @@
         have: machines that are up or on their way to it.
         idle: machines of it that run nothing; the first are best to move to
             another pool, the last to stand by.
-        machine_cpu: thousandths of a core of one machine.
+        machine_cpu: thousandths of a core of one machine in full.
         task_s: mean estimate of its tasks that end by themselves, seconds.
         extra: machines that it gets besides what it needs, in place of those
             that are emptied for upkeep.
@@ -83,6 +83,8 @@
         arriving_cpu_s: growth that the jobs of the last moment would bring at
             their usual size, thousandths of a core a second; None where jobs
             are not counted.
+        lost_cpu: thousandths of a core that its machines lack of what they
+            have in full, since their room has shrunk.
     """
 
     name: str
@@ -95,6 +97,7 @@
     extra: int = 0
     standby: bool = False
     arriving_cpu_s: float | None = None
+    lost_cpu: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,6 +180,7 @@
         if load.arriving_cpu_s is not None:
             growth = min(growth, policy.most_growth * load.arriving_cpu_s)
         need = load.need_cpu + growth * ahead_s
+        need += load.lost_cpu * policy.utilisation
         room = max(1, load.machine_cpu) * policy.utilisation
         return max(load.least, math.ceil(need / room))
 
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -226,14 +226,16 @@
         due = 0
         idle: list[str] = []
         cpu = 0
+        lost_cpu = 0
         for machine in machines:
             order = self._ordered.get(machine.name)
-            cpu = max(cpu, machine.capacity.cpu)
+            cpu = max(cpu, self._full_cpu(machine))
             due += machine.name in upkeep.due
             if order is not None:
                 have += 1
             elif self._counts(machine, pool):
                 have += 1
+                lost_cpu += self._lost_cpu(machine)
                 taken = machine.name in upkeep.taken
                 if not taken and self._idle(machine, pool):
                     idle.append(machine.name)
@@ -250,6 +252,7 @@
             have=have,
             idle=idle,
             machine_cpu=cpu,
+            lost_cpu=lost_cpu,
             task_s=load.task_s,
             arriving_cpu_s=self._arriving(pool.name),
             extra=0 if pool.standby else min(due, UPKEEP_EXTRA),
@@ -266,6 +269,19 @@
     def _instance(self, machine: fleet.Machine) -> rooms.Instance | None:
         return self._core.instances.get(machine.instance)
 
+    def _full_cpu(self, machine: fleet.Machine) -> int:
+        """Returns what a machine has where its room has not shrunk."""
+        instance = self._instance(machine)
+        known = 0 if instance is None else instance.full_cpu
+        return max(known, machine.capacity.cpu)
+
+    def _lost_cpu(self, machine: fleet.Machine) -> int:
+        """Returns by how much the room of a machine has shrunk."""
+        instance = self._instance(machine)
+        if instance is None:
+            return 0
+        return instance.full_cpu - instance.capacity.cpu
+
     def _counts(self, machine: fleet.Machine, pool: fleet.Pool) -> bool:
         """Whether a machine serves its pool or soon will."""
         if pool.standby:
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -193,3 +193,34 @@
     assert not world.machines.ordered
     world.step(mover.ARRIVAL_S)
     assert len(world.machines.ordered) == 1
+
+
+def _serving(cpu):
+    """Returns a machine of the pool, as the list shows it."""
+    return fleet.Machine(
+        "m-9",
+        "berthing",
+        fleet.MachineState.UP,
+        "zone-1",
+        "i-9",
+        fleet.Resources(cpu, 64_000),
+    )
+
+
+@pytest.mark.parametrize("listed_cpu", [2000, 16_000])
+def test_machines_come_in_place_of_room_that_has_shrunk(listed_cpu):
+    """Jobs wait beside idle machines: theirs has an eighth of its room left."""
+    world = _World(fleet.Accepted(0.0))
+    world.core.cancelled(fleets.job().job_id, 0.0)
+    step = jobs.Step(count=12, cpu=1000, long_running=True)
+    world.core.job_added(fleets.job(2, (step,)), 0.0)
+    fleets.adopt(world.core, "i-9", cpu=16_000)
+    fleets.run_all(world.core, fleets.plan(world.core))
+    world.listed({"m-9": _serving(16_000)} | _standby(4))
+    world.step()
+    assert not world.machines.ordered
+    smaller = fleets.registration("i-9", cpu=2000)
+    world.core.registered(smaller, 1.0)
+    world.listed({"m-9": _serving(listed_cpu)} | _standby(4))
+    world.step()
+    assert len(world.machines.ordered) == 1
