Tell from the store's rows how a deployment stands

On call there were only logs: what a job's row said of it, crashes it was given up for among it, had to be read out of the store by hand.

vanillaswitch deployment explain job/ID|instance/ID|machine/NAME|wave/NUMBER and deployment status read the rows that the next owner would restore, so the answer holds whichever process owns the fleet, and where none does. They write nothing.

--- a/src/vanillaswitch/cli/main.py
+++ b/src/vanillaswitch/cli/main.py
@@ -13,6 +13,7 @@
 _MODULES = {
     "config": "vanillaswitch.cli.config",
     "controller": "vanillaswitch.daemons.controller",
+    "deployment": "vanillaswitch.cli.deployment",
     "edge": "vanillaswitch.daemons.edge",
     "entry": "vanillaswitch.daemons.entry",
     "fleet": "vanillaswitch.cli.fleet",
@@ -47,7 +48,8 @@
 def main() -> None:
     """Keeps a fleet's capacity and maintenance in order.
 
-    Daemons: entry, controller. Operators: config, fleet, wave, histograms.
+    Daemons: edge, entry, controller. Operators: deployment, config, fleet,
+    wave, histograms.
 
     Exit codes: 0 done, 1 refused (the message says what to do next), 2 wrong
     usage, 3 the platform gave no answer, 4 a daemon found a broken invariant.
--- a/src/vanillaswitch/coordination/fleet/operators.py
+++ b/src/vanillaswitch/coordination/fleet/operators.py
@@ -135,7 +135,7 @@
             logs.warning("{}: its beginning can't be read", key)
             began_ms = 0
         age_s = self._time.age_s(began_ms)
-        return wave_driver.WaveRecord(tuple(_machines(row)), age_s)
+        return wave_driver.WaveRecord(tuple(finished_machines(row)), age_s)
 
     def save_finished(self, wave: str, machines: Collection[str]) -> bool:
         """Adds machines to those that are recorded as finished.
@@ -144,7 +144,7 @@
         """
 
         def merged(document: Mapping[str, Any]) -> dict[str, Any]:
-            known = _machines(document) | set(machines)
+            known = finished_machines(document) | set(machines)
             return dict(document) | {"machines": sorted(known)}
 
         return self._update(f"{FINISHED_TABLE}/{wave}", merged)
@@ -180,7 +180,7 @@
         return False
 
 
-def _machines(document: Mapping[str, Any]) -> set[str]:
+def finished_machines(document: Mapping[str, Any]) -> set[str]:
     """Returns the machines that a wave's row names as finished."""
     named = document.get("machines")
     if named is None:
--- a/src/vanillaswitch/platform/operator.py
+++ b/src/vanillaswitch/platform/operator.py
@@ -117,3 +117,9 @@
 def wave_status(completed: bool) -> dict[str, str]:
     """Encodes what the operators read of a wave."""
     return {"state": "completed" if completed else "running"}
+
+
+def reported_state(document: Mapping[str, Any]) -> str:
+    """Decodes what the operators read of a wave; empty for nothing."""
+    state = document.get("state")
+    return state if isinstance(state, str) else ""
