Judge a crash before its task may start again

Cause: a crash is judged after MOMENT_S, and until then its task waits. One of the two times was taken as now - at >= 0.5, the other as now >= at + 0.5; at 31.55 s and 32.05 s they differ, so the task started in the plan in which its fifth crash was not judged yet.

Change: one expression for both.

--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -156,7 +156,9 @@
         A rack that goes down while two of its instances have just been given
         a task each looks like a task that crashes them.
         """
-        due = [item for item in self._undecided if now - item.at >= MOMENT_S]
+        # As ``Task.judged_at`` is worked out: rounded otherwise, a task starts
+        # in the moment before it is judged.
+        due = [item for item in self._undecided if now >= item.at + MOMENT_S]
         if not due:
             return
         self._undecided = [item for item in self._undecided if item not in due]
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -205,6 +205,14 @@
     assert not drawn.given_up
 
 
+def test_a_task_does_not_start_in_the_moment_in_which_it_is_judged():
+    """A task whose last crash convicts it starts once more beforehand."""
+    trouble = crashing_days.Trouble(owner_changes=0.005, lost_racks=0.005)
+    drawn = crashing_days.draw(235, trouble, same_id=True)
+    most = crashing_days.MOST_STARTS_AFTERWARDS
+    assert drawn.most_starts_afterwards <= most
+
+
 class _Silent:
     """Calls to an instance that takes orders and answers none.
 
