Count crashes for starting a task since it last worked

Cause: its task was lost with a neighbour that crashed their instance, ran for 0.3 s on the next one, whose rack went down, and was alone on the third one when that was lost as well. A first crash as it began and a last one alone were enough, although it had begun and worked in between.

Change: crashes as a task began count since a run of it last worked. A task that crashes instances sometimes at once and sometimes after work is given up at the fourth crash that surely was under it, as one that always works first.

Ruled out: waiting longer for other losses (the rack had no other instance up).

--- a/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
+++ b/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
@@ -47,9 +47,9 @@
 MOST_NEW = 3
 MOST_KNOWN = 4
 MOST_CRASHES = 5
-"""Crashes after which a task is given up: with one that it was alone under,
-with all as it began, with all that it surely ran under, and at all. The users
-allow two starts after the third crash."""
+"""Crashes after which a task is given up: since a run of it last worked, with
+one that it was alone under, or all as it began; over all, where it surely ran,
+or may have. The users allow two starts after the third crash."""
 
 MORE_OF_LASTING = 1
 """One that lasts is given up so many crashes later: it is there for minutes, so
@@ -95,9 +95,12 @@
     """
     more = MORE_OF_LASTING if lasting else 0
     kinds = [crash.kind for crash in crashes]
-    alone = kinds.count(Kind.ALONE)
-    new = alone + kinds.count(Kind.NEW)
-    known = new + kinds.count(Kind.WORKED)
+    known = len(kinds) - kinds.count(Kind.UNSURE)
+    # A run that worked shows that no earlier one crashed its instance by
+    # starting there.
+    latest = kinds[_last_work(kinds) + 1 :]
+    alone = latest.count(Kind.ALONE)
+    new = alone + latest.count(Kind.NEW)
     return (
         (alone > 0 and new >= MOST_ALONE + more)
         or new >= MOST_NEW + more
@@ -106,6 +109,12 @@
     )
 
 
+def _last_work(kinds: Sequence[Kind]) -> int:
+    """Returns the place of the last run that had worked; -1 for none."""
+    worked = [at for at, kind in enumerate(kinds) if kind is Kind.WORKED]
+    return max(worked, default=-1)
+
+
 def left_after(
     crashes: Sequence[Crash], worked_s: float, *, lasting: bool
 ) -> list[Crash]:
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -213,6 +213,12 @@
     assert drawn.most_starts_afterwards <= most
 
 
+def test_a_task_that_worked_in_between_is_not_given_up_for_two_crashes():
+    """A sound job is given up for a neighbour, a rack and one more crash."""
+    trouble = crashing_days.Trouble(owner_changes=0.005, lost_racks=0.005)
+    assert not crashing_days.draw(271, trouble).given_up
+
+
 class _Silent:
     """Calls to an instance that takes orders and answers none.
 
