Take the loss of a whole rack for none of its suspects' doing

Cause: its tasks had been lost once beside a crash, and were suspected; two of them ran apart on two instances of one rack when that was lost. Each loss was taken as explained by the suspect on it, so that neither spoke for a rack, and each task was alone under its second crash.

Change: a loss in the same rack at the same moment counts as one cause whatever ran there. Where racks are not named all is as before.

--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -39,6 +39,7 @@
 
     at: float
     instance: str
+    rack: str
     suspected: bool
 
 
@@ -52,6 +53,7 @@
     """
 
     at: float
+    rack: str
     task: books.Task
     crash: crash_evidence.Crash
     alone: bool
@@ -109,14 +111,16 @@
         unproven = [run for run in begun if not run.proven]
         suspected = any(run.apart for run in unproven)
         if sure:
-            self._note_loss(_Loss(now, instance.name, suspected))
+            rack = instance.registration.rack
+            self._note_loss(_Loss(now, instance.name, rack, suspected))
         for run in begun:
             if _is_innocent(run, suspected):
                 continue
             crash = crash_evidence.Crash(
                 run.run, instance.name, _kind(run, sure), run.worked_s
             )
-            self._count_crash(run, crash, unproven == [run], now)
+            alone = unproven == [run]
+            self._count_crash(instance, run, crash, alone, now)
             if not run.proven:
                 self._tell_crash(instance, run, crash, why, unproven, now)
 
@@ -131,6 +135,7 @@
 
     def _count_crash(
         self,
+        instance: rooms.Instance,
         run: rooms.Run,
         crash: crash_evidence.Crash,
         alone: bool,
@@ -144,7 +149,8 @@
         entry.open[run.task.occurrence, run.task.step].crashed = True
         self.book.touch(entry)
         lasting = run.step.long_running
-        self._undecided.append(_Open(now, task, crash, alone, lasting))
+        rack = instance.registration.rack
+        self._undecided.append(_Open(now, rack, task, crash, alone, lasting))
         surest = dataclasses.replace(crash, kind=crash_evidence.Kind.ALONE)
         crashes = [*task.crashes[:-1], surest]
         if crash_evidence.convicts(crashes, lasting=lasting):
@@ -203,11 +209,15 @@
             task.crashes[task.crashes.index(crash)] = surest
 
     def _is_shared(self, item: _Open) -> bool:
-        """Whether another instance was lost then, and nothing explains it."""
+        """Whether another instance was lost then, by the same cause it seems.
+
+        A suspect explains the loss of its own instance, but for one of the
+        same rack.
+        """
         own = {crash.instance for crash in item.task.crashes}
         return any(
             loss.instance not in own
-            and not loss.suspected
+            and (not loss.suspected or loss.rack == item.rack != "")
             and abs(loss.at - item.at) <= MOMENT_S
             for loss in self._losses
         )
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -219,6 +219,12 @@
     assert not crashing_days.draw(271, trouble).given_up
 
 
+def test_suspects_that_a_rack_takes_along_are_not_given_up():
+    """A sound job is given up as two of its tasks are lost with one rack."""
+    trouble = crashing_days.Trouble(owner_changes=0.005, lost_racks=0.005)
+    assert not crashing_days.draw(307, trouble, same_id=True).given_up
+
+
 class _Silent:
     """Calls to an instance that takes orders and answers none.
 
