Start nothing beside a run of unknown need, however the room grows

What callers would see: an instance that does not guard its room is brought over it after a change of owner with a part of the store away.

Cause: a run whose job can't be read yet took the room that its instance had when it was found. Where that had shrunk and grew again, what it grew by was taken as free.

Change: an instance with such a run gets no work, and no start leaves for it.

--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -44,7 +44,8 @@
         in_doubt: an earlier owner may have told it to stop, and it would still
             be listed as at work.
         unread: its job lies in a part of the store that is away. What it
-            needs is not known, so it takes a whole instance.
+            needs is not known, so it takes a whole instance, also one whose
+            room grows meanwhile.
         stopping: it is to be stopped, since this monotonic second.
         stop_sent_at: when the last order to stop it was sent.
         void_since: since then it is certain that it can't start any more.
@@ -200,6 +201,7 @@
         self._short = fleet.Load()
         self._per_step: dict[tuple[str, int, int], int] = {}
         self._apart: set[RunKey] = set()
+        self._unread: set[RunKey] = set()
         self.start_anew(now, now)
 
     def start_anew(self, now: float, lapses_at: float) -> None:
@@ -355,6 +357,7 @@
             and not self.cordoned
             and not self.leaving
             and not self._apart
+            and not self._unread
             and not self.registration.draining
             and now >= self.suspended_until
         )
@@ -370,6 +373,8 @@
 
     def has_room_for(self, run: Run) -> bool:
         """Whether a decided run fits beside all whose starts may have left."""
+        if self._unread:
+            return False
         if self._is_within():
             return True
         capacity = self.capacity
@@ -447,6 +452,8 @@
         self.runs[run.key] = run
         if run.apart:
             self._apart.add(run.key)
+        if run.unread:
+            self._unread.add(run.key)
         self._cpu += run.need.cpu
         self._mem += run.need.mem_mb
         self._gpu += run.need.gpu
@@ -460,6 +467,7 @@
         if run is None:
             return None
         self._apart.discard(key)
+        self._unread.discard(key)
         if run.unanswered:
             self._unanswered[key] = run.decided_at
         self._cpu -= run.need.cpu
--- a/tests/failures/test_shrunk_room.py
+++ b/tests/failures/test_shrunk_room.py
@@ -129,6 +129,19 @@
     assert len(fleets.plan(core, 3.6).starts) == 3
 
 
+def test_nothing_starts_beside_a_run_of_unknown_need_as_a_room_grows():
+    """A start does not fit beside a run whose job can't be read yet."""
+    unread, waiting = fleets.job(1), fleets.job(2, (_THREE,))
+    core = fleets.new_core()
+    core.unread = {unread.job_id}
+    core.registered(fleets.registration("i-1", cpu=1000), 0.0)
+    task = jobs.TaskName(unread.job_id, 0, 0, 0)
+    fleets.show(core, {"i-1": [fleet.Running(task, 1, "", 10.0)]}, 0.5)
+    _shrink(core, "i-1", 2000, 0.6)
+    core.job_added(waiting, 0.6)
+    assert not fleets.plan(core, 1.0).starts
+
+
 def test_nothing_is_stopped_only_because_a_room_has_shrunk():
     """Tasks at work are stopped though their instance goes on with them."""
     core = fleets.new_core()
