Draw histories of owners with crashing tasks and rooms that shrink

Jobs come whose tasks crash each instance that starts them, under the same id and not; rooms shrink and grow, and each start is checked against the room of then; all beside late and lost orders, cuts, changes of owner, restarts, parts of the store away.

--- a/tests/cover/test_fleet_owners.py
+++ b/tests/cover/test_fleet_owners.py
@@ -94,6 +94,34 @@
     _play(machine, events, chooser)
 
 
+_BROKE_WITH_SMALL_ROOMS = (255,)
+"""Seeds in which a start did not fit beside a run of unknown need."""
+
+
+@pytest.mark.parametrize("parts_away", [False, True])
+@pytest.mark.parametrize("seed", [*range(30), *_BROKE_WITH_SMALL_ROOMS])
+def test_a_history_with_crashing_tasks_and_small_rooms_keeps_the_rules(
+    seed, parts_away
+):
+    """Tasks crash instances without end, or start where they do not fit."""
+    chooser = random.Random(seed)
+    machine = owner_histories.Owners()
+    events = owner_histories.busy_events(machine, chooser)
+
+    def number():
+        return chooser.randrange(1_000_000)
+
+    kinds = len(owner_histories.STEPS)
+    events[lambda: machine.submit_crashing(chooser.randrange(kinds))] = 1.0
+    rooms = (1000, 2000, 4000)
+    events[lambda: machine.resize(number(), chooser.choice(rooms))] = 2.0
+    if parts_away:
+        events[lambda: machine.restart(number(), chooser.random() < 0.5)] = 0.5
+        events[lambda: machine.take_over_in_part(chooser.randrange(3))] = 1.0
+        events[machine.part_is_back] = 1.0
+    _play(machine, events, chooser)
+
+
 def test_histories_complete_jobs_too():
     completed = 0
     for seed in range(10):
