Tell where a process stands that does not take the fleet over

Whether it was frozen, waited for a call or was refused, nothing tells. The message now names its state, processor time and what it waits in, and the load of the machine; the checks are the same.

--- a/tests/failures/test_stop_in_take_over.py
+++ b/tests/failures/test_stop_in_take_over.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from soak import standing
 from standins import edge_http
 from standins import edge_processes
 from tests.common import terms
@@ -58,10 +59,11 @@
     assert loading.dead
 
 
-def _until(holds):
+def _until(holds, edge):
     deadline = time.monotonic() + _WAIT_S
     while not holds():
-        assert time.monotonic() < deadline
+        late = time.monotonic() >= deadline
+        assert not late, f"{standing.describe(edge)}; {standing.machine()}"
         gevent.sleep(0.05)
 
 
@@ -87,11 +89,11 @@
             "edge-1", tmp_path, outside.address, outside.address
         )
         try:
-            _until(lambda: _is_ready(client, edge))
-            _until(lambda: outside.rows.owner() == "edge-1")
+            _until(lambda: _is_ready(client, edge), edge)
+            _until(lambda: outside.rows.owner() == "edge-1", edge)
             outside.silent = True
             edge.send(signal.SIGTERM)
-            _until(lambda: not edge.runs)
+            _until(lambda: not edge.runs, edge)
             assert edge.process.returncode == 0
         finally:
             edge.kill()
