End the processes of a soak that is told to stop

Cause: SIGTERM ended the soak by itself, and nothing it holds was closed.

Change: the signal ends the program as an error does, through what ends each process by its id.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 
@@ -9,6 +10,9 @@
 
 from soak import run
 
+TERMINATED = 128 + signal.SIGTERM
+"""Exit code of a soak that was told to stop, as of a shell."""
+
 
 def _seeds(text: str, fresh: int) -> list[int]:
     if fresh:
@@ -31,6 +35,9 @@
     names: tuple[str, ...],
 ) -> None:
     """Runs a soak for each seed and prints what was broken."""
+    # Ended by the signal itself, it would leave its processes running: they
+    # took over the fleet of whoever got the port of its platform next.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(TERMINATED))
     failed = 0
     for seed in _seeds(seeds, fresh):
         folder = pathlib.Path(
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -1,15 +1,28 @@
 """The soak itself: a short run, and that its checks see what is broken."""
 
+import contextlib
 import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
 
 import pytest
 
 from soak import promises as promise_lib
 from soak import run
+from soak import world as worlds
 from standins import leased_instance
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
+_ROOT = pathlib.Path(run.__file__).parent.parent
+
+STOP_S = 20.0
+"""Longest wait for a soak's processes to start, and for their end."""
+
 SHORT_S = 6.0
 SEEDS = (1, 7)
 """Between them they kill, freeze, stop in turn, and harm links and store."""
@@ -55,6 +68,39 @@
     assert not result.broken
 
 
+def _processes_in(folder):
+    """Returns ids of processes whose settings lie below a folder."""
+    mark = f"VANILLASWITCH_SETTINGS={folder}".encode()
+    found = []
+    for entry in pathlib.Path("/proc").iterdir():
+        with contextlib.suppress(OSError):
+            if mark in (entry / "environ").read_bytes():
+                found.append(int(entry.name))
+    return found
+
+
+def _until(holds):
+    deadline = time.monotonic() + STOP_S
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+
+
+def test_a_soak_that_is_told_to_stop_ends_its_processes(tmp_path):
+    """Processes of a soak go on, and own the fleet of another test."""
+    command = [sys.executable, "-m", "soak", "--seconds", "60"]
+    soak = subprocess.Popen([*command, "--keep", str(tmp_path)], cwd=_ROOT)
+    try:
+        _until(lambda: len(_processes_in(tmp_path)) >= worlds.EDGES)
+        soak.terminate()
+        _until(lambda: soak.poll() is not None)
+        assert not _processes_in(tmp_path)
+    finally:
+        soak.kill()
+        for number in _processes_in(tmp_path):
+            os.kill(number, signal.SIGKILL)
+
+
 def test_a_start_after_too_many_crashes_is_found():
     """The soak passes over a task that crashes instances without end."""
     world = _World()
