--- a/src/vanillaswitch/coordination/fleet/instances/accounts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/accounts.py
@@ -269,7 +269,7 @@
 
 
 def _is_too_late(run: rooms.Run, asked_at: float) -> bool:
-    """Whether no start of a run may arrive any more, stopped or not.
+    """Whether a run is to be stopped and no start of it may arrive any more.
 
     No copy leaves once it is to be stopped, and the stop may have to wait: it
     could end one task more than its job spares, while the others of its step
