Read again while the store does not answer, as often as writes are sent

What callers saw: nobody owned the fleet for up to two seconds after an outage in which its owner was lost.

Cause: a reading was sent twice, within 0.1 s, and then waited until both ran into the limit of 1.5 s; the next one came 0.5 s later. A store that comes back answers new calls and not those that it met while it was away, so the owner's row was read up to 2 s after its return.

Change: further copies with the pauses of a write's copies, six at most; the first rows count.

Test: test_a_reading_is_answered_as_soon_as_the_store_is_back, silences of 0.8 and 1.3 s, failed before (bound: the pause between two readings of a process that does not own the fleet, 0.5 s).

--- a/src/vanillaswitch/coordination/prompt_table.py
+++ b/src/vanillaswitch/coordination/prompt_table.py
@@ -27,6 +27,9 @@
 0.3 s, so that a silent store is sent no more than these within the 1.5 s
 after which the first one is given up."""
 
+READ_AGAIN_S = 0.3
+"""Longest pause between copies of a reading, as between those of a write."""
+
 FORGET_S = 10.0
 """A transaction that was not tried for so long was given up by its caller:
 pauses between copies are 0.5 s at most."""
@@ -58,7 +61,7 @@
         self._open: dict[str, _Copies] = {}
 
     def read(self, keys: Sequence[str]) -> platform.ReadOutcome:
-        """Reads rows by name, a second time where the answer is overdue."""
+        """Reads rows by name, again where the answer is overdue."""
         return self._read(lambda: self._table.read(keys))
 
     def scan(
@@ -133,15 +136,20 @@
     def _read(
         self, call: Callable[[], platform.ReadOutcome]
     ) -> platform.ReadOutcome:
-        first = gevent.spawn(self._timed, call)
-        if gevent.wait([first], self._reads.wait_s):
-            return _read_outcome(first)
-        second = gevent.spawn(self._timed, call)
-        answered = gevent.wait([first, second], count=1)[0]
-        outcome = _read_outcome(answered)
-        if isinstance(outcome, platform.Rows):
-            return outcome
-        return _read_outcome(second if answered is first else first)
+        """Reads, with further copies as long as none was answered.
+
+        A store that comes back answers new calls at once, and those that it
+        met while it was away not at all.
+        """
+        copies: list[gevent.Greenlet] = []
+        wait_s = self._reads.wait_s
+        for _ in range(MAX_COPIES):
+            copies.append(gevent.spawn(self._timed, call))
+            outcome = _first_rows(copies, wait_s)
+            if outcome is not None:
+                return outcome
+            wait_s = max(wait_s, min(2 * wait_s, READ_AGAIN_S))
+        return platform.Unavailable("no answer yet")
 
     def _timed(
         self, call: Callable[[], platform.ReadOutcome]
@@ -153,6 +161,19 @@
         return outcome
 
 
-def _read_outcome(call: gevent.Greenlet) -> platform.ReadOutcome:
-    outcome: platform.ReadOutcome = call.get()
-    return outcome
+def _first_rows(
+    copies: list[gevent.Greenlet], wait_s: float
+) -> platform.ReadOutcome | None:
+    """Waits for rows; returns why there are none once all copies ended.
+
+    Returns:
+        None while copies are left.
+    """
+    with gevent.Timeout(wait_s, False):
+        while copies:
+            ended = gevent.wait(copies, count=1)[0]
+            copies.remove(ended)
+            outcome: platform.ReadOutcome = ended.get()
+            if isinstance(outcome, platform.Rows) or not copies:
+                return outcome
+    return None
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -125,3 +125,14 @@
     )
     assert isinstance(recorder.write([]), recorders.Written)
     assert clock.monotonic() - store.back_at < succession.SUSPECT_S
+
+
+@pytest.mark.parametrize("silent_s", [0.8, 1.3, 1.6])
+def test_a_reading_is_answered_as_soon_as_the_store_is_back(silent_s):
+    """Nobody takes over for two seconds after an outage that lost the owner."""
+    clock = clocks.SystemClock()
+    store = _SilentUntil(silent_s)
+    table = prompt_table.PromptTable(store, clock)
+    while isinstance(table.read(["owner/fleet"]), platform.Unavailable):
+        clock.sleep(succession.READ_SUSPECT_S)
+    assert clock.monotonic() - store.back_at < succession.READ_EVERY_S
