--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -104,7 +104,6 @@
         self._starts: list[StartOrder] = []
         self._stops: list[StopOrder] = []
         self._changed = True
-        self._planned_at = queue_order.Moment(0.0, 0.0)
 
     @property
     def notice_s(self) -> float:
--- a/src/vanillaswitch/coordination/fleet/machines/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/machines/capacity.py
@@ -14,19 +14,12 @@
 """
 
 import collections
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import math
 
-from vanillaswitch.coordination.fleet.machines import shares
-from vanillaswitch.coordination.fleet.queue import demand
-
-Demands = Callable[[], Mapping[str, demand.Demand]]
-"""Adds up what the tasks of each pool ask for."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Policy:
@@ -123,8 +116,6 @@
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._spare_since: dict[str, float] = {}
         self._wanted: dict[str, int] = {}
-        self._targets: Mapping[str, int] = {}
-        self._to_empty: dict[str, int] = {}
         self._began_at: float | None = None
         self._busy_at: float | None = None
 
@@ -138,40 +129,19 @@
         """Machines that each pool was found to need last."""
         return self._wanted
 
-    @property
-    def to_empty(self) -> Mapping[str, int]:
-        """Busy machines that each pool should give up, without those idle."""
-        return self._to_empty
-
-    def plan(
-        self,
-        loads: Iterable[PoolLoad],
-        now: float,
-        demands: Demands = dict,
-    ) -> list[Move]:
+    def plan(self, loads: Iterable[PoolLoad], now: float) -> list[Move]:
         """Returns the moves to order now.
 
         Args:
             loads: all pools.
             now: monotonic seconds.
-            demands: asked only while pools want more machines than there are.
         """
         by_name = {load.name: load for load in loads}
         self._observe(by_name.values(), now)
-        needs = {
-            name: 0.0 if load.standby else self._need_cpu(load, now)
-            for name, load in by_name.items()
-        }
         self._wanted = {
-            name: 0 if load.standby else _machines(load, self._whole(load, cpu))
-            for (name, load), cpu in zip(
-                by_name.items(), needs.values(), strict=True
-            )
+            name: 0 if load.standby else self._machines(load, now)
+            for name, load in by_name.items()
         }
-        scarce = self._is_scarce(by_name.values())
-        self._targets = (
-            self._shared(by_name, needs, demands()) if scarce else self._wanted
-        )
         spare = self._spare(by_name, now)
         lacking = {
             name: -self._surplus(load)
@@ -180,54 +150,8 @@
         }
         moves = _share(spare, lacking)
         moves.extend(self._retire(by_name, moves, now))
-        still_lacking = sum(lacking.values()) - len(moves) if scarce else 0
-        self._to_empty = self._busy_surplus(by_name.values(), still_lacking)
         return moves
 
-    def _is_scarce(self, loads: Iterable[PoolLoad]) -> bool:
-        """Whether pools want more machines than there are."""
-        wanted = have = 0
-        for load in loads:
-            wanted += self._wanted[load.name] + load.extra
-            have += load.have
-        return wanted > have
-
-    def _shared(
-        self,
-        loads: Mapping[str, PoolLoad],
-        needs: Mapping[str, float],
-        demands: Mapping[str, demand.Demand],
-    ) -> dict[str, int]:
-        """Returns the machines of each pool while there are too few."""
-        wants = {}
-        for name, load in loads.items():
-            if load.standby:
-                continue
-            asked = demands.get(name, demand.Demand())
-            # What it will have grown by is work that can be in time.
-            useful = asked.useful + needs[name] - load.need_cpu
-            late = useful + asked.late
-            wants[name] = [
-                min(self._wanted[name], _machines(load, self._whole(load, cpu)))
-                for cpu in (useful, late)
-            ] + [self._wanted[name]]
-        machines = sum(load.have - load.extra for load in loads.values())
-        given = shares.share_out(wants, machines)
-        return {name: given.get(name, 0) for name in loads}
-
-    def _busy_surplus(
-        self, loads: Iterable[PoolLoad], lacking: int
-    ) -> dict[str, int]:
-        """Returns how many machines pools should give up that are busy."""
-        found = {}
-        for load in loads:
-            busy = 0 if load.standby else self._surplus(load) - len(load.idle)
-            count = min(busy, lacking)
-            if count > 0:
-                found[load.name] = count
-                lacking -= count
-        return found
-
     def _observe(self, loads: Iterable[PoolLoad], now: float) -> None:
         """Notes when loads were seen first, and work that ends by itself."""
         if self._began_at is None:
@@ -246,21 +170,19 @@
 
     def _surplus(self, load: PoolLoad) -> int:
         """Returns how many machines a pool has too many; below 0, lacks."""
-        return load.have - self._targets[load.name] - load.extra
+        return load.have - self._wanted[load.name] - load.extra
 
-    def _need_cpu(self, load: PoolLoad, now: float) -> float:
-        """Returns what a pool will need when a machine arrives."""
+    def _machines(self, load: PoolLoad, now: float) -> int:
         policy = self._policy
         longest_s = policy.longest_look_ahead_s
         ahead_s = min(max(policy.look_ahead_s, load.task_s), longest_s)
         growth = self._growth(load, now)
         if load.arriving_cpu_s is not None:
             growth = min(growth, policy.most_growth * load.arriving_cpu_s)
-        return load.need_cpu + growth * ahead_s
-
-    def _whole(self, load: PoolLoad, cpu: float) -> float:
-        """Returns a need as room of machines that have it in full."""
-        return cpu / self._policy.utilisation + load.lost_cpu
+        need = load.need_cpu + growth * ahead_s
+        need += load.lost_cpu * policy.utilisation
+        room = max(1, load.machine_cpu) * policy.utilisation
+        return max(load.least, math.ceil(need / room))
 
     def _growth(self, load: PoolLoad, now: float) -> float:
         """Returns by how much the need grows a second; not below zero."""
@@ -322,11 +244,6 @@
         return retired
 
 
-def _machines(load: PoolLoad, cpu: float) -> int:
-    """Returns how many machines hold so much, at least what must be there."""
-    return max(load.least, math.ceil(cpu / max(1, load.machine_cpu)))
-
-
 def _share(spare: Sequence[str], lacking: Mapping[str, int]) -> list[Move]:
     """Gives spare machines to the pools that lack some, one each by turns.
 
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -21,7 +21,6 @@
 from vanillaswitch.coordination.fleet.machines import capacity
 from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
-from vanillaswitch.coordination.fleet.queue import demand
 from vanillaswitch.coordination.fleet.queue import rooms
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
@@ -48,14 +47,6 @@
 instance has to be seen: the move, its start and its first heartbeat."""
 
 
-STAY_S = 4.5
-"""A machine serves its pool for so long before it is emptied for another one:
-three times what a move takes, so that it works for most of the time."""
-
-DEMAND_S = 0.5
-"""How often the work of pools is told apart by its use while machines are
-scarce: it walks over all open steps, and a machine takes longer to move."""
-
 EXPIRY_S = 10.0
 """A move that shows no effect for so long is forgotten: its machine went down
 on the way, and would be counted for its new pool for good."""
@@ -105,8 +96,6 @@
         self._orders_a_step = max(1, int(orders_per_s * STEP_S))
         self._upkeep = upkeep
         self._paused_until = 0.0
-        self._demands_at = float("-inf")
-        self._known_demands: Mapping[str, demand.Demand] = {}
         self._emit = emit
         self._core = core
         self._machines = machines
@@ -149,73 +138,20 @@
             # What a machine can carry is not known before the first reading.
             return
         now = self._clock.monotonic()
-        upkeep = self._upkeep()
-        loads = self._loads(upkeep)
+        loads = self._loads(self._upkeep())
         again = [
             order.move for order in self._ordered.values() if order.in_doubt
         ]
         decided = [
             move
-            for move in self._capacity.plan(
-                loads, now, lambda: self._demands(now)
-            )
+            for move in self._capacity.plan(loads, now)
             if move not in self._impossible
         ]
-        self._empty(upkeep, now)
         if now < self._paused_until:
             return
         for move in (again + decided)[: self._orders_a_step]:
             self._begin(move, now)
 
-    def _demands(self, now: float) -> Mapping[str, demand.Demand]:
-        """Returns what the tasks of each pool ask for, or lately asked for."""
-        if now - self._demands_at >= DEMAND_S:
-            self._demands_at = now
-            self._known_demands = self._core.demands()
-        return self._known_demands
-
-    def _empty(self, upkeep: waves.Reserved, now: float) -> None:
-        """Gives no more work to machines that other pools need more.
-
-        Those that are free soonest move first. One that is not needed
-        elsewhere any more goes on as before.
-        """
-        chosen: set[str] = set()
-        for pool, count in self._capacity.to_empty.items():
-            chosen.update(self._free_soonest(pool, count, upkeep, now))
-        for instance in self._core.instances.values():
-            if instance.yielding != (instance.name in chosen):
-                instance.yielding = not instance.yielding
-                change = "yields" if instance.yielding else "stays"
-                self._emit(
-                    events.InstanceChanged(
-                        instance.name,
-                        instance.registration.service,
-                        change,
-                        "another pool's work is of more use",
-                        int((now - instance.heard_at) * 1000),
-                        len(instance.runs),
-                    )
-                )
-
-    def _free_soonest(
-        self, pool: str, count: int, upkeep: waves.Reserved, now: float
-    ) -> list[str]:
-        """Returns the instances of a pool that are emptied with least loss."""
-        found = []
-        for machine in self._listed.values():
-            instance = self._instance(machine)
-            if machine.pool != pool or instance is None or not instance.runs:
-                continue
-            if machine.name in upkeep.taken or machine.name in self._ordered:
-                continue
-            if instance.cordoned or now - instance.adopted_at < STAY_S:
-                continue
-            busy_s = instance.busy_s(now)
-            if busy_s is not None:
-                found.append((not instance.yielding, busy_s, instance.name))
-        return [name for _, _, name in sorted(found)[:count]]
-
     def _settle(self, listed: Mapping[str, fleet.Machine], now: float) -> None:
         """Forgets orders whose effect the list and the instances show."""
         for name, order in list(self._ordered.items()):
--- a/src/vanillaswitch/coordination/fleet/queue/book.py
+++ b/src/vanillaswitch/coordination/fleet/queue/book.py
@@ -116,11 +116,6 @@
         """The tasks that have no run."""
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
-    @property
-    def unfinished(self) -> int:
-        """How many tasks run or wait."""
-        return sum(task.state is not TaskState.DONE for task in self.tasks)
-
     @property
     def suspects(self) -> list[Task]:
         """Waiting tasks that start apart, the most suspected first."""
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -12,7 +12,6 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import book as books
 from vanillaswitch.coordination.fleet.queue import crash_evidence
-from vanillaswitch.coordination.fleet.queue import demand
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.coordination.fleet.queue import rooms
@@ -38,17 +37,6 @@
                     least[service] = max(least.get(service, 1), count)
         return least
 
-    def demands(self) -> dict[str, demand.Demand]:
-        """Returns what the tasks of each pool ask for as of the last plan."""
-        moment = self._planned_at
-        return demand.by_pool(
-            self.book.live.values(),
-            self.service_of,
-            lambda step: queue_order.group(
-                step, self.queues.get(step.entry.job.queue), moment
-            ),
-        )
-
     def ready_steps(
         self, moment: queue_order.Moment
     ) -> dict[str, list[books.OpenStep]]:
@@ -74,9 +62,8 @@
             wall_ms: time of day in milliseconds since 1970.
         """
         self._changed = False
-        self._planned_at = queue_order.Moment(now, wall_ms)
         self.settle_crashes(now)
-        ready = self.ready_steps(self._planned_at)
+        ready = self.ready_steps(queue_order.Moment(now, wall_ms))
         self.without_spec = _without_spec(ready)
         self._plan_steps(ready, now)
         waiting = {service: _waiting(steps) for service, steps in ready.items()}
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -16,7 +16,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import enum
 
 from vanillaswitch.coordination.fleet.queue import book
 from vanillaswitch.internal import registry
@@ -53,16 +52,7 @@
 estimates are off by half, and a start takes its time. In replays of turns that
 ask for more than there is, 0.2 and 0.4 earn up to 0.03 less of the credit."""
 
-
-class Group(enum.IntEnum):
-    """What room is still worth to the job of a step; the lowest goes first."""
-
-    LASTING = 0
-    IN_TIME = 1
-    LATE = 2
-    PAST_USE = 3
-
-
+_LASTING, _IN_TIME, _LATE, _PAST_USE = 0, 1, 2, 3
 _BEGUN, _ROOMY, _TIGHT = 0, 1, 2
 
 
@@ -121,14 +111,14 @@
     """How the job of an open step stands.
 
     Attributes:
-        group: whether it can still be in time.
+        group: whether it can still be in time; the lowest goes first.
         priority: of its queue; 0 goes first.
         left_ms: longest chain of work that is left.
         slack_ms: time to spare until its objective.
         age_ms: time since it was handed in or due.
     """
 
-    group: Group
+    group: int
     priority: int
     left_ms: float
     slack_ms: float
@@ -144,23 +134,16 @@
     objective = objective_ms(_whole_ms(entry), queue)
     slack_ms = objective - age - left
     if step.step.long_running:
-        group = Group.LASTING
+        group = _LASTING
     elif slack_ms >= 0:
-        group = Group.IN_TIME
+        group = _IN_TIME
     elif age + left <= LATE_FACTOR * objective:
-        group = Group.LATE
+        group = _LATE
     else:
-        group = Group.PAST_USE
+        group = _PAST_USE
     return _Standing(group, queue.priority if queue else 0, left, slack_ms, age)
 
 
-def group(
-    step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
-) -> Group:
-    """Returns what room is still worth to the job of an open step."""
-    return _standing(step, queue, moment).group
-
-
 @ORDERS.register("headroom")
 def headroom(
     step: book.OpenStep, queue: fleet.Queue | None, moment: Moment
@@ -178,7 +161,7 @@
         moment: when it is asked for.
     """
     standing = _standing(step, queue, moment)
-    if standing.group != Group.IN_TIME:
+    if standing.group != _IN_TIME:
         return _by_group(standing)
     slack_ms = standing.slack_ms
     if _begun(step):
@@ -188,7 +171,7 @@
     else:
         # The one that is most likely to be in time after all.
         rank = (_TIGHT, -slack_ms)
-    return (Group.IN_TIME, standing.priority, *rank)
+    return (_IN_TIME, standing.priority, *rank)
 
 
 def _begun(step: book.OpenStep) -> bool:
@@ -197,10 +180,10 @@
 
 
 def _by_group(standing: _Standing) -> Key:
-    if standing.group == Group.LASTING:
-        return (Group.LASTING, 0.0)
-    if standing.group == Group.PAST_USE:
-        return (Group.PAST_USE, standing.priority, standing.age_ms)
+    if standing.group == _LASTING:
+        return (_LASTING, 0.0)
+    if standing.group == _PAST_USE:
+        return (_PAST_USE, standing.priority, standing.age_ms)
     return (standing.group, standing.priority, standing.slack_ms)
 
 
--- a/src/vanillaswitch/coordination/fleet/queue/rooms.py
+++ b/src/vanillaswitch/coordination/fleet/queue/rooms.py
@@ -169,7 +169,6 @@
         cordoned: a wave or a move wants it empty.
         due: a wave will want it empty later.
         leaving: an order that ends all it runs was given for its machine.
-        yielding: its machine is to move to another pool once it runs nothing.
         suspended_until: it gets no work until then, since it failed some.
         last_end: number of the last end that was heard of.
         unread_ends: those among them whose jobs can't be read yet.
@@ -191,7 +190,6 @@
         self.cordoned = False
         self.due = False
         self.leaving = False
-        self.yielding = False
         self.heard_at = now
         self._room = known_room.KnownRoom(registration.capacity)
         self.runs: dict[RunKey, Run] = {}
@@ -292,20 +290,6 @@
             return self.unread_ends[0].number - 1
         return self.last_end
 
-    def busy_s(self, now: float) -> float | None:
-        """Returns for how long its tasks will run on, by their estimates.
-
-        Returns:
-            None where a task lasts, or what it runs is not known.
-        """
-        longest_s = 0.0
-        for run in self.runs.values():
-            if run.step.long_running or run.unread:
-                return None
-            work_s = run.step.estimate_ms / 1000 / self.speed
-            longest_s = max(longest_s, work_s - (now - run.decided_at))
-        return longest_s
-
     @property
     def apart(self) -> bool:
         """Whether a suspected task runs here, beside which nothing starts."""
@@ -372,7 +356,6 @@
             and not self.distrusted
             and not self.cordoned
             and not self.leaving
-            and not self.yielding
             and not self._apart
             and not self._unread
             and not self.registration.draining
