--- a/soak/clients.py
+++ b/soak/clients.py
@@ -183,7 +183,11 @@
         world.promises.answered(record, None)
 
 
-def is_ready(client: plain_http.PlainClient, edge: edge_processes.Edge) -> bool:
-    """Whether the balancer would send clients to a machine."""
+def not_ready(client: plain_http.PlainClient, edge: edge_processes.Edge) -> str:
+    """Returns why the balancer would send a machine no clients; or nothing."""
     sent = client.call(edge.ready, "GET", "/-/ready", timeout_s=1.0)
-    return isinstance(sent, minions.Answered) and sent.answer.status == OK
+    if not isinstance(sent, minions.Answered):
+        return sent.reason
+    if sent.answer.status == OK:
+        return ""
+    return sent.answer.body.decode(errors="replace").strip()
--- a/soak/run.py
+++ b/soak/run.py
@@ -95,18 +95,23 @@
 
 def _await_ready(world: worlds.World) -> tuple[str, ...]:
     """Waits for all processes; returns where they stand if that takes long."""
-    with plain_http.open_client(clocks.SystemClock()) as client:
-        waiting = list(world.edges)
-        with gevent.Timeout(WARM_UP_S, False):
-            while waiting:
-                if clients.is_ready(client, waiting[0]):
-                    waiting.pop(0)
-                else:
-                    gevent.sleep(0.1)
+    whys = dict.fromkeys((edge.name for edge in world.edges), "not asked yet")
+    with (
+        plain_http.open_client(clocks.SystemClock()) as client,
+        gevent.Timeout(WARM_UP_S, False),
+    ):
+        while any(whys.values()):
+            for edge in world.edges:
+                whys[edge.name] = clients.not_ready(client, edge)
+            gevent.sleep(0.1)
+    waiting = [edge for edge in world.edges if whys[edge.name]]
     if not waiting:
         return ()
-    lines = [f"not ready, {standing.describe(edge)}" for edge in waiting]
-    return (*lines, standing.machine())
+    lines = [
+        f"not ready ({whys[edge.name]}), {standing.describe(edge)}"
+        for edge in waiting
+    ]
+    return (*lines, standing.machine(world.edges))
 
 
 def _harm(
--- a/tests/cover/test_soak_standing.py
+++ b/tests/cover/test_soak_standing.py
@@ -29,6 +29,7 @@
         child.communicate()
     assert told.startswith("edge-0: state ")
     assert " s of processor time" in told
+    assert " pages read from the disk" in told
 
 
 def test_a_process_that_ended_is_told_with_its_exit_code():
@@ -40,3 +41,18 @@
 def test_the_machine_is_told_with_its_load():
     assert standing.machine().startswith("load ")
     assert os.getloadavg()
+
+
+def test_processes_that_an_earlier_soak_left_are_told():
+    child = subprocess.Popen(
+        [sys.executable, "-c", "input()"],
+        stdin=subprocess.PIPE,
+        env={**os.environ, "VANILLASWITCH_SETTINGS": "soak-1/edge-0.conf"},
+    )
+    try:
+        assert child.pid in standing.strangers(())
+        assert str(child.pid) in standing.machine()
+        assert child.pid not in standing.strangers([_Edge(child)])
+    finally:
+        child.kill()
+        child.communicate()
