End calls for changes as soon as the store is known to be back

Cause: a call for changes that a silent store was sent runs into its limit of 1.25 s, whatever other calls of the same process show meanwhile.

Test: test_a_call_for_changes_ends_when_another_shows_that_the_store_is_back failed before (no end within 0.5 s).

--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -12,6 +12,7 @@
 import urllib.parse
 
 import gevent
+import gevent.event
 
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import logs
@@ -34,6 +35,10 @@
 their own: the kept ones may have gone silent together, and each would hold
 the call that meets it up to its time limit. An idle store answers in 7 ms."""
 
+SILENT_S = 1.0
+"""A store that answered nothing for so long was away: one that is 60 times
+slower answers in half of it."""
+
 _OK = 200
 _CONFLICT = 412
 _HISTORY_LOST = 410
@@ -74,6 +79,7 @@
         self._silent = False
         self._pages = page_size.PageSize()
         self._unanswered_since: float | None = None
+        self._returned = gevent.event.Event()
         self._under_way: dict[int, float] = {}
         self._ids = itertools.count()
 
@@ -191,11 +197,17 @@
     def changes(
         self, table: str, after: int, wait_s: float
     ) -> feeds.Changes | feeds.HistoryLost | platform.Unavailable:
-        """Waits for changes of a table later than a version."""
+        """Waits for changes of a table later than a version.
+
+        A call that a silent store was sent is given up as soon as another one
+        shows that it is back: it answers new calls, and not those that it met
+        while it was away.
+        """
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         )
-        reply = calls.call(
+        waiting = gevent.spawn(
+            calls.call,
             self._client,
             self._address,
             "GET",
@@ -203,6 +215,14 @@
             timeout_s=wait_s + FEED_SLACK_S,
             fresh=self._distrusts_kept(),
         )
+        try:
+            gevent.wait([waiting, self._returned], count=1)
+            if not waiting.ready():
+                return platform.Unavailable("it was silent meanwhile")
+        finally:
+            # Also when the task that asks is ended.
+            waiting.kill(block=False)
+        reply: calls.Reply | calls.NoReply = waiting.get()
         if isinstance(reply, calls.NoReply):
             return platform.Unavailable(reply.reason)
         self._answered(reply)
@@ -280,6 +300,9 @@
         return reply
 
     def _answered(self, reply: calls.Reply) -> None:
+        if self.unanswered_s > SILENT_S:
+            self._returned.set()
+            self._returned = gevent.event.Event()
         self._unanswered_since = None
         now_ms = reply.body.get("now_ms")
         if isinstance(now_ms, int | float):
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -176,3 +176,22 @@
     # The call that was under way, a pause, and one that is answered.
     limit_s = stores.FEED_SLACK_S + 3 * follow.RETRY_S
     assert follower.back_at - back_at <= limit_s
+
+
+def test_a_call_for_changes_ends_when_another_shows_that_the_store_is_back():
+    """New jobs wait for a second after an outage before anybody hears."""
+    outside = edge_http.EdgePlatform(0, 0.1)
+    clock = clocks.SystemClock()
+    put = platform.Put("job/a", 0, {})
+    with outside.serving(), plain_http.open_client(clock) as client:
+        store = stores.Store(client, outside.address, clock, lambda _: None)
+        outside.rows.lose_answers = True
+        lost = gevent.spawn(store.commit, platform.Transaction("lost", (put,)))
+        heard = gevent.spawn(store.changes, "op", 0, 4.0)
+        gevent.sleep(1.3)
+        assert not heard.ready()
+        outside.rows.lose_answers = False
+        store.read(["job/a"])
+        outcome = heard.get(timeout=0.5)
+        assert isinstance(outcome, platform.Unavailable)
+        lost.kill()
