Miss an owner that was lost in an outage as soon as the store is back

Cause: the first look at the owner came 0.7 to 1.2 s after the first reading, and each took 0.7 s more: 0.3 s for a connection, then 0.4 s for an answer; an owner already known to be silent was asked again in full.

Change: whether a connection to the owner can be opened is found out with the first reading after an outage; one that could not is asked without a further connection; one known to be silent is not asked again before its term ends. An owner that lives still has the first turn: it is asked for its term only once it is suspect.

Test: test_an_owner_that_is_lost_in_an_outage_is_missed_as_it_ends failed before (1.92 s; limit 1.45 s: the term of a silent owner, the spread, one connection). Existing bounds of owners that live, are killed, or lost power are unchanged and hold.

--- a/src/vanillaswitch/coordination/fleet/ownership/member.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/member.py
@@ -84,6 +84,7 @@
         self._recorder: recorders.Recorder | None = None
         self._leaving = False
         self._looked = False
+        self._unreached = ""
         self._store_answered_at = -1e9
 
     @property
@@ -117,11 +118,13 @@
                 continue
             self._watch_owner()
             now = self._clock.monotonic()
-            suspect = self._succession.suspect(now)
+            soon = (
+                self._succession.suspect(now)
+                or self._succession.is_silent
+                or bool(self._unreached)
+            )
             self._pause(
-                succession.READ_SUSPECT_S
-                if suspect
-                else succession.READ_EVERY_S
+                succession.READ_SUSPECT_S if soon else succession.READ_EVERY_S
             )
 
     def _pause(self, seconds: float) -> None:
@@ -160,15 +163,33 @@
             self._succession.unread()
             return
         self._store_answered_at = now
+        was_away = not self._succession.is_read
         version = read.rows[0].version if read.rows else platform.ABSENT
         row = recorders.owner_row(read.rows[0].value) if read.rows else None
         self._succession.observed(row, version, asked_at, now)
         # A process that has just started may follow the loss of all; it
         # looks at once, instead of after the pause of an owner that it has
         # seen writing, which costs a second of nothing being started.
-        if not self._looked or self._succession.suspect(now):
+        suspect = self._succession.suspect(now)
+        if not self._looked or suspect and not self._succession.is_silent:
             self._looked = True
             self._look_for(self._succession.row)
+        elif was_away:
+            # An owner that lives has the first turn, and is not asked yet.
+            self._reach(self._succession.row)
+            if self._succession.has_ended(self._succession.row.boot):
+                self._tell_over(self._succession.row)
+
+    def _reach(self, row: recorders.OwnerRow) -> None:
+        """Finds out whether a connection to the owner can be opened."""
+        self._unreached = ""
+        if not row.address or row.boot == self._me.boot:
+            return
+        error = self._probe(row.address)
+        if error == errno.ECONNREFUSED:
+            self._succession.process_ended(row.boot)
+        elif error:
+            self._unreached = row.boot
 
     def _look_for(self, row: recorders.OwnerRow) -> None:
         """Finds out whether a suspect owner's term is over.
@@ -179,10 +200,12 @@
         """
         if not row.address or row.boot == self._me.boot:
             return
-        replaced = row.address == self._me.address
-        if replaced or self._probe(row.address) == errno.ECONNREFUSED:
+        if row.address == self._me.address:
             self._succession.process_ended(row.boot)
-        else:
+        elif row.boot != self._unreached:
+            self._reach(row)
+        self._unreached = ""
+        if not self._succession.has_ended(row.boot):
             patience_s = self._succession.suspect_after_s
             ended = self._term_ended(row.address, row.boot, patience_s)
             if ended is None:
@@ -190,6 +213,9 @@
             if not ended:
                 return
             self._succession.term_ended()
+        self._tell_over(row)
+
+    def _tell_over(self, row: recorders.OwnerRow) -> None:
         age_s = self._succession.unchanged_s(self._clock.monotonic())
         self._emit_owner("found-over", row.holder, 0, age_s)
 
--- a/src/vanillaswitch/coordination/fleet/ownership/succession.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/succession.py
@@ -67,6 +67,16 @@
         dead = self._row.boot == self._dead_boot
         return not self._row.holder or dead or self._is_over
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the row could be read when it was last asked for."""
+        return self._since is not None
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the owner that wrote the row last answers no question."""
+        return bool(self._row.boot) and self._row.boot == self._silent_boot
+
     @property
     def version(self) -> int:
         """The row's version when it was last read; 0 when there was none."""
@@ -107,6 +117,10 @@
             return now
         return now - self.unchanged_s(now) + lease_s
 
+    def has_ended(self, boot: str) -> bool:
+        """Whether the owner's process is known to have ended."""
+        return boot == self._dead_boot
+
     def process_ended(self, boot: str) -> None:
         """Takes note that the owner's process has surely ended."""
         self._dead_boot = boot
@@ -130,8 +144,7 @@
             return False
         if self._has_no_term:
             return True
-        silent = self._row.boot == self._silent_boot
-        term_s = SILENT_TERM_S if silent else TERM_S
+        term_s = SILENT_TERM_S if self.is_silent else TERM_S
         return now - self._since >= term_s + SLOW_FACTOR * self._reading_s
 
     def suspect(self, now: float) -> bool:
--- a/tests/common/terms.py
+++ b/tests/common/terms.py
@@ -91,6 +91,7 @@
     clock: clocks.Clock,
     boot: str = "boot-1",
     term_ended: members.TermEnded = lambda *_: False,
+    probe: members.Probe = lambda _: 0,
 ) -> members.Member:
     """Returns a process's part in owning the fleet that meets nobody else.
 
@@ -99,6 +100,7 @@
         clock: of the process.
         boot: of the process.
         term_ended: what another owner answers that is asked for its term.
+        probe: what comes of a connection to another owner.
     """
     return members.Member(
         types.SimpleNamespace(table=table),  # type: ignore[arg-type]
@@ -107,7 +109,7 @@
         boot,
         clock,
         random.Random(1),
-        lambda _: 0,
+        probe,
         term_ended,
         lambda _: None,
         lambda _: None,
--- a/tests/failures/test_all_processes_lost.py
+++ b/tests/failures/test_all_processes_lost.py
@@ -176,3 +176,48 @@
     )
     assert waited >= (0.9 - lacks) * members.WEAK_S
     assert row.weakness == lacks
+
+
+class _AwayFirst(_Table):
+    """Can't be read for some seconds."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self._answers_from = clock.monotonic() + 4.0
+
+    def read(self, keys):
+        if self._clock.monotonic() < self._answers_from:
+            return platform.Unavailable("silent")
+        return super().read(keys)
+
+    def commit(self, transaction):
+        self.taken_after = self._clock.monotonic() - self._answers_from
+        super().commit(transaction)
+
+
+@pytest.mark.parametrize(
+    ("error", "limit_s"),
+    [
+        (errno.ETIMEDOUT, succession.SILENT_TERM_S + members.SPREAD_S + 0.3),
+        (errno.ECONNREFUSED, members.SPREAD_S + succession.READ_EVERY_S + 0.3),
+    ],
+)
+def test_an_owner_that_is_lost_in_an_outage_is_missed_as_it_ends(
+    error, limit_s
+):
+    """Nothing starts for two seconds after an outage that lost the owner."""
+    clock = clocks.ManualClock()
+    table = _AwayFirst(clock)
+
+    def probe(address):
+        del address
+        clock.sleep(0.3 if error == errno.ETIMEDOUT else 0.0)
+        return error
+
+    def term_ended(*_):
+        clock.sleep(0.4)
+
+    member = terms.member(table, clock, "new", term_ended, probe)
+    with pytest.raises(_TakenOverError):
+        member.run()
+    assert table.taken_after <= limit_s
