Take the short waits of a lost table out again

With a wait of 0.25 s the limit of the call is 1.25 s instead of 2 s, so the answer was cut off, and asked for again, for as long as it took longer than that.

Calls for changes that a silent store was sent still end as the store is known to be back; the short waits only brought the mark "back" forward where nothing had changed.

--- a/src/vanillaswitch/coordination/fleet/follow.py
+++ b/src/vanillaswitch/coordination/fleet/follow.py
@@ -97,10 +97,7 @@
             return self._read_all()
         if self._missing:
             self._read_missing()
-        # A call that a silent store was sent is not answered any more when it
-        # is back, and one that waits for a change tells nothing until then.
-        soon = self._missing or self._failing
-        wait_s = RETRY_S if soon else self._wait_s
+        wait_s = RETRY_S if self._missing else self._wait_s
         outcome = self._feed.changes(self._table, self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
             self._failed(outcome.reason)
