Keep machines that idled in an outage as it ends

Cause: machines that idle while nothing can be started count as spare for all that time; the load can't be seen meanwhile.

Change: how long a pool could spare machines is counted anew from when machines may be ordered again.

Test: test_machines_that_idled_in_an_outage_are_not_given_up_as_it_ends failed before (a move at once).

--- a/src/vanillaswitch/coordination/fleet/machines/capacity.py
+++ b/src/vanillaswitch/coordination/fleet/machines/capacity.py
@@ -129,6 +129,14 @@
         """Machines that each pool was found to need last."""
         return self._wanted
 
+    def forget_idle(self) -> None:
+        """Counts anew for how long pools could spare machines.
+
+        For times in which the load can't be seen: while the store is away
+        clients are refused, and come back together when it is back.
+        """
+        self._spare_since.clear()
+
     def plan(self, loads: Iterable[PoolLoad], now: float) -> list[Move]:
         """Returns the moves to order now.
 
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -138,6 +138,8 @@
             # What a machine can carry is not known before the first reading.
             return
         now = self._clock.monotonic()
+        if not self._recorder.may_order():
+            self._capacity.forget_idle()
         loads = self._loads(self._upkeep())
         again = [
             order.move for order in self._ordered.values() if order.in_doubt
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -18,9 +18,10 @@
 class _Recorder:
     deposed = False
     newest = 7
+    certain = True
 
     def may_order(self):
-        return True
+        return self.certain
 
     def depose(self):
         self.deposed = True
@@ -195,14 +196,14 @@
     assert len(world.machines.ordered) == 1
 
 
-def _serving(cpu):
+def _serving(cpu, number=9):
     """Returns a machine of the pool, as the list shows it."""
     return fleet.Machine(
-        "m-9",
+        f"m-{number}",
         "berthing",
         fleet.MachineState.UP,
         "zone-1",
-        "i-9",
+        f"i-{number}",
         fleet.Resources(cpu, 64_000),
     )
 
@@ -224,3 +225,23 @@
     world.listed({"m-9": _serving(listed_cpu)} | _standby(4))
     world.step()
     assert len(world.machines.ordered) == 1
+
+
+def test_machines_that_idled_in_an_outage_are_not_given_up_as_it_ends():
+    """Clients that come back after an outage find their pool's machines off."""
+    world = _World(fleet.Accepted(0.0))
+    world.core.cancelled(fleets.job().job_id, 0.0)
+    fleets.adopt(world.core, "i-8", "i-9", cpu=16_000)
+    fleets.plan(world.core)
+    idle = {f"m-{n}": _serving(16_000, n) for n in (8, 9)}
+    world.listed(idle | _standby(1))
+    world.step()
+    world.recorder.certain = False
+    for _ in range(20):
+        world.step(1.0)
+    world.recorder.certain = True
+    world.step()
+    assert not world.machines.ordered
+    for _ in range(4):
+        world.step(0.5)
+    assert len(world.machines.ordered) == 1
