Read operators' rows anew after an outage, and end stale readings with it

Cause: a table that was lost went on from its last version, through every configuration in between. A call that is cut off at its limit begins again from the start.

Change: the operators' table, few rows that change often, is read as it stands once it was lost. Readings that a silent store was sent end like calls for changes as soon as the store is known to be back: else such a reading would take up to 1.5 s to be given up.

The latter replaces the test of changes alone, with a client that answers nothing in place of the stand-in, which loses answers to transactions only; it asks for the end within 0.1 s (0.5 s before).

--- a/src/vanillaswitch/coordination/fleet/follow.py
+++ b/src/vanillaswitch/coordination/fleet/follow.py
@@ -37,6 +37,7 @@
         emit: Callable[[object], None],
         pause_s: float = 0.0,
         wait_s: float = WAIT_S,
+        rereads: bool = False,
     ):
         """Makes a follower.
 
@@ -49,6 +50,10 @@
             emit: takes the events of a table that is lost or back.
             pause_s: time between two calls, in which changes gather.
             wait_s: how long one call waits for a change.
+            rereads: a table that was lost is read anew. For one of few rows
+                that change often: all that changed in an outage may be more
+                than a slow link carries within the limit of a call, which
+                would fail again and again.
         """
         self._feed = feed
         self._table = table
@@ -58,6 +63,7 @@
         self._emit = emit
         self._pause_s = pause_s
         self._wait_s = wait_s
+        self._rereads = rereads
         self._version: int | None = None
         self._missing: tuple[str, ...] = ()
         self._failing = False
@@ -101,6 +107,8 @@
         outcome = self._feed.changes(self._table, self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
             self._failed(outcome.reason)
+            if self._rereads:
+                self._version = None
             return False
         self._answered()
         if isinstance(outcome, feeds.HistoryLost):
--- a/src/vanillaswitch/platform/store.py
+++ b/src/vanillaswitch/platform/store.py
@@ -197,32 +197,17 @@
     def changes(
         self, table: str, after: int, wait_s: float
     ) -> feeds.Changes | feeds.HistoryLost | platform.Unavailable:
-        """Waits for changes of a table later than a version.
-
-        A call that a silent store was sent is given up as soon as another one
-        shows that it is back: it answers new calls, and not those that it met
-        while it was away.
-        """
+        """Waits for changes of a table later than a version."""
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         )
-        waiting = gevent.spawn(
-            calls.call,
-            self._client,
-            self._address,
+        reply = self._until_back(
             "GET",
             f"/-/rows-feed?{query}",
-            timeout_s=wait_s + FEED_SLACK_S,
-            fresh=self._distrusts_kept(),
+            None,
+            wait_s + FEED_SLACK_S,
+            self._distrusts_kept(),
         )
-        try:
-            gevent.wait([waiting, self._returned], count=1)
-            if not waiting.ready():
-                return platform.Unavailable("it was silent meanwhile")
-        finally:
-            # Also when the task that asks is ended.
-            waiting.kill(block=False)
-        reply: calls.Reply | calls.NoReply = waiting.get()
         if isinstance(reply, calls.NoReply):
             return platform.Unavailable(reply.reason)
         self._answered(reply)
@@ -281,16 +266,9 @@
         number = next(self._ids)
         began_at = self._clock.monotonic()
         self._under_way[number] = began_at
+        call = self._until_back if body is None else self._whole_call
         try:
-            reply = calls.call(
-                self._client,
-                self._address,
-                method,
-                target,
-                body,
-                timeout_s=timeout_s,
-                fresh=fresh,
-            )
+            reply = call(method, target, body, timeout_s, fresh)
         finally:
             del self._under_way[number]
         self._silent = isinstance(reply, calls.NoReply)
@@ -299,6 +277,51 @@
             self._answered(reply)
         return reply
 
+    def _whole_call(
+        self,
+        method: str,
+        target: str,
+        body: Mapping[str, Any] | None,
+        timeout_s: float,
+        fresh: bool,
+    ) -> calls.Reply | calls.NoReply:
+        return calls.call(
+            self._client,
+            self._address,
+            method,
+            target,
+            body,
+            timeout_s=timeout_s,
+            fresh=fresh,
+        )
+
+    def _until_back(
+        self,
+        method: str,
+        target: str,
+        body: Mapping[str, Any] | None,
+        timeout_s: float,
+        fresh: bool,
+    ) -> calls.Reply | calls.NoReply:
+        """Makes a call that changes nothing.
+
+        One that a silent store was sent is given up as soon as another shows
+        that it is back: it answers new calls, and not those that it met while
+        it was away.
+        """
+        waiting = gevent.spawn(
+            self._whole_call, method, target, body, timeout_s, fresh
+        )
+        try:
+            gevent.wait([waiting, self._returned], count=1)
+            if not waiting.ready():
+                return calls.NoReply(True, "the store is back meanwhile")
+            reply: calls.Reply | calls.NoReply = waiting.get()
+            return reply
+        finally:
+            # Also when the task that asks is ended.
+            waiting.kill(block=False)
+
     def _answered(self, reply: calls.Reply) -> None:
         if self.unanswered_s > SILENT_S:
             self._returned.set()
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -243,6 +243,7 @@
             view.on_snapshot,
             view.on_changes,
             told.emit,
+            rereads=True,
         )
         stack.enter_context(
             supervision.running(
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -7,12 +7,16 @@
 from tests.common import clocks as manual
 from tests.common import fleets
 from vanillaswitch.coordination import prompt_table
+from vanillaswitch.coordination.fleet import follow
 from vanillaswitch.coordination.fleet.intake import intake
 from vanillaswitch.coordination.fleet.ownership import recorder as recorders
 from vanillaswitch.coordination.fleet.ownership import succession
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import store as stores
+from vanillaswitch.protocol import feeds
+from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import platform
+from vanillaswitch.protocol import requests
 from vanillaswitch.transport import plain_http
 
 
@@ -138,20 +142,78 @@
     assert clock.monotonic() - store.back_at < succession.READ_EVERY_S
 
 
-def test_a_call_for_changes_ends_when_another_shows_that_the_store_is_back():
+class _Client:
+    """Answers calls with an empty table, but for those that it met silent."""
+
+    def __init__(self):
+        self.silent = True
+
+    def call(self, address, method, target, data, headers, timeout_s, fresh):
+        del address, method, target, data, headers, fresh
+        if self.silent:
+            gevent.sleep(timeout_s)
+            return minions.Lost("silent", True)
+        body = b'{"rows": [], "row_version": 7, "now_ms": 1}'
+        return minions.Answered(requests.Answer(200, (), body))
+
+
+@pytest.mark.parametrize(
+    "ask",
+    [
+        lambda store: store.changes("op", 0, 4.0),
+        lambda store: store.snapshot("op"),
+    ],
+    ids=["changes", "snapshot"],
+)
+def test_a_call_ends_when_another_shows_that_the_store_is_back(ask):
     """New jobs wait for a second after an outage before anybody hears."""
-    outside = edge_http.EdgePlatform(0, 0.1)
-    clock = clocks.SystemClock()
-    put = platform.Put("job/a", 0, {})
-    with outside.serving(), plain_http.open_client(clock) as client:
-        store = stores.Store(client, outside.address, clock, lambda _: None)
-        outside.rows.lose_answers = True
-        lost = gevent.spawn(store.commit, platform.Transaction("lost", (put,)))
-        heard = gevent.spawn(store.changes, "op", 0, 4.0)
-        gevent.sleep(1.3)
-        assert not heard.ready()
-        outside.rows.lose_answers = False
-        store.read(["job/a"])
-        outcome = heard.get(timeout=0.5)
-        assert isinstance(outcome, platform.Unavailable)
-        lost.kill()
+    client = _Client()
+    store = stores.Store(client, "a:1", clocks.SystemClock(), lambda _: None)
+    lost = gevent.spawn(store.read, ["job/a"])
+    gevent.sleep(0.8)
+    asked = gevent.spawn(ask, store)
+    gevent.sleep(0.4)
+    assert not asked.ready()
+    client.silent = False
+    store.read(["job/a"])
+    assert isinstance(asked.get(timeout=0.1), platform.Unavailable)
+    lost.kill()
+
+
+class _ManyChanges:
+    """What changed in an outage is more than a call's limit lets through."""
+
+    def __init__(self):
+        self.readings = 0
+
+    def changes(self, table, after, wait_s):
+        del table, wait_s
+        if after < 50:
+            return platform.Unavailable("no whole answer in time")
+        return feeds.Changes((), after)
+
+    def snapshot(self, table, parts=()):
+        del table, parts
+        self.readings += 1
+        return feeds.Snapshot((feeds.Change("config", {}, 60),), 60)
+
+
+def test_a_table_whose_changes_are_too_many_is_read_anew():
+    """Routes that were added in an outage are answered 404 for 9 s after it."""
+    heard = []
+    feed = _ManyChanges()
+    follower = follow.Follower(
+        feed,
+        "op",
+        manual.ManualClock(),
+        lambda snapshot: heard.extend(snapshot.rows),
+        heard.extend,
+        lambda _: None,
+        rereads=True,
+    )
+    follower.start_from(feeds.Snapshot((), 1))
+    for _ in range(3):
+        follower._step()
+    assert [change.version for change in heard] == [60]
+    assert feed.readings == 1
+    assert not follower.failing
