Make plans cheap while suspects and full pools wait

Cause: a slow owner. Most of a plan went to tasks suspected of crashing instances, hundreds after a rack was lost: each one ranked all instances of its pool in each plan, also when no further suspect may run; the largest free capacity was computed again after each of them; all waiting steps were put in order, also those that fit nowhere; and a need that did not fit was tried again for each step that has it.

Change: the limit on suspects is counted once a plan and asked before instances are looked at; a suspect's reserved instance is found without ranking the others; a step that fits nowhere is not put in order; needs that failed are remembered for the plan; what long-running tasks reserve is summed when it changes.

Both new tests failed before.

--- a/src/vanillaswitch/coordination/fleet/instances/suspect_placement.py
+++ b/src/vanillaswitch/coordination/fleet/instances/suspect_placement.py
@@ -9,6 +9,7 @@
 crash its instance.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 from vanillaswitch.coordination.fleet.instances import disruption_budget
@@ -27,13 +28,40 @@
 for each other while instances are idle."""
 
 
-def may_run_suspect(
-    pool: Sequence[instance_state.Instance], chosen: instance_state.Instance
-) -> bool:
-    """Whether the chosen instance of a pool may run a suspected task."""
-    max_share = BUSY_SUSPECT_SHARE if chosen.runs else IDLE_SUSPECT_SHARE
-    active_suspects = sum(instance.has_active_isolated_run for instance in pool)
-    return active_suspects < max(1, int(len(pool) * max_share))
+class SuspectLimit:
+    """Limits how many instances of a pool run suspected tasks at a time."""
+
+    def __init__(self, pool: Sequence[instance_state.Instance]):
+        """Counts the suspected tasks that run in a pool.
+
+        Args:
+            pool: all instances of the pool.
+        """
+        self._pool_size = len(pool)
+        self._active = sum(
+            instance.has_active_isolated_run for instance in pool
+        )
+
+    def allows(self, instance: instance_state.Instance) -> bool:
+        """Whether an instance of the pool may run a suspected task."""
+        if instance.runs:
+            return self._is_below(BUSY_SUSPECT_SHARE)
+        return self._is_below(IDLE_SUSPECT_SHARE)
+
+    def allows_any(self, instances: Iterable[instance_state.Instance]) -> bool:
+        """Whether any of some instances may run a suspected task."""
+        if self._is_below(BUSY_SUSPECT_SHARE):
+            return True
+        return self._is_below(IDLE_SUSPECT_SHARE) and not all(
+            instance.runs for instance in instances
+        )
+
+    def count_start(self) -> None:
+        """Counts a suspected task that was assigned to an instance."""
+        self._active += 1
+
+    def _is_below(self, max_share: float) -> bool:
+        return self._active < max(1, int(self._pool_size * max_share))
 
 
 def choose_suspect_instance(
@@ -54,33 +82,44 @@
         candidates: instances that may run it.
         now: monotonic seconds.
     """
-    need = job_tracker.task_demand(step.step)
 
-    def rank(instance: instance_state.Instance) -> tuple[object, ...]:
-        long_running = [
-            run for run in instance.runs.values() if run.step.long_running
-        ]
-        over_budget = sum(
-            _has_no_budget_left(state, run, now) for run in long_running
+    def has_no_budget_left(instance: instance_state.Instance) -> bool:
+        return any(
+            _has_no_budget_left(state, run, now)
+            for run in instance.runs.values()
+            if run.step.long_running
         )
+
+    def rank(instance: instance_state.Instance) -> tuple[object, ...]:
         return (
-            not can_start_suspect(step, task, instance),
-            over_budget > 0,
+            has_no_budget_left(instance),
             instance.name != step.reserved_instance,
-            len(long_running),
+            sum(run.step.long_running for run in instance.runs.values()),
             instance.name in task.avoided_instances or instance.is_straggler,
             instance.used_cpu,
             instance.name,
         )
 
-    fitting = [
+    def fits(instance: instance_state.Instance) -> bool:
+        return instance.fits_beside_long_running_tasks(
+            step.step, task.name, step.demand, now
+        )
+
+    startable = [
         instance
         for instance in candidates
-        if instance.fits_beside_long_running_tasks(
-            step.step, task.name, need, now
-        )
+        if can_start_suspect(step, task, instance) and fits(instance)
     ]
-    return min(fitting, key=rank, default=None)
+    if startable:
+        return min(startable, key=rank)
+    # The reserved instance has the lowest rank while it has budget left. A
+    # plan asks this of every waiting suspect, and ranking all is slow.
+    for instance in candidates:
+        if instance.name == step.reserved_instance:
+            if fits(instance) and not has_no_budget_left(instance):
+                return instance
+            break
+    return min(filter(fits, candidates), key=rank, default=None)
 
 
 def can_start_suspect(
@@ -91,8 +130,8 @@
     """Whether a suspected task may start on an instance now."""
     limit = step.step.anti_affinity
     return (
-        not instance.unproven_runs
-        and instance.has_capacity_for(job_tracker.task_demand(step.step))
+        instance.has_capacity_for(step.demand)
+        and not instance.has_unproven_run
         and not (limit and instance.count_step_runs(task.name) >= limit)
     )
 
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -230,6 +230,7 @@
         self._reserved_cpu = 0
         self._reserved_mem = 0
         self._reserved_gpu = 0
+        self._long_running_demand = fleet.Resources(0, 0)
         self._finite_load = fleet.Load()
         self._runs_per_step: dict[tuple[str, int, int], int] = {}
         self._isolated: set[RunKey] = set()
@@ -335,9 +336,10 @@
         )
 
     @property
-    def unproven_runs(self) -> list[Run]:
-        """Runs that have not lasted long enough to be proven."""
-        return [run for run in self.runs.values() if not run.is_proven]
+    def has_unproven_run(self) -> bool:
+        """Whether any run has not lasted long enough to be proven."""
+        # The newest run is the most likely one.
+        return any(not run.is_proven for run in reversed(self.runs.values()))
 
     def end_isolation(self, run: Run) -> None:
         """Ends the isolation of a run."""
@@ -459,14 +461,11 @@
     ) -> bool:
         """Whether a task could run here once the short tasks have ended."""
         capacity = self.capacity
-        long_running = [
-            run.demand for run in self.runs.values() if run.step.long_running
-        ]
-        wanted = [need, *long_running]
+        reserved = self._long_running_demand
         fits = (
-            sum(item.cpu for item in wanted) <= capacity.cpu
-            and sum(item.mem_mb for item in wanted) <= capacity.mem_mb
-            and sum(item.gpu for item in wanted) <= capacity.gpu
+            reserved.cpu + need.cpu <= capacity.cpu
+            and reserved.mem_mb + need.mem_mb <= capacity.mem_mb
+            and reserved.gpu + need.gpu <= capacity.gpu
         )
         return fits and self._meets_placement_rules(step, task, now)
 
@@ -514,6 +513,8 @@
         self._reserved_cpu += run.demand.cpu
         self._reserved_mem += run.demand.mem_mb
         self._reserved_gpu += run.demand.gpu
+        if run.step.long_running:
+            self._long_running_demand = self._sum_long_running_demand()
         self._finite_load = self._finite_load.with_tasks(run.step, 1)
         key = step_key(run.task)
         self._runs_per_step[key] = self._runs_per_step.get(key, 0) + 1
@@ -534,6 +535,8 @@
         self._reserved_cpu -= run.demand.cpu
         self._reserved_mem -= run.demand.mem_mb
         self._reserved_gpu -= run.demand.gpu
+        if run.step.long_running:
+            self._long_running_demand = self._sum_long_running_demand()
         self._finite_load = self._finite_load.with_tasks(run.step, -1)
         step = step_key(run.task)
         self._runs_per_step[step] -= 1
@@ -541,6 +544,17 @@
             del self._runs_per_step[step]
         return run
 
+    def _sum_long_running_demand(self) -> fleet.Resources:
+        """Returns what its long-running tasks reserve."""
+        demands = [
+            run.demand for run in self.runs.values() if run.step.long_running
+        ]
+        return fleet.Resources(
+            sum(demand.cpu for demand in demands),
+            sum(demand.mem_mb for demand in demands),
+            sum(demand.gpu for demand in demands),
+        )
+
     def estimated_clock_ms(self, now: float) -> float:
         """Returns an estimate of its clock that is never ahead of it.
 
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -89,11 +89,13 @@
             it; empty for none.
         has_crashed: whether an instance was lost while it ran one of the step's
             tasks, or a task of another job with the same image.
+        demand: resources that each task reserves.
         has_proven_task: whether one of its tasks is done or has had a proven
             run; see ``crash_evidence``.
     """
 
     __slots__ = (
+        "demand",
         "has_crashed",
         "entry",
         "reserved_instance",
@@ -111,6 +113,7 @@
         self.occurrence = occurrence
         self.number = number
         self.step = step
+        self.demand = task_demand(step)
         self.reserved_instance = ""
         self.has_crashed = False
         self.has_proven_task = False
--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -14,31 +14,31 @@
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
 
 Assignments = list[tuple[job_tracker.Task, instance_state.Instance]]
 
 
 def eligible_instances(
     step: job_tracker.OpenStep,
-    instances: Iterable[instance_state.Instance],
-    now: float,
+    instances: Sequence[instance_state.Instance],
     tickets: Mapping[str, str] | None,
-) -> list[instance_state.Instance]:
-    """Returns the instances that may run a step now, whatever their capacity.
+) -> Sequence[instance_state.Instance]:
+    """Returns the instances that may run a step, whatever their capacity.
 
     Args:
         step: the step whose tasks are to be placed.
-        instances: the instances of the step's pool.
-        now: monotonic seconds.
+        instances: the instances of the step's pool that take new work.
         tickets: permits of the queue's advisor by instance; only these
             instances may run the step. None for no restriction.
     """
     requires = step.step.requires
+    if not requires and tickets is None:
+        return instances
     return [
         instance
         for instance in instances
-        if instance.is_schedulable(now)
-        and (not requires or requires in instance.registration.labels)
+        if (not requires or requires in instance.registration.labels)
         and (tickets is None or instance.name in tickets)
     ]
 
@@ -49,10 +49,18 @@
     A task that needs more fits on none of them. In a burst that demands more
     than the capacity, hundreds of steps wait for a full pool. Without this
     check each of them would look at every instance of the pool.
+
+    Instances may be filled and taken away after the maximum was computed. It
+    is an upper bound then.
     """
 
     def __init__(self, instances: Iterable[instance_state.Instance]):
         """Computes the maximum over the current state of some instances."""
+        self._unfit: list[fleet.Resources] = []
+        self.update(instances)
+
+    def update(self, instances: Iterable[instance_state.Instance]) -> None:
+        """Computes the maximum again, over the same or fewer instances."""
         self._cpu = self._mem = self._gpu = -1
         for instance in instances:
             free = instance.free
@@ -70,8 +78,23 @@
             need.cpu <= self._cpu
             and need.mem_mb <= self._mem
             and need.gpu <= self._gpu
+            and not any(_covers(need, unfit) for unfit in self._unfit)
         )
 
+    def mark_unfit(self, need: fleet.Resources) -> None:
+        """Records that no single instance fits a need."""
+        self._unfit.append(need)
+
+
+def _covers(a: fleet.Resources, b: fleet.Resources) -> bool:
+    """Whether ``a`` is at least ``b`` in every resource."""
+    return a.cpu >= b.cpu and a.mem_mb >= b.mem_mb and a.gpu >= b.gpu
+
+
+def is_unrestricted(step: jobs.Step) -> bool:
+    """Whether a task of a step may run wherever its demand fits."""
+    return not (step.gang or step.requires or step.anti_affinity)
+
 
 def choose_instances(
     step: job_tracker.OpenStep, candidates: Sequence[instance_state.Instance]
@@ -112,9 +135,7 @@
     ) -> None:
         """Reserves resources for a task."""
         # Run numbers start at 1, so this key differs from that of any real run.
-        run = instance_state.Run(
-            task.name, 0, step.step, job_tracker.task_demand(step.step), 0.0
-        )
+        run = instance_state.Run(task.name, 0, step.step, step.demand, 0.0)
         instance.add_run(run)
         self._added.append((instance, run.key))
 
@@ -171,7 +192,7 @@
     task: job_tracker.Task,
     candidates: Sequence[instance_state.Instance],
 ) -> instance_state.Instance | None:
-    need = job_tracker.task_demand(step.step)
+    need = step.demand
     max_per_instance = step.step.anti_affinity
     preferred_rack = step.step.affinity
     best: instance_state.Instance | None = None
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -47,21 +47,44 @@
         self, plan_time: queue_order.PlanTime
     ) -> dict[str, list[job_tracker.OpenStep]]:
         """Returns open steps with waiting tasks, by pool, in queue order."""
-        steps: dict[
-            str, list[tuple[queue_order.Key, job_tracker.OpenStep]]
-        ] = {}
-        for entry in self.tracker.unfinished.values():
-            queue = self.queues.get(entry.job.queue)
-            pool_name = self.pool_name_of(entry)
-            for step in entry.open_due_steps(plan_time.wall_ms):
-                if step.has_waiting_task:
-                    key = self._queue_order(step, queue, plan_time)
-                    steps.setdefault(pool_name, []).append((key, step))
         return {
-            pool_name: [step for _, step in sorted(found, key=_sort_key)]
-            for pool_name, found in steps.items()
+            pool_name: self._in_queue_order(steps, plan_time)
+            for pool_name, steps in self._waiting_steps(plan_time).items()
         }
 
+    def _waiting_steps(
+        self, plan_time: queue_order.PlanTime
+    ) -> dict[str, list[job_tracker.OpenStep]]:
+        """Returns open steps with waiting tasks, by pool."""
+        waiting: dict[str, list[job_tracker.OpenStep]] = {}
+        for entry in self.tracker.unfinished.values():
+            found = [
+                step
+                for step in entry.open_due_steps(plan_time.wall_ms)
+                if step.has_waiting_task
+            ]
+            if found:
+                waiting.setdefault(self.pool_name_of(entry), []).extend(found)
+        return waiting
+
+    def _in_queue_order(
+        self,
+        steps: Iterable[job_tracker.OpenStep],
+        plan_time: queue_order.PlanTime,
+    ) -> list[job_tracker.OpenStep]:
+        """Returns steps in the order in which they get capacity."""
+
+        def key(
+            step: job_tracker.OpenStep,
+        ) -> tuple[queue_order.Key, float]:
+            queue = self.queues.get(step.entry.job.queue)
+            return (
+                self._queue_order(step, queue, plan_time),
+                step.entry.received_at,
+            )
+
+        return sorted(steps, key=key)
+
     def plan(self, now: float, wall_ms: float) -> None:
         """Assigns waiting tasks to instances with enough unreserved capacity.
 
@@ -71,45 +94,85 @@
         """
         self._needs_plan = False
         self.evaluate_pending_crashes(now)
-        ready = self.ready_steps(queue_order.PlanTime(now, wall_ms))
-        self.jobs_without_spec = _without_spec(ready)
-        self._plan_steps(ready, now)
-        waiting = {
-            pool_name: _backlog(steps) for pool_name, steps in ready.items()
+        plan_time = queue_order.PlanTime(now, wall_ms)
+        waiting = self._waiting_steps(plan_time)
+        self.jobs_without_spec = self._find_jobs_without_spec(
+            waiting, plan_time
+        )
+        pools = self.instances_by_pool()
+        for pool_name, steps in waiting.items():
+            self._plan_pool(pools.get(pool_name, []), steps, plan_time)
+        backlog = {
+            pool_name: _backlog(steps) for pool_name, steps in waiting.items()
         }
-        self.backlog_cpu = {name: cpu for name, (cpu, _) in waiting.items()}
-        self.backlog_load = {name: load for name, (_, load) in waiting.items()}
+        self.backlog_cpu = {name: cpu for name, (cpu, _) in backlog.items()}
+        self.backlog_load = {name: load for name, (_, load) in backlog.items()}
 
-    def _plan_steps(
-        self, ready: Mapping[str, list[job_tracker.OpenStep]], now: float
+    def _find_jobs_without_spec(
+        self,
+        waiting: Mapping[str, Iterable[job_tracker.OpenStep]],
+        plan_time: queue_order.PlanTime,
+    ) -> tuple[str, ...]:
+        """Returns ids of jobs without a spec, one of each pool at a time."""
+        by_pool = []
+        for steps in waiting.values():
+            without = [step for step in steps if step.entry.spec is None]
+            ordered = self._in_queue_order(without, plan_time)
+            by_pool.append([step.entry.job.job_id for step in ordered])
+        interleaved = itertools.chain.from_iterable(
+            itertools.zip_longest(*by_pool)
+        )
+        return tuple(dict.fromkeys(job_id for job_id in interleaved if job_id))
+
+    def _plan_pool(
+        self,
+        pool: Sequence[instance_state.Instance],
+        steps: Iterable[job_tracker.OpenStep],
+        plan_time: queue_order.PlanTime,
     ) -> None:
-        pools = self.instances_by_pool()
-        for pool_name, steps in ready.items():
-            instances = [
-                instance
-                for instance in pools.get(pool_name, [])
-                if instance.is_schedulable(now)
-            ]
-            max_free = placement.MaxFreeCapacity(instances)
-            for step in steps:
-                if step.entry.spec is None:
-                    continue
-                if step.has_crashed or self._mark_if_image_suspect(step, now):
-                    pool = pools.get(pool_name, [])
-                    instances = self._place_in_isolation(
-                        step, instances, pool, now
-                    )
-                    max_free = placement.MaxFreeCapacity(instances)
-                if max_free.may_fit(
-                    job_tracker.task_demand(step.step)
-                ) and self._place(step, instances, now):
-                    max_free = placement.MaxFreeCapacity(instances)
-                reserved = self._reserve_instance(step, instances, now)
-                if reserved is not None:
-                    instances = [
-                        item for item in instances if item is not reserved
-                    ]
-                    max_free = placement.MaxFreeCapacity(instances)
+        """Assigns waiting tasks to the instances of one pool.
+
+        In a burst, hundreds of steps wait for a full pool. Capacity only
+        shrinks during a plan, so a step that doesn't fit when it begins is not
+        looked at, unless an instance may have to be reserved for it.
+
+        Args:
+            pool: all instances of the pool.
+            steps: its steps with waiting tasks.
+            plan_time: the time of the plan.
+        """
+        now = plan_time.now
+        instances = [item for item in pool if item.is_schedulable(now)]
+        max_free = placement.MaxFreeCapacity(instances)
+        suspect_limit = suspect_placement.SuspectLimit(pool)
+        relevant = [
+            step
+            for step in steps
+            if step.entry.spec is not None
+            and (
+                step.step.long_running
+                or step.has_crashed
+                or max_free.may_fit(step.demand)
+            )
+        ]
+        for step in self._in_queue_order(relevant, plan_time):
+            if step.has_crashed or self._mark_if_image_suspect(step, now):
+                instances = self._place_in_isolation(
+                    step, instances, suspect_limit, now
+                )
+                if step.step.gang:
+                    suspect_limit = suspect_placement.SuspectLimit(pool)
+            if max_free.may_fit(step.demand) and step.startable_tasks:
+                if self._place(step, instances, now):
+                    max_free.update(instances)
+                elif (
+                    placement.is_unrestricted(step.step)
+                    and self.tickets_for(step, now) is None
+                ):
+                    max_free.mark_unfit(step.demand)
+            reserved = self._reserve_instance(step, instances, now)
+            if reserved is not None:
+                instances = [item for item in instances if item is not reserved]
 
     def _mark_if_image_suspect(
         self, step: job_tracker.OpenStep, now: float
@@ -135,7 +198,7 @@
         self,
         step: job_tracker.OpenStep,
         instances: list[instance_state.Instance],
-        pool: Sequence[instance_state.Instance],
+        suspect_limit: suspect_placement.SuspectLimit,
         now: float,
     ) -> list[instance_state.Instance]:
         """Starts suspect tasks of a step where a crash would end fewest runs.
@@ -143,7 +206,7 @@
         Args:
             step: a step with waiting tasks.
             instances: the instances that are available for this step.
-            pool: all instances of the step's pool.
+            suspect_limit: limits the suspects that run in the step's pool.
             now: monotonic seconds.
 
         Returns:
@@ -162,19 +225,17 @@
             return instances
         tickets = self.tickets_for(step, now)
         if step.step.gang:
-            proven = [item for item in instances if not item.unproven_runs]
+            proven = [item for item in instances if not item.has_unproven_run]
             self._place(step, proven, now, isolated=True)
             return [item for item in instances if not item.has_isolated_run]
+        if not suspect_limit.allows_any(instances):
+            return instances
         for task in suspects:
-            candidates = placement.eligible_instances(
-                step, instances, now, tickets
-            )
+            candidates = placement.eligible_instances(step, instances, tickets)
             found = suspect_placement.choose_suspect_instance(
                 self, step, task, candidates, now
             )
-            if found is None or not suspect_placement.may_run_suspect(
-                pool, found
-            ):
+            if found is None or not suspect_limit.allows(found):
                 break
             instances = [item for item in instances if item is not found]
             if not suspect_placement.can_start_suspect(step, task, found):
@@ -186,6 +247,7 @@
             self._assign(
                 step, task, found, task.run + 1, ticket, now, isolated=True
             )
+            suspect_limit.count_start()
             step.entry.was_assigned = True
             self.tracker.mark_dirty(step.entry)
         return instances
@@ -225,7 +287,7 @@
         waiting = step.waiting_tasks
         if not waiting:
             return None
-        need = job_tracker.task_demand(step.step)
+        need = step.demand
         reserved = max(
             (
                 instance
@@ -249,7 +311,7 @@
     def _place(
         self,
         step: job_tracker.OpenStep,
-        instances: Iterable[instance_state.Instance],
+        instances: Sequence[instance_state.Instance],
         now: float,
         *,
         isolated: bool = False,
@@ -268,7 +330,7 @@
         tickets = self.tickets_for(step, now)
         if tickets is not None and not tickets:
             return False
-        candidates = placement.eligible_instances(step, instances, now, tickets)
+        candidates = placement.eligible_instances(step, instances, tickets)
         if not candidates:
             return False
         choose = (
@@ -312,7 +374,7 @@
             task.name,
             number,
             step.step,
-            job_tracker.task_demand(step.step),
+            step.demand,
             now,
         )
         run.born_ms = task.born_ms
@@ -387,24 +449,6 @@
     for step in steps:
         count = len(step.waiting_tasks)
         if count:
-            cpu += job_tracker.task_demand(step.step).cpu * count
+            cpu += step.demand.cpu * count
             load = load.with_tasks(step.step, count)
     return cpu, load
-
-
-def _without_spec(
-    ready: Mapping[str, list[job_tracker.OpenStep]],
-) -> tuple[str, ...]:
-    """Returns ids of jobs without a spec, one of each pool at a time."""
-    waiting = [
-        [step.entry.job.job_id for step in steps if step.entry.spec is None]
-        for steps in ready.values()
-    ]
-    interleaved = itertools.chain.from_iterable(itertools.zip_longest(*waiting))
-    return tuple(dict.fromkeys(job_id for job_id in interleaved if job_id))
-
-
-def _sort_key(
-    item: tuple[queue_order.Key, job_tracker.OpenStep],
-) -> tuple[queue_order.Key, float]:
-    return item[0], item[1].entry.received_at
--- a/tests/cover/test_planning_cost.py
+++ b/tests/cover/test_planning_cost.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from tests.common import fleet_builders
+from vanillaswitch.coordination.fleet.instances import suspect_placement
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.protocol import fleet
@@ -41,6 +42,62 @@
     assert not checked
 
 
+def test_steps_that_fit_nowhere_are_not_put_in_order():
+    """Guards against plans that take as long as a task of a burst runs."""
+    scheduler = fleet_builders.new_scheduler()
+    fleet_builders.add_instances(scheduler, "i-1", cpu=4000)
+    for number in range(WAITING):
+        scheduler.add_job(
+            fleet_builders.job(number, (jobs.Step(count=2, cpu=2000),)), 0.0
+        )
+    fleet_builders.plan_batch(scheduler)
+    ordered = []
+    by_order = scheduler._queue_order
+
+    def recording_order(step, queue, plan_time):
+        ordered.append(step)
+        return by_order(step, queue, plan_time)
+
+    scheduler._queue_order = recording_order
+    assert not fleet_builders.plan_batch(scheduler).starts
+    assert not ordered
+
+
+def test_suspects_that_may_not_start_check_no_instance(monkeypatch):
+    """Guards against slow plans after a rack with many runs was lost."""
+    scheduler = fleet_builders.new_scheduler()
+    names = [f"i-{number}" for number in range(INSTANCES)]
+    fleet_builders.add_instances(scheduler, *names, cpu=4000)
+    spread = jobs.Step(count=INSTANCES, cpu=1000, anti_affinity=1)
+    scheduler.add_job(fleet_builders.job(0, (spread,)), 0.0)
+    busy = fleet_builders.plan_batch(scheduler)
+    fleet_builders.accept_starts(scheduler, busy)
+    for instance in scheduler.instances.values():
+        for run in instance.runs.values():
+            run.started_at, run.reported_at = 0.0, 60.0
+    for number in range(1, WAITING):
+        job = fleet_builders.job(number, (jobs.Step(count=1, cpu=1000),))
+        scheduler.add_job(job, 0.0)
+        (step,) = scheduler.tracker.get(job.job_id).open_due_steps(0.0)
+        step.has_crashed = step.tasks[0].is_suspect = True
+    limit = int(INSTANCES * suspect_placement.BUSY_SUSPECT_SHARE)
+    assert len(fleet_builders.plan_batch(scheduler).starts) == limit
+    checked = []
+    fits = instance_state.Instance.fits_beside_long_running_tasks
+
+    def recording_fits(instance, *arguments):
+        checked.append(instance)
+        return fits(instance, *arguments)
+
+    monkeypatch.setattr(
+        instance_state.Instance,
+        "fits_beside_long_running_tasks",
+        recording_fits,
+    )
+    assert not fleet_builders.plan_batch(scheduler).starts
+    assert not checked
+
+
 _AMOUNT = st.integers(0, 4)
 
 
