--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -5,8 +5,8 @@
 objective, the time within which it should end. It has its full value until
 then, a fraction of it until three times the objective, and none afterwards. So
 jobs that can still meet their objective go first, and late jobs use what is
-left over. Long-running tasks go before all others: they are few, and users
-depend on them all the time.
+left over. Jobs without any value left come last, the oldest first. Long-running
+tasks go before all others: they are few, and users depend on them all the time.
 
 The slack of a job is the time that it can lose and still meet its objective.
 Least slack first is the best order while there is capacity for all jobs. While
@@ -196,7 +196,9 @@
     if urgency.group == _LONG_RUNNING:
         return (_LONG_RUNNING, 0.0)
     if urgency.group == _NO_VALUE:
-        return (_NO_VALUE, urgency.priority, urgency.age_ms)
+        # The client of the oldest job has waited longest. With the youngest
+        # first, it would not run while younger jobs lose their value.
+        return (_NO_VALUE, urgency.priority, -urgency.age_ms)
     return (urgency.group, urgency.priority, urgency.slack_ms)
 
 
