Keep a step proven whose done tasks are left out of its row

A job could wait forever after a change of owner. A step counts as proven once one of its tasks is done, but a new owner derived that only from the step's evidence rows, which the rows of done tasks no longer have. If some tasks of a step were done and none was assigned, and later another job with the same image crashed its instances, the new owner marked the step's first task as suspect and waited for it to run in isolation. That task was done, so none of the others ever started.

A restored step is now proven if any of its tasks is done, also if the boot time of its instance is unknown, which had the same effect before. A step with a done task keeps one evidence row, because an owner of an earlier version derives it from there.

--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import itertools
 from typing import Any
 
 from vanillaswitch.coordination.fleet.queue import crash_evidence
@@ -315,16 +316,9 @@
         # Earlier versions of this program read ``tasks`` too and expect rows of
         # this length, so crashes are stored separately.
         evidence = [
-            [
-                step.occurrence,
-                step.number,
-                task.name.index,
-                task.born_ms,
-                _encode_crashes(task.crashes),
-            ]
+            row
             for step in self.open_steps_by_key.values()
-            for task in step.tasks
-            if task.crashes or _has_known_incarnation(task)
+            for row in _encode_evidence(step)
         ]
         if evidence:
             document["evidence"] = evidence
@@ -363,6 +357,10 @@
             self._restore_task(*row)
         for row in document.get("evidence", ()):
             self._restore_evidence(*row)
+        for step in self.open_steps_by_key.values():
+            step.has_proven_task = any(
+                task.state is TaskState.DONE for task in step.tasks
+            )
 
     def _restore_task(
         self,
@@ -406,9 +404,6 @@
         for crash in _decode_crashes(crashes):
             task.record_crash(crash)
         step.has_crashed = step.has_crashed or bool(task.crashes)
-        step.has_proven_task = any(
-            item.state is TaskState.DONE for item in step.tasks
-        )
 
 
 def _encode_task(step: OpenStep, task: Task) -> list[Any]:
@@ -432,9 +427,35 @@
     ]
 
 
-def _has_known_incarnation(task: Task) -> bool:
-    """Whether a task has a run on an instance whose boot time is known."""
-    return task.state is TaskState.ASSIGNED and task.born_ms is not None
+def _encode_evidence(step: OpenStep) -> list[list[Any]]:
+    """Returns rows with the crashes and boot times of a step's tasks.
+
+    Earlier versions of this program take a step with done tasks as proven only
+    if it has such a row.
+    """
+    tasks = [
+        task
+        for task in step.tasks
+        if task.crashes
+        or (task.born_ms is not None and task.state is TaskState.ASSIGNED)
+    ]
+    if not tasks:
+        done = (
+            task
+            for task in step.tasks
+            if task.run and task.state is TaskState.DONE
+        )
+        tasks = list(itertools.islice(done, 1))
+    return [
+        [
+            step.occurrence,
+            step.number,
+            task.name.index,
+            task.born_ms,
+            _encode_crashes(task.crashes),
+        ]
+        for task in tasks
+    ]
 
 
 def _encode_crashes(
