Name the boot time of a waiting task's last run in its row

A run that was considered lost is taken back when its instance reports it to a new owner, and keeps the boot time from its row. Rows of waiting tasks no longer named it, so if the instance then restarted before the next change of owner, that owner did not see that the run was lost in a restart and counted no crash against its task. The rows of waiting tasks name it again; those of done tasks still don't need it.

The new test failed before.

--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -437,7 +437,7 @@
         task
         for task in step.tasks
         if task.crashes
-        or (task.born_ms is not None and task.state is TaskState.ASSIGNED)
+        or (task.born_ms is not None and task.state is not TaskState.DONE)
     ]
     if not tasks:
         done = (
--- a/tests/failures/test_row_sizes.py
+++ b/tests/failures/test_row_sizes.py
@@ -109,3 +109,12 @@
     waiting.state, waiting.run = job_tracker.TaskState.WAITING, 0
     waiting.born_ms = None
     assert [row[:3] for row in entry.to_document()["evidence"]] == [[0, 0, 0]]
+
+
+def test_the_row_of_a_waiting_task_names_the_boot_time_of_its_last_run():
+    """Guards against a lost run that is taken back without its boot time."""
+    entry = _entry(jobs.Step(count=1))
+    (task,) = entry.open_steps_by_key[0, 0].tasks
+    task.state, task.instance = job_tracker.TaskState.WAITING, ""
+    (row,) = entry.to_document()["evidence"]
+    assert row[3] == task.born_ms
