--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -145,18 +145,18 @@
         instances = [item for item in pool if item.is_schedulable(now)]
         max_free = placement.MaxFreeCapacity(instances)
         suspect_limit = suspect_placement.SuspectLimit(pool)
+        ready = [step for step in steps if step.entry.spec is not None]
+        for step in ready:
+            self._mark_if_image_suspect(step, now)
         relevant = [
             step
-            for step in steps
-            if step.entry.spec is not None
-            and (
-                step.step.long_running
-                or step.has_crashed
-                or max_free.may_fit(step.demand)
-            )
+            for step in ready
+            if step.step.long_running
+            or step.has_crashed
+            or max_free.may_fit(step.demand)
         ]
         for step in self._in_queue_order(relevant, plan_time):
-            if step.has_crashed or self._mark_if_image_suspect(step, now):
+            if step.has_crashed:
                 instances = self._place_in_isolation(
                     step, instances, suspect_limit, now
                 )
@@ -176,23 +176,16 @@
 
     def _mark_if_image_suspect(
         self, step: job_tracker.OpenStep, now: float
-    ) -> bool:
+    ) -> None:
         """Marks a step as suspect if its image has recently crashed instances.
 
         Its first task then has to run in isolation before the others start.
-
-        Returns:
-            Whether the step was marked.
         """
-        image = step.step.image
-        if (
-            now >= self._suspect_images_until.get(image, 0.0)
-            or step.has_proven_task
-        ):
-            return False
-        step.has_crashed = True
-        step.tasks[0].is_suspect = True
-        return True
+        if step.has_crashed or step.has_proven_task:
+            return
+        if now < self._suspect_images_until.get(step.step.image, 0.0):
+            step.has_crashed = True
+            step.tasks[0].is_suspect = True
 
     def _place_in_isolation(
         self,
--- a/tests/failures/test_crashing_tasks.py
+++ b/tests/failures/test_crashing_tasks.py
@@ -24,6 +24,7 @@
 from tests.common import crash_simulation
 from tests.common import fleet_builders
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.instances import crashes
 from vanillaswitch.coordination.fleet.instances import instance_client
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import job_tracker
@@ -387,3 +388,31 @@
     }
     entry = job_tracker.JobEntry(scheduler.tracker.get(f"{1:016x}").job, 0.0)
     assert isinstance(entry.load_document(row), unusable.Unusable)
+
+
+def test_a_step_of_a_suspect_image_is_tried_alone_after_a_full_pool():
+    """Guards against a step that escapes suspicion by waiting for capacity."""
+    scheduler = fleet_builders.new_scheduler()
+    fleet_builders.add_instances(scheduler, "i-1", "i-2")
+    busy = fleet_builders.job(9, (jobs.Step(count=8, cpu=1000),))
+    scheduler.add_job(busy, 0.0)
+    starts = fleet_builders.plan_batch(scheduler).starts
+    assert len(starts) == 8
+    expiry = crashes.IMAGE_SUSPICION_S
+    scheduler._suspect_images_until["v7"] = expiry
+    step = jobs.Step(count=4, cpu=2000, image="v7")
+    scheduler.add_job(fleet_builders.job(1, (step,)), 1.0)
+    assert not fleet_builders.plan_batch(scheduler, 2.0).starts
+    for name in ("i-1", "i-2"):
+        ends = tuple(
+            fleet.RunEnd(
+                number, start.task, start.run, fleet.RunOutcome.DONE, ""
+            )
+            for number, start in enumerate(
+                (start for start in starts if start.instance == name), 1
+            )
+        )
+        report = fleet_builders.status_report(ended=ends)
+        scheduler.handle_status_report(name, report, expiry, expiry)
+    (start,) = fleet_builders.plan_batch(scheduler, expiry + 1.0).starts
+    assert start.task.index == 0
