Tell late starts that a link held back from late starts

The instance's word was all there was: neither when the start was sent nor when the stop arrived.

Now a relay notes when each block for its target reached it and when it was passed on, an instance tells that of each start and stop, and the soak prints it with a start after a cancel.

The check passes over just this case: the start reached the link before the cancel was acknowledged, and the link passed it on after that. Both are read from one clock, in order, so equal times count as a breach.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,11 +8,13 @@
 
 from standins import edge_http
 from standins import leased_instance
+from standins import relays
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
 CANCEL_S = 3.0
-"""Time in which the tasks of a cancelled job start no more."""
+"""Time after which tasks of a cancelled job start no more. One may where a link
+held its start back from before the cancel was acknowledged until after it."""
 
 NOTICE_S = 4.5
 """A lasting task that was not at work for so long is away; one that an order
@@ -71,6 +73,7 @@
         self._crashes: dict[jobs.TaskName, int] = {}
         self._after_crashes: dict[jobs.TaskName, int] = {}
         self._rooms: dict[str, tuple[fleet.Resources, float]] = {}
+        self._orders: dict[jobs.TaskName, list[str]] = {}
         self.records: dict[str, JobRecord] = {}
 
     @property
@@ -171,7 +174,26 @@
         since = self._idle_since.get(task, self.now)
         return task in self._by_order or self.now - since >= NOTICE_S
 
-    def started(self, instance: str, order: fleet.StartRequest) -> None:
+    def received(
+        self,
+        instance: str,
+        task: jobs.TaskName,
+        order: str,
+        passage: relays.Passage | None,
+    ) -> None:
+        """Takes note of an order that reached an instance."""
+        sent = f", sent {passage.arrived_at:.2f}" if passage else ""
+        passed = f", passed {passage.passed_at:.2f}" if passage else ""
+        self._orders.setdefault(task, []).append(
+            f"{order} on {instance} at {self.now:.2f}{sent}{passed}"
+        )
+
+    def started(
+        self,
+        instance: str,
+        order: fleet.StartRequest,
+        passage: relays.Passage | None = None,
+    ) -> None:
         """Judges a start by all that was seen before it."""
         record = self.records.get(order.task.job_id)
         task = order.task
@@ -181,7 +203,7 @@
             return
         if order.spec != record.job.spec:
             self.breach("asked", f"{task} with another spec")
-        self._judge_cancel(record, task)
+        self._judge_cancel(record, task, passage)
         self._judge_once(instance, task)
         self._judge_order(record, task)
         self._judge_crashes(task)
@@ -204,10 +226,23 @@
             for task, crashes in self._crashes.items()
         )
 
-    def _judge_cancel(self, record: JobRecord, task: jobs.TaskName) -> None:
+    def _judge_cancel(
+        self,
+        record: JobRecord,
+        task: jobs.TaskName,
+        passage: relays.Passage | None,
+    ) -> None:
         since = record.cancelled_at
-        if since is not None and self._clock.now > since + CANCEL_S:
-            self.breach("cancel", f"{task} started after its cancel")
+        if since is None or self._clock.now <= since + CANCEL_S:
+            return
+        # The platform may carry out an unanswered call after newer ones.
+        if passage and passage.arrived_at < since < passage.passed_at:
+            return
+        self.breach(
+            "cancel",
+            f"{task} started after its cancel at {since:.2f};"
+            f" orders: {'; '.join(self._orders.get(task, []))}",
+        )
 
     def _judge_once(self, instance: str, task: jobs.TaskName) -> None:
         for name, model in self._instances.items():
--- a/soak/world.py
+++ b/soak/world.py
@@ -105,8 +105,10 @@
         platform.rows.write("op", "config", edge_processes.config())
         instance_links = {}
         for instance in platform.instances:
-            link = stack.enter_context(relays.run(instance.address))
-            instance.front = link.address
+            link = stack.enter_context(
+                relays.run(instance.address, lambda: clock.now)
+            )
+            instance.put_behind(link)
             instance_links[instance.model.registration.instance] = link
             promises.watch(instance.model)
         stack.enter_context(platform.serving())
