Keep the ports of soaks side by side apart

Cause: a soak looked for free ports from a first number drawn from its process id modulo 90, and its processes listen on them a second or more later. Two soaks or tests with ids 90 apart, or the same id in two containers on one network, picked the same ports; one with the next id began 100 ports on, which 20 processes use up. A port was free again while its killed process waited for its restart, too.

A process now takes ports from blocks whose first port it keeps bound until it ends, however it ends; another one passes over such a block.

This does not explain processes that are not ready with empty logs: a process whose port is taken leaves a traceback.

--- a/standins/edge_processes.py
+++ b/standins/edge_processes.py
@@ -1,6 +1,6 @@
 """Real processes of ``vanillaswitch edge`` on loopback."""
 
-import itertools
+from collections.abc import Iterator
 import os
 import pathlib
 import signal
@@ -12,11 +12,14 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 
-_PORTS = itertools.count(20_000 + os.getpid() % 90 * 100)
+_PORTS = range(20_000, 32_700)
 """Below the ports that the kernel hands to connections: one of those that was
 free a moment ago may be taken by anybody's connection, and the process then
 can't start."""
 
+_BLOCK = 100
+"""Ports that one process of tests or soaks keeps for those that it starts."""
+
 
 def config(version: int = 1, attempts: int = 2) -> dict[str, Any]:
     """Returns a configuration of one queue and its pool."""
@@ -42,15 +45,49 @@
     return True
 
 
+class _Ports:
+    """Picks ports that no other process picks.
+
+    That a port is free says little: a process that is being started does not
+    listen yet, and one that was killed may be started again. So the first port
+    of each block stays bound until this process ends.
+    """
+
+    def __init__(self) -> None:
+        self._listeners: list[Any] = []
+        self._left = range(0)
+        self._blocks = self._reserve()
+
+    def _reserve(self) -> Iterator[range]:
+        """Yields blocks, those first that other processes do not begin with."""
+        blocks = len(_PORTS) // _BLOCK
+        for number in range(os.getpid(), os.getpid() + blocks):
+            first = _PORTS.start + number % blocks * _BLOCK
+            try:
+                listener = sockets.listen(f"127.0.0.1:{first}")
+            except OSError:
+                # Another process has the block.
+                continue
+            self._listeners.append(listener)
+            yield range(first + 1, first + _BLOCK)
+        raise RuntimeError(f"all blocks of ports in {_PORTS} are taken")
+
+    def pick(self, count: int) -> int:
+        """Returns the first of ``count`` ports in a row that are free."""
+        while True:
+            if len(self._left) < count:
+                self._left = next(self._blocks)
+            ports, self._left = self._left[:count], self._left[count:]
+            if all(_is_free(port) for port in ports):
+                return ports[0]
+
+
+_picker = _Ports()
+
+
 def free_ports(count: int) -> int:
     """Returns the first of ``count`` ports in a row that are free."""
-    while True:
-        first = next(_PORTS)
-        ports = range(first, first + count)
-        if all(_is_free(port) for port in ports):
-            for _ in ports:
-                next(_PORTS)
-            return first
+    return _picker.pick(count)
 
 
 class Edge:
