--- a/soak/standing.py
+++ b/soak/standing.py
@@ -17,6 +17,9 @@
 _SETTINGS = "VANILLASWITCH_SETTINGS"
 _PLATFORM_SETTINGS = "/etc/vanillaswitch/settings.conf"
 
+MAX_NAMED = 40
+"""Most other processes that a line names."""
+
 _STATE = 0
 _PAGES_READ = 9
 _USER_TICKS = 11
@@ -86,9 +89,10 @@
     pressure = _read(_PROC / "pressure" / "cpu").splitlines()[:1]
     processors = _read(_PROC / "stat").splitlines()[:1]
     others = strangers(own)
+    named = others[:MAX_NAMED]
     return (
         f"load {loads}; {' '.join(left)}; waits for a processor: {pressure};"
-        f" {processors}; {len(others)} other processes of ours: {others[:9]}"
+        f" {processors}; {len(others)} other processes of ours: {named}"
     )
 
 
