Check API keys of client accounts, and stop removed ones in time

Cause: no part of the job path knew client accounts. Calls with keys that no configuration ever held were served, and so were calls with keys that had been taken away, on machines that the store turned away for 9 s too.

Ruled out: comparing keys on a copy of the configuration without an age. A cut-off machine would serve a removed key for as long as it is cut off. Reading the configuration for each call costs a store call a request.

Change: accounts are decoded at the boundary, one by one, into frozen types that hold digests of their keys. Each call on a queue that is not public is authenticated before anything is stored or forwarded: 401 without one known key. A job belongs to the account that submitted it, is stored with it, and is unknown to others.

--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, limits on what runs, and shares of full pools."""
--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -24,6 +24,7 @@
         verdict: see ``job_store.RequestResult``.
         config_version: version of the configuration that selected the queue.
         waited_ms: time from the request until the verdict.
+        account: client account of the job; empty on a public queue.
     """
 
     job: str
@@ -31,6 +32,7 @@
     verdict: str
     config_version: int
     waited_ms: int
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -315,10 +317,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigInForce:
-    """This process started to use a configuration."""
+    """This process started to use a configuration.
+
+    Attributes:
+        accounts: number of client accounts.
+    """
 
     version: int
     queues: int
+    accounts: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
@@ -24,6 +24,7 @@
 
 _SPEC = "spec"
 _DIGEST = "spec_digest"
+_ACCOUNT = "account"
 
 
 @functools.cache
@@ -49,6 +50,8 @@
     document = dataclasses.asdict(job)
     if not job.spec_digest:
         del document[_DIGEST]
+    if not job.account:
+        del document[_ACCOUNT]
     defaults = _step_defaults()
     document["steps"] = [
         {
@@ -74,8 +77,18 @@
     return spec
 
 
+def account_of(document: Mapping[str, Any]) -> str:
+    """Returns the client account in a job's row; empty for a public queue."""
+    account = document.get(_ACCOUNT, "")
+    return account if isinstance(account, str) else ""
+
+
 def is_same_job(stored: Mapping[str, Any], document: Mapping[str, Any]) -> bool:
-    """Whether a stored job and a submitted one have the same content."""
+    """Whether a stored job and a submitted one are the same.
+
+    They are if they have the same content and belong to the same client
+    account.
+    """
     submitted_fields = (
         _SPEC,
         "steps",
@@ -83,8 +96,12 @@
         "first_run_ms",
         "interval_ms",
     )
-    return stored.get(_DIGEST, "") == document.get(_DIGEST, "") and all(
-        stored.get(name) == document.get(name) for name in submitted_fields
+    return (
+        stored.get(_DIGEST, "") == document.get(_DIGEST, "")
+        and account_of(stored) == account_of(document)
+        and all(
+            stored.get(name) == document.get(name) for name in submitted_fields
+        )
     )
 
 
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_service.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_service.py
@@ -51,33 +51,30 @@
         )
 
     def cancel(
-        self, job_id: str, known_accepted: bool, deadline: float
+        self,
+        job_id: str,
+        known_accepted: bool,
+        deadline: float,
+        account: str = "",
     ) -> job_stores.RequestResult:
-        """Cancels a job.
-
-        Args:
-            job_id: the job.
-            known_accepted: True if the job is known to be accepted; False if
-                this is unknown.
-            deadline: monotonic seconds after which the client stops waiting.
-        """
+        """Cancels a job; see ``job_store.JobStore.cancel``."""
         local_result = self._job_store.cancel(
-            job_id, known_accepted, self._local_deadline(deadline)
+            job_id, known_accepted, self._local_deadline(deadline), account
         )
         if _is_final(local_result):
             return local_result
         forwarded_result = self._forwarder.cancel(
-            job_id, known_accepted, deadline
+            job_id, known_accepted, deadline, account
         )
         return _combine_results(local_result, forwarded_result)
 
     def state(
-        self, job_id: str, deadline: float
+        self, job_id: str, deadline: float, account: str = ""
     ) -> jobs.JobState | None | job_stores.StateUnknown:
-        """Reads a job's recorded state; None when there is no such job."""
-        local_state = self._job_store.state(job_id)
+        """Reads a job's recorded state; see ``job_store.JobStore.state``."""
+        local_state = self._job_store.state(job_id, account)
         if isinstance(local_state, job_stores.StateUnknown):
-            return self._forwarder.state(job_id, deadline)
+            return self._forwarder.state(job_id, deadline, account)
         return local_state
 
     def _local_deadline(self, deadline: float) -> float:
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_store.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_store.py
@@ -14,6 +14,7 @@
 import dataclasses
 import enum
 import itertools
+from typing import Any
 
 from vanillaswitch import errors
 from vanillaswitch.coordination import commit_retries
@@ -127,15 +128,21 @@
         return _uncommitted_result(outcome)
 
     def cancel(
-        self, job_id: str, known_accepted: bool, deadline: float
+        self,
+        job_id: str,
+        known_accepted: bool,
+        deadline: float,
+        account: str = "",
     ) -> RequestResult:
         """Cancels a job.
 
         Args:
             job_id: the job.
-            known_accepted: True if the job is known to be accepted; False if
-                this is unknown.
+            known_accepted: True if the job is known to be accepted from the
+                account; False if this is unknown.
             deadline: monotonic seconds after which the client stops waiting.
+            account: client account of the caller. The job of another account
+                is not found.
         """
         if self._is_store_unresponsive():
             return RequestResult.NOT_APPLIED
@@ -143,7 +150,7 @@
             read = self._table.read([f"{fenced_writer.JOB_TABLE}/{job_id}"])
             if isinstance(read, platform.Unavailable):
                 return RequestResult.NOT_APPLIED
-            if not read.rows:
+            if not any(_belongs_to(row.value, account) for row in read.rows):
                 return RequestResult.NOT_FOUND
         key = f"{fenced_writer.CANCEL_TABLE}/{job_id}"
         outcome = self._insert({key: {"cancelled": True}}, deadline)
@@ -151,8 +158,16 @@
             return RequestResult.ACCEPTED
         return _uncommitted_result(outcome)
 
-    def state(self, job_id: str) -> jobs.JobState | None | StateUnknown:
-        """Reads a job's recorded state; None when there is no such job."""
+    def state(
+        self, job_id: str, account: str = ""
+    ) -> jobs.JobState | None | StateUnknown:
+        """Reads a job's recorded state; None when there is no such job.
+
+        Args:
+            job_id: the job.
+            account: client account of the caller. The job of another account
+                is not found.
+        """
         if self._is_store_unresponsive():
             return StateUnknown()
         read = self._table.read(
@@ -164,7 +179,8 @@
         if isinstance(read, platform.Unavailable):
             return StateUnknown()
         rows = {row.key.partition("/")[0]: row.value for row in read.rows}
-        if fenced_writer.JOB_TABLE not in rows:
+        job = rows.get(fenced_writer.JOB_TABLE)
+        if job is None or not _belongs_to(job, account):
             return None
         progress = rows.get(fenced_writer.PROGRESS_TABLE, {})
         ended = progress.get("ended")
@@ -199,6 +215,10 @@
         )
 
 
+def _belongs_to(job_row: Mapping[str, Any], account: str) -> bool:
+    return job_rows.account_of(job_row) == account
+
+
 def _uncommitted_result(outcome: platform.CommitOutcome) -> RequestResult:
     if isinstance(outcome, platform.Unavailable):
         return RequestResult.NOT_APPLIED
--- a/src/vanillaswitch/coordination/fleet/job_requests/request_forwarder.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/request_forwarder.py
@@ -124,7 +124,7 @@
         return _result_of(response)
 
     def cancel(
-        self, job_id: str, known_accepted: bool, deadline: float
+        self, job_id: str, known_accepted: bool, deadline: float, account: str
     ) -> job_stores.RequestResult:
         """Forwards the cancellation of a job.
 
@@ -132,16 +132,21 @@
             The result; ``NOT_APPLIED`` if no other process reaches the store.
         """
         response = self._forward(
-            peers.ErrandKind.CANCEL, job_id, b"", known_accepted, deadline
+            peers.ErrandKind.CANCEL,
+            job_id,
+            b"",
+            known_accepted,
+            deadline,
+            account,
         )
         return _result_of(response)
 
     def state(
-        self, job_id: str, deadline: float
+        self, job_id: str, deadline: float, account: str
     ) -> jobs.JobState | None | job_stores.StateUnknown:
         """Reads a job's recorded state through another process."""
         response = self._forward(
-            peers.ErrandKind.STATE, job_id, b"", False, deadline
+            peers.ErrandKind.STATE, job_id, b"", False, deadline, account
         )
         if isinstance(response, peers.ErrandDone):
             if response.state:
@@ -159,6 +164,7 @@
         document: bytes,
         known_accepted: bool,
         deadline: float,
+        account: str = "",
     ) -> peers.ErrandDone | job_stores.RequestResult:
         peer = self._find_peer()
         timeout_s = deadline - self._clock.monotonic()
@@ -167,7 +173,13 @@
         response = self._calls.call(
             peer,
             lambda request_id: peers.Errand(
-                request_id, kind, job_id, document, known_accepted, timeout_s
+                request_id,
+                kind,
+                job_id,
+                document,
+                known_accepted,
+                timeout_s,
+                account,
             ),
             timeout_s,
         )
@@ -253,10 +265,12 @@
             result = self._execute_submit(request, deadline)
         elif request.kind is peers.ErrandKind.CANCEL:
             result = self._job_store.cancel(
-                request.job_id, request.known, deadline
+                request.job_id, request.known, deadline, request.account
             )
         else:
-            result, state = _state_result(self._job_store.state(request.job_id))
+            result, state = _state_result(
+                self._job_store.state(request.job_id, request.account)
+            )
         reply(peers.ErrandDone(request.question, result.value, state))
 
     def _execute_submit(
--- a/src/vanillaswitch/coordination/fleet/operator_table.py
+++ b/src/vanillaswitch/coordination/fleet/operator_table.py
@@ -62,6 +62,8 @@
         self._table = table
         self._format = row_format
         self._config: fleet.FleetConfig | None = None
+        self._is_config_unusable = False
+        self._confirmed_at = float("-inf")
         self._waves: dict[str, fleet.WaveOrder] = {}
 
     @property
@@ -69,6 +71,24 @@
         """The newest configuration; None before one was read."""
         return self._config
 
+    @property
+    def config_confirmed_at(self) -> float:
+        """Monotonic seconds at which ``config`` was surely the newest.
+
+        A newer configuration may have come since.
+        """
+        return self._confirmed_at
+
+    def on_current(self, sent_at: float) -> None:
+        """Records that all changes up to a moment have been applied.
+
+        Args:
+            sent_at: monotonic seconds.
+        """
+        # A configuration that can't be read may have removed keys.
+        if self._config is not None and not self._is_config_unusable:
+            self._confirmed_at = max(self._confirmed_at, sent_at)
+
     def on_snapshot(self, snapshot: change_feeds.Snapshot) -> None:
         """Replaces all rows of the operators' table."""
         present = {row.key for row in snapshot.rows}
@@ -82,6 +102,8 @@
             if change.read_error:
                 # The previous content of the row remains valid.
                 self._report_unusable(change, change.read_error)
+                if change.key == self._format.config_key:
+                    self._is_config_unusable = True
             elif change.key == self._format.config_key and change.value:
                 self._apply_config(change, change.value)
             elif change.key.startswith(self._format.wave_prefix):
@@ -100,11 +122,21 @@
         config = self._format.decode_config(document)
         if isinstance(config, unusable.Unusable):
             self._report_unusable(change, config.reason)
+            self._is_config_unusable = True
             return
+        self._is_config_unusable = False
         if self._config is not None and config.version <= self._config.version:
             return
         self._config = config
-        self._emit(events.ConfigInForce(config.version, len(config.queues)))
+        for problem in config.account_problems:
+            self._report_unusable(change, problem)
+        self._emit(
+            events.ConfigInForce(
+                config.version,
+                len(config.queues),
+                len(config.accounts.by_name),
+            )
+        )
 
     def _apply_wave(self, change: change_feeds.RowChange) -> None:
         if change.value is None:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -184,10 +184,20 @@
         """Jobs and instances as the owner knows them, and its decisions."""
         return self._scheduler
 
-    def recorded_state(self, job_id: str) -> jobs.JobState | None:
-        """Returns a job's state as stored; None if the job is unknown."""
+    def recorded_state(
+        self, job_id: str, account: str = ""
+    ) -> jobs.JobState | None:
+        """Returns a job's state as stored; None if the job is unknown.
+
+        Args:
+            job_id: the job.
+            account: client account of the caller. The job of another account
+                is unknown to it.
+        """
         entry = self._scheduler.tracker.get(job_id)
-        return None if entry is None else entry.recorded_state
+        if entry is None or not entry.job.is_visible_to(account):
+            return None
+        return entry.recorded_state
 
     def count_pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started yet."""
--- a/src/vanillaswitch/coordination/fleet/ownership/owner_rpc.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner_rpc.py
@@ -62,9 +62,17 @@
         elif isinstance(message, peers.JobAnswer | peers.OwnerStanding):
             self._peer_calls.on_answer(message.question, message)
 
-    def recorded_state(self, job_id: str) -> jobs.JobState | None:
-        """Asks the owner for a job's stored state; None if unknown."""
-        answer = self._ask(job_id, "")
+    def recorded_state(
+        self, job_id: str, account: str = ""
+    ) -> jobs.JobState | None:
+        """Asks the owner for a job's stored state; None if unknown.
+
+        Args:
+            job_id: the job.
+            account: client account of the caller. The job of another account
+                is unknown to it.
+        """
+        answer = self._ask(job_id, "", account)
         if answer is None or not answer.state:
             return None
         return jobs.JobState(answer.state)
@@ -99,12 +107,16 @@
             return answer.ended
         return None
 
-    def _ask(self, job_id: str, queue: str) -> peers.JobAnswer | None:
+    def _ask(
+        self, job_id: str, queue: str, account: str = ""
+    ) -> peers.JobAnswer | None:
         if self._local_owner() is not None:
-            return self._answer(peers.JobQuestion("", job_id, queue))
+            return self._answer(peers.JobQuestion("", job_id, queue, account))
         answer = self._peer_calls.call(
             self._owner_address(),
-            lambda question_id: peers.JobQuestion(question_id, job_id, queue),
+            lambda question_id: peers.JobQuestion(
+                question_id, job_id, queue, account
+            ),
             ANSWER_TIMEOUT_S,
         )
         if isinstance(answer, peers.JobAnswer) and answer.owner:
@@ -118,6 +130,6 @@
         if question.queue:
             pending = owner.count_pending(question.queue)
             return peers.JobAnswer(question.question, True, "", pending)
-        state = owner.recorded_state(question.job_id)
+        state = owner.recorded_state(question.job_id, question.account)
         text = "" if state is None else state.value
         return peers.JobAnswer(question.question, True, text)
--- a/src/vanillaswitch/coordination/fleet/table_follower.py
+++ b/src/vanillaswitch/coordination/fleet/table_follower.py
@@ -38,6 +38,7 @@
         pause_s: float = 0.0,
         wait_s: float = LONG_POLL_S,
         resync_after_failure: bool = False,
+        on_current: Callable[[float], None] = lambda _: None,
     ):
         """Creates a follower.
 
@@ -56,6 +57,8 @@
                 it for a table of few rows that change often. After an outage,
                 its changes may be too large for a slow link within the timeout
                 of a call, and each retry would fail in the same way.
+            on_current: called whenever the copy is complete, with the monotonic
+                seconds up to which it has all acknowledged changes.
         """
         self._feed = feed
         self._table = table
@@ -66,6 +69,7 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._resync_after_failure = resync_after_failure
+        self._on_current = on_current
         self._version: int | None = None
         self._missing_partitions: tuple[str, ...] = ()
         self._is_failing = False
@@ -106,6 +110,7 @@
         if self._missing_partitions:
             self._read_missing_partitions()
         wait_s = RETRY_S if self._missing_partitions else self._wait_s
+        sent_at = self._clock.monotonic()
         outcome = self._feed.changes(self._table, self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
             self._on_failure(outcome.reason)
@@ -122,9 +127,15 @@
         self._version = outcome.version
         if outcome.changes:
             self._on_changes(outcome.changes)
+        self._report_current(sent_at)
         return True
 
+    def _report_current(self, sent_at: float) -> None:
+        if not self._missing_partitions:
+            self._on_current(sent_at)
+
     def _read_snapshot(self) -> bool:
+        sent_at = self._clock.monotonic()
         outcome = self._feed.snapshot(self._table)
         if isinstance(outcome, platform.Unavailable):
             self._on_failure(outcome.reason)
@@ -133,6 +144,7 @@
         self._version = outcome.version
         self._update_missing(outcome)
         self._on_snapshot(outcome)
+        self._report_current(sent_at)
         return True
 
     def _read_missing_partitions(self) -> None:
--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -52,6 +52,7 @@
     service: str,
     submitted_ms: int,
     submitted_wall_ms: float = 0,
+    account: str = "",
 ) -> jobs.Job:
     """Decodes a job that a client submits.
 
@@ -62,6 +63,7 @@
         service: pool of that queue.
         submitted_ms: see ``jobs.Job``.
         submitted_wall_ms: see ``jobs.Job``.
+        account: see ``jobs.Job``.
 
     Raises:
         BadJobError: a field is unknown, missing or out of range.
@@ -96,6 +98,7 @@
         first_run_ms=_get_number(raw, "first_run_ms", "the job"),
         interval_ms=_get_number(raw, "interval_ms", "the job"),
         submitted_wall_ms=submitted_wall_ms,
+        account=account,
     )
 
 
--- a/src/vanillaswitch/platform/job_request_handler.py
+++ b/src/vanillaswitch/platform/job_request_handler.py
@@ -5,6 +5,7 @@
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import reference_clock
+from vanillaswitch.coordination.fleet.accounts import authentication
 from vanillaswitch.coordination.fleet.job_requests import job_service
 from vanillaswitch.coordination.fleet.job_requests import job_store
 from vanillaswitch.coordination.fleet.ownership import owner_rpc
@@ -17,6 +18,9 @@
 
 DEADLINE_HEADER = "X-Deadline-Ms"
 
+KEY_HEADER = "X-Api-Key"
+"""Carries the API key of the client account and nothing else."""
+
 DEFAULT_TIMEOUT_S = 3.0
 """Assumed timeout of a client that sends no ``X-Deadline-Ms``."""
 
@@ -28,6 +32,15 @@
 """When clients should retry after a failed write: outages last seconds, and
 the header ``Retry-After`` counts whole seconds."""
 
+_DENIAL_DETAILS = {
+    authentication.Denial.NO_KEY: f"send your API key in {KEY_HEADER}",
+    authentication.Denial.SEVERAL_KEYS: f"send one field {KEY_HEADER}",
+    authentication.Denial.UNKNOWN_KEY: "no account has this API key",
+    authentication.Denial.UNCONFIRMED: (
+        "this machine can't check API keys now; nothing was done, try again"
+    ),
+}
+
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _OK = 200
 
@@ -40,11 +53,29 @@
         job_service_: job_service.JobService,
         owner_rpc_: owner_rpc.OwnerRpc,
         config: Callable[[], fleet.FleetConfig | None],
+        config_confirmed_at: Callable[[], float],
+        revocation_s: float,
         clock: clocks.Clock,
         reference_clock_: reference_clock.ReferenceClock,
         emit: Callable[[object], None],
     ):
+        """Creates a handler.
+
+        Args:
+            job_service_: submits, cancels and looks up jobs.
+            owner_rpc_: asks the fleet's owner for states and queue lengths.
+            config: returns the configuration in force; None before there is
+                one.
+            config_confirmed_at: returns the monotonic seconds at which that
+                configuration was surely the newest.
+            revocation_s: seconds after which a removed API key must not work.
+            clock: must count the time in which the machine is suspended.
+            reference_clock_: estimates the store's clock.
+            emit: receives events.
+        """
         self._emit = emit
+        self._config_confirmed_at = config_confirmed_at
+        self._revocation_s = revocation_s
         self._reference_clock = reference_clock_
         self._job_service = job_service_
         self._owner_rpc = owner_rpc_
@@ -76,17 +107,28 @@
         queue = _find_queue(config, host, path)
         if queue is None:
             return _refusal(404, "no-queue", "no queue has this address")
+        caller = authentication.authenticate(
+            config,
+            queue,
+            headers.values(incoming.headers, KEY_HEADER),
+            self._clock.monotonic() - self._config_confirmed_at(),
+            self._revocation_s,
+        )
+        if isinstance(caller, authentication.Denial):
+            return _denial(caller)
         job_id = path[len(queue.prefix) :]
         if not job_id:
             return self._get_queue_length(incoming, queue)
         if not _JOB_ID.fullmatch(job_id):
             return _refusal(404, "no-job-id", "give 16 hexadecimal digits")
         if incoming.method == "POST":
-            return self._submit_job(incoming, queue, job_id, config.version)
+            return self._submit_job(
+                incoming, queue, job_id, config.version, caller.account
+            )
         if incoming.method == "GET":
-            return self._get_state(incoming, job_id)
+            return self._get_state(incoming, job_id, caller.account)
         if incoming.method == "DELETE":
-            return self._cancel_job(incoming, job_id)
+            return self._cancel_job(incoming, job_id, caller.account)
         return _refusal(405, "method", "use POST, GET or DELETE")
 
     def _get_queue_length(
@@ -105,6 +147,7 @@
         queue: fleet.Queue,
         job_id: str,
         version: int,
+        account: str,
     ) -> requests.Reply:
         try:
             job = job_body.parse_job(
@@ -114,6 +157,7 @@
                 queue.service,
                 int(self._reference_clock.store_now_ms or 0),
                 int(self._clock.wall() * 1000),
+                account,
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
@@ -126,6 +170,7 @@
                 result.value,
                 version,
                 int(waited_s * 1000),
+                account,
             )
         )
         if result is job_store.RequestResult.ACCEPTED:
@@ -137,11 +182,13 @@
         return _write_failure(result)
 
     def _get_state(
-        self, incoming: requests.RawRequest, job_id: str
+        self, incoming: requests.RawRequest, job_id: str, account: str
     ) -> requests.Reply:
-        state = self._owner_rpc.recorded_state(job_id)
+        state = self._owner_rpc.recorded_state(job_id, account)
         if state is None:
-            stored = self._job_service.state(job_id, self._deadline(incoming))
+            stored = self._job_service.state(
+                job_id, self._deadline(incoming), account
+            )
             if isinstance(stored, job_store.StateUnknown):
                 return _refusal(503, "no-store", "come back soon", 1.0)
             state = stored
@@ -150,13 +197,13 @@
         return _ok(job_body.encode_state(state))
 
     def _cancel_job(
-        self, incoming: requests.RawRequest, job_id: str
+        self, incoming: requests.RawRequest, job_id: str, account: str
     ) -> requests.Reply:
-        state = self._owner_rpc.recorded_state(job_id)
+        state = self._owner_rpc.recorded_state(job_id, account)
         if state is not None and state.is_final:
             return _ok(job_body.encode_state(state))
         result = self._job_service.cancel(
-            job_id, state is not None, self._deadline(incoming)
+            job_id, state is not None, self._deadline(incoming), account
         )
         self._emit(events.CancelAsked(job_id, result.value))
         if result is job_store.RequestResult.ACCEPTED:
@@ -187,6 +234,13 @@
     return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
 
+def _denial(denial: authentication.Denial) -> requests.Refusal:
+    detail = _DENIAL_DETAILS[denial]
+    if denial is authentication.Denial.UNCONFIRMED:
+        return _refusal(503, denial.value, detail, RETRY_AFTER_S)
+    return _refusal(401, denial.value, detail)
+
+
 def _ok(body: bytes) -> requests.Answer:
     return requests.Answer(_OK, job_body.JSON_TYPE, body)
 
--- a/src/vanillaswitch/platform/operator_rows.py
+++ b/src/vanillaswitch/platform/operator_rows.py
@@ -1,7 +1,7 @@
 """Rows that operators write: configurations and maintenance waves.
 
-The platform's names differ from this program's: a route is a queue, and a
-service is a pool.
+The platform's names differ from this program's: a route is a queue, a service
+is a pool, and a tenant is a client account.
 """
 
 from collections.abc import Mapping
@@ -9,6 +9,7 @@
 from typing import Any
 
 from vanillaswitch.platform import validation
+from vanillaswitch.protocol import accounts
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import unusable
 
@@ -53,6 +54,7 @@
         target_duration_ms: constant part of the latency objective.
         timeout_ms: not used.
         advice: parameters of the advisor; null if steps may run anywhere.
+        public: calls need no API key.
     """
 
     name: str
@@ -65,8 +67,9 @@
     target_duration_ms: float = 0.0
     timeout_ms: float = 0.0
     advice: _Advice | None = None
+    public: bool = False
 
-    def to_queue(self) -> fleet.Queue:
+    def to_queue(self, requires_keys: bool) -> fleet.Queue:
         advice = self.advice
         return fleet.Queue(
             name=self.name,
@@ -79,6 +82,7 @@
             target_duration_ms=self.target_duration_ms,
             timeout_ms=self.timeout_ms,
             advice=fleet.AdvisorConfig(**vars(advice)) if advice else None,
+            is_public=self.public or not requires_keys,
         )
 
 
@@ -99,6 +103,45 @@
         return fleet.Pool(self.name, self.enforces_capacity, self.standby)
 
 
+@dataclasses.dataclass(frozen=True)
+class _AccountLimit:
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Tenant:
+    """A client account.
+
+    Attributes:
+        weight: jobs a second that it may send while all is full.
+        max_count: what it may have running at a time; 0 for no limit.
+    """
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+    weight: float = 0.0
+    max_count: _AccountLimit | None = None
+
+    def to_account(self) -> accounts.ClientAccount:
+        return accounts.ClientAccount(
+            name=self.name,
+            weight=max(0.0, self.weight),
+            priority=self.priority,
+            limit=accounts.ResourceLimit(
+                **vars(self.max_count or _AccountLimit())
+            ),
+            # An empty key would let in calls whose key field is empty.
+            key_digests=frozenset(
+                accounts.digest_key(key.encode())
+                for key in self.api_keys
+                if key
+            ),
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class _Limits:
     max_body_bytes: int = _MAX_BODY_BYTES
@@ -110,6 +153,7 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits | None = None
+    tenants: Any = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,20 +173,58 @@
 
 
 def decode_config(
-    document: Mapping[str, Any],
+    document: Mapping[str, Any], requires_keys: bool = False
 ) -> fleet.FleetConfig | unusable.Unusable:
-    """Decodes the row "config" of the operators' table."""
+    """Decodes the row "config" of the operators' table.
+
+    Args:
+        document: content of the row.
+        requires_keys: whether calls need an API key unless their queue is
+            public.
+    """
     decoded = validation.parse_document(_Config, document)
     if isinstance(decoded, unusable.Unusable):
         return decoded
+    tenants, problems = _decode_tenants(decoded.tenants)
+    directory = accounts.AccountDirectory(
+        tenant.to_account() for tenant in tenants
+    )
+    problems += [
+        f"accounts {holder} and {other} have a key in common; it counts for "
+        f"{holder}"
+        for holder, other in directory.shared_keys
+    ]
     return fleet.FleetConfig(
         version=decoded.version,
-        queues=tuple(route.to_queue() for route in decoded.routes),
+        queues=tuple(route.to_queue(requires_keys) for route in decoded.routes),
         pools={service.name: service.to_pool() for service in decoded.services},
         max_body_bytes=(decoded.limits or _Limits()).max_body_bytes,
+        accounts=directory,
+        account_problems=tuple(problems),
     )
 
 
+def _decode_tenants(raw: Any) -> tuple[list[_Tenant], list[str]]:
+    """Decodes client accounts one by one.
+
+    A malformed account must not keep the rest of a configuration, such as a key
+    that it removes from another account, from coming into force.
+
+    Returns:
+        The accounts that are well formed, and what is wrong with the others.
+    """
+    if not isinstance(raw, list | tuple):
+        return [], ["the accounts are not a list"]
+    tenants, problems = [], []
+    for number, document in enumerate(raw):
+        decoded = validation.parse_document(_Tenant, document)
+        if isinstance(decoded, unusable.Unusable):
+            problems.append(f"account {number}: {decoded.reason}")
+        else:
+            tenants.append(decoded)
+    return tenants, problems
+
+
 def decode_wave(
     key: str, document: Mapping[str, Any]
 ) -> fleet.WaveOrder | unusable.Unusable:
--- a/src/vanillaswitch/platform/settings.py
+++ b/src/vanillaswitch/platform/settings.py
@@ -15,6 +15,9 @@
 SUPPORTED_ORDER_MODE = "request"
 """The only supported value of the field ``orders``: how orders are sent."""
 
+ACCOUNTS_CONTRACT = "tenants"
+"""Where it is in force, clients need the API key of a client account."""
+
 SUPPORTED_CONTRACTS = frozenset(
     {
         "base",
@@ -23,6 +26,8 @@
         "cost",
         "recover",
         "sched",
+        ACCOUNTS_CONTRACT,
+        "quota",
         "platform",
         "advice",
         "upkeep",
@@ -186,4 +191,10 @@
             "bounds.impact_ms", _DEFAULT_BOUNDS.max_target_miss_s
         ),
         pacing_s=fields.seconds("bounds.pacing_ms", _DEFAULT_BOUNDS.pacing_s),
+        revocation_s=fields.seconds(
+            "bounds.revoke_ms", _DEFAULT_BOUNDS.revocation_s
+        ),
+        share_window_s=fields.number(
+            "bounds.quota_window_s", _DEFAULT_BOUNDS.share_window_s
+        ),
     )
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -10,6 +10,7 @@
 import enum
 from typing import Protocol
 
+from vanillaswitch.protocol import accounts as account_lib
 from vanillaswitch.protocol import jobs
 
 
@@ -94,6 +95,7 @@
         timeout_ms: part of the operators' configuration; not used.
         advice: settings of its advisor; None if its steps may run on any
             instance.
+        is_public: clients need no API key.
     """
 
     name: str
@@ -106,6 +108,7 @@
     target_duration_ms: float = 0.0
     timeout_ms: float = 0.0
     advice: AdvisorConfig | None = None
+    is_public: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,12 +128,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class FleetConfig:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Attributes:
+        account_problems: what is wrong with accounts of the configuration.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: Mapping[str, Pool]
     max_body_bytes: int
+    accounts: account_lib.AccountDirectory = account_lib.AccountDirectory()
+    account_problems: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/protocol/jobs.py
+++ b/src/vanillaswitch/protocol/jobs.py
@@ -100,6 +100,7 @@
             one wall clock.
         spec_digest: digest of a spec that is stored in a separate row and is
             not in ``spec``; empty if ``spec`` holds it.
+        account: client account that submitted it; empty for a public queue.
     """
 
     job_id: str
@@ -113,6 +114,11 @@
     interval_ms: float = 0
     submitted_wall_ms: float = 0
     spec_digest: str = ""
+    account: str = ""
+
+    def is_visible_to(self, account: str) -> bool:
+        """Whether a client account may see and cancel the job."""
+        return self.account == account
 
     @property
     def occurrence_count(self) -> int:
--- a/src/vanillaswitch/protocol/peers.py
+++ b/src/vanillaswitch/protocol/peers.py
@@ -184,11 +184,14 @@
         question: id that matches the answer to the question.
         job_id: the job; empty to ask for the queue.
         queue: name of the queue.
+        account: client account of the caller; the job of another account is
+            unknown to it.
     """
 
     question: str
     job_id: str
     queue: str
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -280,6 +283,7 @@
         document: the job as JSON for a submission; empty otherwise.
         known: the job is known to have been accepted.
         patience_s: how much longer the sender's client waits.
+        account: client account of the caller, for a cancellation or a state.
     """
 
     question: str
@@ -288,6 +292,7 @@
     document: bytes
     known: bool
     patience_s: float
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/state/deployment.py
+++ b/src/vanillaswitch/state/deployment.py
@@ -28,6 +28,10 @@
         restore_s: time that resuming from a checkpoint takes.
         max_target_miss_s: longest time that a serving task may miss its target.
         pacing_s: time until a pace takes effect.
+        revocation_s: time after which an API key that was removed from the
+            configuration must not work on any machine.
+        share_window_s: time over which the jobs of a client account are
+            compared with its weight.
     """
 
     contact_s: float = 3.0
@@ -49,6 +53,8 @@
     restore_s: float = 0.6
     max_target_miss_s: float = 4.0
     pacing_s: float = 0.1
+    revocation_s: float = 5.0
+    share_window_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/transport/headers.py
+++ b/src/vanillaswitch/transport/headers.py
@@ -43,6 +43,12 @@
     )
 
 
+def values(headers: requests.Headers, name: str) -> tuple[str, ...]:
+    """Returns all values of a field, in order."""
+    wanted = name.lower()
+    return tuple(value for found, value in headers if found.lower() == wanted)
+
+
 def first(headers: requests.Headers, name: str) -> str | None:
     """Returns the first value of a field, or None when there is none."""
     wanted = name.lower()
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -153,6 +153,7 @@
 
 
 def _operators(
+    settings: deployments.Deployment,
     table: platform.Table,
     shared: reference_clock.ReferenceClock,
     told: telemetry.Telemetry,
@@ -161,7 +162,11 @@
         config_key=operator_rows.CONFIG_KEY,
         wave_prefix=operator_rows.WAVE_PREFIX,
         status_table=operator_rows.STATUS_TABLE,
-        decode_config=operator_rows.decode_config,
+        decode_config=functools.partial(
+            operator_rows.decode_config,
+            requires_keys=platform_settings.ACCOUNTS_CONTRACT
+            in settings.contracts,
+        ),
         decode_wave=operator_rows.decode_wave,
         encode_wave_status=operator_rows.encode_wave_status,
     )
@@ -194,7 +199,7 @@
         )
         told = telemetry.Telemetry(logs.event)
         table = hedged_table.HedgedTable(store, clock)
-        view = _operators(table, shared, told)
+        view = _operators(settings, table, shared, told)
         outside = _outside(settings, client, store, table, view, shared)
         asking = peer_calls.PeerCalls(clock, boot)
         owner_rpc_ = owner_rpc.OwnerRpc(
@@ -248,6 +253,7 @@
             view.on_changes,
             told.emit,
             resync_after_failure=True,
+            on_current=view.on_current,
         )
         stack.enter_context(
             supervision.running(
@@ -261,6 +267,8 @@
             job_service.JobService(local, others, clock),
             owner_rpc_,
             lambda: view.config,
+            lambda: view.config_confirmed_at,
+            settings.bounds.revocation_s,
             clock,
             shared,
             told.emit,
