Keep what client accounts have running within their limits

Change: each reserved run counts for its job's account, from the decision to start it until it is certainly over, as it does for its instance. A plan starts only as many tasks as the limit allows; the steps of other accounts behind it go on; tasks that a limit holds up ask for no machines. A job with a task above its account's whole limit is refused with 429 before it is stored. A job accepted before the limit was lowered may run one task while its account uses less than half: the platform's rule of lost jobs asks for that, and its rule of limits allows one task more. Nothing is stopped. An account that is no longer configured has no limit: what was accepted ends.

Ruled out: summing over all runs in each plan, which is linear in the runs for each of up to ten plans a second.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -328,6 +328,22 @@
     accounts: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class AccountAtLimit:
+    """The limit of a client account began to hold tasks up.
+
+    Attributes:
+        cpu: thousandths of a core in use, "/", and the limit; 0 for none.
+        mem_mb: likewise for memory in megabytes.
+        gpu: likewise for accelerators.
+    """
+
+    account: str
+    cpu: str
+    mem_mb: str
+    gpu: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ErrandSent:
     """This process asked another one to access the store on its behalf.
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -134,7 +134,7 @@
         unknown = fleet.Registration(
             name, "", "", "", False, fleet.Resources(0, 0), ()
         )
-        instance = instance_state.Instance(unknown, now)
+        instance = instance_state.Instance(unknown, now, self.account_usage)
         instance.is_listed = False
         instance.is_unresponsive = True
         self.instances[name] = instance
@@ -153,6 +153,7 @@
         run.is_start_sent = True
         run.awaits_first_report = run.may_be_stopping = True
         run.born_ms = task.born_ms
+        run.account = step.entry.job.account
         run.is_isolated = task.is_suspect
         run.required_run_time_s = crash_evidence.required_run_time_s(
             task.crashes
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -214,6 +214,7 @@
             job_tracker.task_demand(step),
             now,
         )
+        run.account = entry.job.account
         run.is_start_sent = run.may_be_stopping = run.started_before_term = True
         # It has started and can't start again, so a status report that does not
         # list it shows that it is over.
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -6,10 +6,12 @@
 import dataclasses
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.protocol import accounts as account_lib
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.state import deployment as deployments
@@ -64,6 +66,8 @@
         instances: instances by id.
         queues: configured queues by name.
         pools: configured pools by name.
+        accounts: configured client accounts.
+        account_usage: what the client accounts have running.
         unreadable_jobs: jobs of which only the progress is known, because their
             own rows are in a part of the store that is unavailable.
         tickets: ticket for each instance, by step. The advice service issues
@@ -96,6 +100,10 @@
         self.instances: dict[str, instance_state.Instance] = {}
         self.queues: Mapping[str, fleet.Queue] = {}
         self.pools: Mapping[str, fleet.Pool] = {}
+        self.accounts = account_lib.AccountDirectory()
+        self.account_usage = limits.AccountUsage()
+        self._limited_accounts: set[str] = set()
+        self._reported_accounts: set[str] = set()
         self.unreadable_jobs: Collection[str] = frozenset()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         self._tickets_valid_until: dict[tuple[str, int, int], float] = {}
@@ -118,8 +126,18 @@
         """Applies a configuration."""
         self.queues = {queue.name: queue for queue in config.queues}
         self.pools = config.pools
+        self.accounts = config.accounts
         self._needs_plan = True
 
+    def account_limit(self, account: str) -> account_lib.ResourceLimit:
+        """Returns the limit of a client account.
+
+        An account that is no longer configured has none: its accepted jobs end
+        as they were promised, and no more can come.
+        """
+        found = self.accounts.by_name.get(account)
+        return found.limit if found else limits.NO_LIMIT
+
     def handle_registration(
         self, registration: fleet.Registration, now: float
     ) -> bool:
@@ -127,7 +145,9 @@
         self._needs_plan = True
         known = self.instances.get(registration.instance)
         if known is None:
-            instance = instance_state.Instance(registration, now)
+            instance = instance_state.Instance(
+                registration, now, self.account_usage
+            )
             self.instances[registration.instance] = instance
             self._emit_instance_changed(instance, "listed", "", now)
             return True
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 
+from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.instances import incarnations
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import known_capacity
@@ -79,6 +80,7 @@
         gauge: last reported tail latency or processor usage; see
             ``fleet.RunStatus``.
         pace: highest speed at which it may work, in percent of full speed.
+        account: client account of its job; empty if it has none or is unknown.
     """
 
     task: jobs.TaskName
@@ -109,6 +111,7 @@
     born_ms: int | None = None
     gauge: float = 0.0
     pace: int = FULL_PACE
+    account: str = ""
 
     def __post_init__(self) -> None:
         """Sets ``progress_at`` to the time of the decision."""
@@ -210,7 +213,20 @@
             that may renew the lease are not included.
     """
 
-    def __init__(self, registration: fleet.Registration, now: float):
+    def __init__(
+        self,
+        registration: fleet.Registration,
+        now: float,
+        account_usage: limits.AccountUsage | None = None,
+    ):
+        """Creates the record of an instance without runs.
+
+        Args:
+            registration: its registration.
+            now: monotonic seconds.
+            account_usage: counts its runs for their client accounts.
+        """
+        self._account_usage = account_usage or limits.AccountUsage()
         self.registration = registration
         self.incarnations = incarnations.IncarnationHistory(
             registration.born_ms, now
@@ -516,6 +532,7 @@
         if run.step.long_running:
             self._long_running_demand = self._sum_long_running_demand()
         self._finite_load = self._finite_load.with_tasks(run.step, 1)
+        self._account_usage.add_tasks(run.account, run.step, 1)
         key = step_key(run.task)
         self._runs_per_step[key] = self._runs_per_step.get(key, 0) + 1
 
@@ -538,6 +555,7 @@
         if run.step.long_running:
             self._long_running_demand = self._sum_long_running_demand()
         self._finite_load = self._finite_load.with_tasks(run.step, -1)
+        self._account_usage.add_tasks(run.account, run.step, -1)
         step = step_key(run.task)
         self._runs_per_step[step] -= 1
         if not self._runs_per_step[step]:
--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -97,17 +97,26 @@
 
 
 def choose_instances(
-    step: job_tracker.OpenStep, candidates: Sequence[instance_state.Instance]
+    step: job_tracker.OpenStep,
+    candidates: Sequence[instance_state.Instance],
+    max_tasks: int,
 ) -> Assignments:
     """Chooses an instance for each waiting task that fits on one.
 
     Either all tasks of a gang get an instance or none of them does.
+
+    Args:
+        step: the step whose tasks are to be placed.
+        candidates: the instances to choose from.
+        max_tasks: how many of its tasks may start.
     """
     if step.step.gang:
         return place_gang(step, candidates) if step.startable_tasks else []
     chosen: Assignments = []
     reservations = _TentativeReservations()
     for task in step.startable_tasks:
+        if len(chosen) >= max_tasks:
+            break
         instance = _best_instance(step, task, candidates)
         if instance is None:
             if not task.avoided_instances:
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -12,6 +12,7 @@
 
 from vanillaswitch import errors
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.instances import order_outcomes
 from vanillaswitch.coordination.fleet.instances import suspect_placement
 from vanillaswitch.coordination.fleet.instances import term_state
@@ -102,9 +103,12 @@
         pools = self.instances_by_pool()
         for pool_name, steps in waiting.items():
             self._plan_pool(pools.get(pool_name, []), steps, plan_time)
+        usage = self.account_usage.copy()
         backlog = {
-            pool_name: _backlog(steps) for pool_name, steps in waiting.items()
+            pool_name: self._backlog(steps, usage)
+            for pool_name, steps in waiting.items()
         }
+        self._report_limited_accounts()
         self.backlog_cpu = {name: cpu for name, (cpu, _) in backlog.items()}
         self.backlog_load = {name: load for name, (_, load) in backlog.items()}
 
@@ -156,12 +160,15 @@
             or max_free.may_fit(step.demand)
         ]
         for step in self._in_queue_order(relevant, plan_time):
-            if step.has_crashed:
+            if step.has_crashed and self._startable_count(step, 1):
                 instances = self._place_in_isolation(
                     step, instances, suspect_limit, now
                 )
                 if step.step.gang:
                     suspect_limit = suspect_placement.SuspectLimit(pool)
+            if self._startable_count(step, step.step.count) == 0:
+                self._limited_accounts.add(step.entry.job.account)
+                continue
             if max_free.may_fit(step.demand) and step.startable_tasks:
                 if self._place(step, instances, now):
                     max_free.update(instances)
@@ -224,6 +231,8 @@
         if not suspect_limit.allows_any(instances):
             return instances
         for task in suspects:
+            if not self._startable_count(step, 1):
+                break
             candidates = placement.eligible_instances(step, instances, tickets)
             found = suspect_placement.choose_suspect_instance(
                 self, step, task, candidates, now
@@ -324,12 +333,14 @@
         if tickets is not None and not tickets:
             return False
         candidates = placement.eligible_instances(step, instances, tickets)
-        if not candidates:
+        max_tasks = self._startable_count(step, step.step.count)
+        if not candidates or not max_tasks:
             return False
-        choose = (
-            placement.place_gang if isolated else placement.choose_instances
+        chosen = (
+            placement.place_gang(step, candidates)
+            if isolated
+            else placement.choose_instances(step, candidates, max_tasks)
         )
-        chosen = choose(step, candidates)
         if not chosen:
             return False
         highest = max(task.run for task, _ in chosen)
@@ -343,6 +354,35 @@
         self.tracker.mark_dirty(step.entry)
         return True
 
+    def _startable_count(self, step: job_tracker.OpenStep, wanted: int) -> int:
+        """Returns how many tasks of a step its account's limit lets start.
+
+        All tasks of a gang or none of them.
+        """
+        account = step.entry.job.account
+        limit = self.account_limit(account)
+        if limit == limits.NO_LIMIT:
+            return wanted
+        return limits.startable_count(
+            limit, self.account_usage.used(account), step.step, wanted
+        )
+
+    def _report_limited_accounts(self) -> None:
+        """Emits the accounts whose limit newly holds tasks up."""
+        for account in self._limited_accounts - self._reported_accounts:
+            used = self.account_usage.used(account)
+            limit = self.account_limit(account)
+            self._emit(
+                events.AccountAtLimit(
+                    account,
+                    f"{used.cpu}/{limit.cpu}",
+                    f"{used.mem_mb}/{limit.mem_mb}",
+                    f"{used.gpu}/{limit.gpu}",
+                )
+            )
+        self._reported_accounts = self._limited_accounts
+        self._limited_accounts = set()
+
     def _assign(
         self,
         step: job_tracker.OpenStep,
@@ -371,6 +411,7 @@
             now,
         )
         run.born_ms = task.born_ms
+        run.account = step.entry.job.account
         run.is_isolated = isolated
         run.required_run_time_s = crash_evidence.required_run_time_s(
             task.crashes
@@ -412,6 +453,38 @@
             return {}
         return self.tickets.get(key, {})
 
+    def _backlog(
+        self,
+        steps: Iterable[job_tracker.OpenStep],
+        usage: limits.AccountUsage,
+    ) -> tuple[int, fleet.Load]:
+        """Sums up the waiting tasks of some steps.
+
+        Tasks that the limits of their accounts hold up are left out, since more
+        machines would not let them start.
+
+        Args:
+            steps: the steps.
+            usage: what the accounts use; the counted tasks are added.
+
+        Returns:
+            Thousandths of a core that these tasks need, and the load of those
+            that end by themselves.
+        """
+        cpu, load = 0, fleet.Load()
+        for step in steps:
+            count = len(step.waiting_tasks)
+            account = step.entry.job.account
+            limit = self.account_limit(account)
+            if limit != limits.NO_LIMIT:
+                used = usage.used(account)
+                count = limits.startable_count(limit, used, step.step, count)
+                usage.add_tasks(account, step.step, count)
+            if count:
+                cpu += step.demand.cpu * count
+                load = load.with_tasks(step.step, count)
+        return cpu, load
+
     def set_tickets(
         self,
         step: job_tracker.OpenStep,
@@ -429,19 +502,3 @@
         self.tickets[key] = tickets
         self._tickets_valid_until[key] = until
         self._needs_plan = True
-
-
-def _backlog(steps: Iterable[job_tracker.OpenStep]) -> tuple[int, fleet.Load]:
-    """Sums up the waiting tasks of some steps.
-
-    Returns:
-        Thousandths of a core that all waiting tasks need, and the load of those
-        that end by themselves.
-    """
-    cpu, load = 0, fleet.Load()
-    for step in steps:
-        count = len(step.waiting_tasks)
-        if count:
-            cpu += step.demand.cpu * count
-            load = load.with_tasks(step.step, count)
-    return cpu, load
--- a/src/vanillaswitch/platform/job_request_handler.py
+++ b/src/vanillaswitch/platform/job_request_handler.py
@@ -6,6 +6,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet import reference_clock
 from vanillaswitch.coordination.fleet.accounts import authentication
+from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.job_requests import job_service
 from vanillaswitch.coordination.fleet.job_requests import job_store
 from vanillaswitch.coordination.fleet.ownership import owner_rpc
@@ -123,7 +124,7 @@
             return _refusal(404, "no-job-id", "give 16 hexadecimal digits")
         if incoming.method == "POST":
             return self._submit_job(
-                incoming, queue, job_id, config.version, caller.account
+                incoming, queue, job_id, config, caller.account
             )
         if incoming.method == "GET":
             return self._get_state(incoming, job_id, caller.account)
@@ -146,7 +147,7 @@
         incoming: requests.RawRequest,
         queue: fleet.Queue,
         job_id: str,
-        version: int,
+        config: fleet.FleetConfig,
         account: str,
     ) -> requests.Reply:
         try:
@@ -161,6 +162,16 @@
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
+        owner = config.accounts.by_name.get(account)
+        if owner and any(
+            limits.exceeds_alone(owner.limit, step) for step in job.steps
+        ):
+            return _refusal(
+                429,
+                "account-limit",
+                "a task of it is larger than all that the account may have "
+                "running; make its tasks smaller",
+            )
         result = self._job_service.submit(job, self._deadline(incoming))
         waited_s = self._clock.monotonic() - incoming.received_at
         self._emit(
@@ -168,7 +179,7 @@
                 job_id,
                 queue.name,
                 result.value,
-                version,
+                config.version,
                 int(waited_s * 1000),
                 account,
             )
--- a/tests/common/owner_histories.py
+++ b/tests/common/owner_histories.py
@@ -140,7 +140,7 @@
 
     def _take_over(self, unread: set[str]) -> None:
         self.token += 1
-        scheduler = fleet_builders.new_scheduler()
+        scheduler = self._new_scheduler()
         term = Term(scheduler, self.token)
         for item in self._up():
             scheduler.handle_registration(item.registration, self.now)
@@ -161,12 +161,18 @@
             scheduler.cancel_job(job_id, self.now)
         self.terms = [*self.terms[-(OWNERS - 1) :], term]
 
+    def _new_scheduler(self) -> schedulers.Scheduler:
+        return fleet_builders.new_scheduler()
+
+    def _new_job(self, number: int, steps: tuple[jobs.Step, ...]) -> jobs.Job:
+        return fleet_builders.job(number, steps)
+
     @stateful.rule(kind=st.integers(0, len(STEPS) - 1))
     def submit(self, kind: int) -> None:
         """A client submits a job; only the newest owner receives it."""
         if len(self.jobs) >= 6:
             return
-        job = fleet_builders.job(len(self.jobs) + 1, STEPS[kind])
+        job = self._new_job(len(self.jobs) + 1, STEPS[kind])
         self.jobs[job.job_id] = job
         self.terms[-1].scheduler.add_job(job, self.now)
 
--- a/tests/cover/test_client_accounts.py
+++ b/tests/cover/test_client_accounts.py
@@ -164,3 +164,13 @@
         assert found is authentication.Denial.UNCONFIRMED
     elif age <= bound / 2:
         assert found == authentication.Caller("mare")
+
+
+def test_job_with_a_task_above_its_accounts_limit_is_refused_at_once():
+    calls = account_calls.Calls()
+    tenant = {"name": "mare", "api_keys": [MARE], "max_count": {"cpu": 999}}
+    calls.version += 1
+    calls.apply(account_calls.config_document([tenant], calls.version))
+    reply = calls.submit(MARE)
+    assert (reply.status, reply.code) == (429, "account-limit")
+    assert not calls.table.rows
