Serve jobs beyond an account's share after those of the others

Load pattern: one account sends several times its usual for some seconds and the pools are full.

What comes beyond gets capacity after all jobs that can still earn something, and before jobs without any value. Decided once per job, so places don't change.

--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -42,6 +42,7 @@
         if self.tracker.get(job.job_id) is not None:
             return
         entry = job_tracker.JobEntry(job, now, age_s)
+        self._judge_share(entry)
         self.tracker.add(entry)
         self._needs_plan = True
         self._record_arrival(entry, now)
@@ -57,6 +58,14 @@
             self._cancels_before_job.remove(job.job_id)
             self._cancel(entry, now)
 
+    def _judge_share(self, entry: job_tracker.JobEntry) -> None:
+        """Decides whether a job is beyond the share of its client account."""
+        account = self.accounts.by_name.get(entry.job.account)
+        if account is not None:
+            entry.is_over_share = self._shares.is_over_share(
+                account.name, account.weight, entry.submitted_at
+            )
+
     def _record_arrival(self, entry: job_tracker.JobEntry, now: float) -> None:
         cpu = sum(
             job_tracker.task_demand(step).cpu * step.count
@@ -89,6 +98,7 @@
         if problem is not None:
             return problem
         entry.version = version
+        self._judge_share(entry)
         self.tracker.add(entry)
         return None
 
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -7,6 +7,7 @@
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.accounts import limits
+from vanillaswitch.coordination.fleet.accounts import shares
 from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
@@ -102,6 +103,7 @@
         self.pools: Mapping[str, fleet.Pool] = {}
         self.accounts = account_lib.AccountDirectory()
         self.account_usage = limits.AccountUsage()
+        self._shares = shares.ShareTracker(bounds.share_window_s)
         self._limited_accounts: set[str] = set()
         self._reported_accounts: set[str] = set()
         self.unreadable_jobs: Collection[str] = frozenset()
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -191,6 +191,7 @@
         remaining_path_ms: cache of the remaining critical path by occurrence,
             emptied when a step is done.
         fatal_crashes: the crashes that made the job fail.
+        is_over_share: its client account had submitted more than its share.
     """
 
     def __init__(self, job: jobs.Job, now: float, age_s: float = 0.0):
@@ -215,6 +216,7 @@
         self.remaining_path_ms: dict[int, float] = {}
         self.open_steps_by_key: dict[tuple[int, int], OpenStep] = {}
         self.fatal_crashes: tuple[crash_evidence.Crash, ...] = ()
+        self.is_over_share = False
         self._may_open_steps = True
         self._done: set[tuple[int, int]] = set()
         self._opened: set[tuple[int, int]] = set()
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -5,8 +5,10 @@
 objective, the time within which it should end. It has its full value until
 then, a fraction of it until three times the objective, and none afterwards. So
 jobs that can still meet their objective go first, and late jobs use what is
-left over. Jobs without any value left come last, the oldest first. Long-running
-tasks go before all others: they are few, and users depend on them all the time.
+left over. Jobs that a client account submitted beyond its share follow, so that
+they delay no other account. Jobs without any value left come last, the oldest
+first. Long-running tasks go before all others: they are few, and users depend
+on them all the time.
 
 The slack of a job is the time that it can lose and still meet its objective.
 Least slack first is the best order while there is capacity for all jobs. While
@@ -55,7 +57,7 @@
 replays of bursts beyond the capacity, the jobs ended with up to 0.03 less of
 their total value with 0.2 or 0.4."""
 
-_LONG_RUNNING, _IN_TIME, _LATE, _NO_VALUE = 0, 1, 2, 3
+_LONG_RUNNING, _IN_TIME, _LATE, _OVER_SHARE, _NO_VALUE = 0, 1, 2, 3, 4
 _STARTED, _AMPLE_SLACK, _LITTLE_SLACK = 0, 1, 2
 
 
@@ -120,8 +122,8 @@
     """How urgent the job of an open step is.
 
     Attributes:
-        group: one of ``_LONG_RUNNING``, ``_IN_TIME``, ``_LATE`` and
-            ``_NO_VALUE``; the lowest goes first.
+        group: one of ``_LONG_RUNNING``, ``_IN_TIME``, ``_LATE``,
+            ``_OVER_SHARE`` and ``_NO_VALUE``; the lowest goes first.
         priority: priority of its queue; 0 goes first.
         remaining_ms: remaining critical path.
         slack_ms: time that it can lose and still meet its objective; negative
@@ -146,12 +148,14 @@
     slack_ms = objective - age - remaining
     if step.step.long_running:
         group = _LONG_RUNNING
+    elif age + remaining > LATE_FACTOR * objective:
+        group = _NO_VALUE
+    elif entry.is_over_share:
+        group = _OVER_SHARE
     elif slack_ms >= 0:
         group = _IN_TIME
-    elif age + remaining <= LATE_FACTOR * objective:
-        group = _LATE
     else:
-        group = _NO_VALUE
+        group = _LATE
     return _Urgency(
         group, queue.priority if queue else 0, remaining, slack_ms, age
     )
--- a/standins/turns.py
+++ b/standins/turns.py
@@ -20,6 +20,7 @@
 
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.protocol import accounts
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -47,6 +48,10 @@
         task_ms: mean duration of a task.
         task_cpu: mean thousandths of a core of a task.
         estimate_off: spread of the logarithm of estimate over duration.
+        accounts: client accounts that ask alike; 0 for none.
+        hot_x: how many times its usual the first of them asks, beside what the
+            others ask.
+        share_x: weight of an account over what it asks usually; 0 for none.
     """
 
     length_s: float = 8.0
@@ -57,6 +62,27 @@
     task_ms: float = 640.0
     task_cpu: float = 1500.0
     estimate_off: float = 0.5
+    accounts: int = 0
+    hot_x: float = 1.0
+    share_x: float = 0.0
+
+    @property
+    def usual_per_s(self) -> float:
+        """What an account asks usually, in jobs a second."""
+        return self.jobs_per_s / self.accounts if self.accounts else 0.0
+
+    @property
+    def asked_per_s(self) -> float:
+        """What all accounts ask together."""
+        return self.jobs_per_s + (self.hot_x - 1.0) * self.usual_per_s
+
+    def draw_account(self, rng: random.Random) -> str:
+        """Returns the account of a job; empty if there are none."""
+        if not self.accounts:
+            return ""
+        shares = [self.hot_x, *[1.0] * (self.accounts - 1)]
+        (number,) = rng.choices(range(self.accounts), shares)
+        return f"account-{number}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +95,7 @@
         late: jobs that ended within three times their objective.
         large_in_time: the same as ``in_time`` of the largest tenth.
         last_s: when the last job ended.
+        others_in_time: the same as ``in_time`` of all but the first account.
     """
 
     credit: float
@@ -76,6 +103,7 @@
     late: float
     large_in_time: float
     last_s: float
+    others_in_time: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,7 +142,7 @@
 
 
 def _jobs(turn: Turn, rng: random.Random) -> Iterator[_Made]:
-    at = rng.expovariate(turn.jobs_per_s)
+    at = rng.expovariate(turn.asked_per_s)
     number = 0
     while at < turn.length_s:
         number += 1
@@ -142,9 +170,10 @@
             "text",
             tuple(steps),
             round(at * 1000),
+            account=turn.draw_account(rng),
         )
         yield _Made(job, at, tuple(durations))
-        at += rng.expovariate(turn.jobs_per_s)
+        at += rng.expovariate(turn.asked_per_s)
 
 
 class _Pool:
@@ -192,7 +221,7 @@
             )
 
 
-def _scheduler(order: str) -> schedulers.Scheduler:
+def _scheduler(order: str, turn: Turn) -> schedulers.Scheduler:
     scheduler = schedulers.Scheduler(
         queue_order.ORDERS.get(order), lambda _: None
     )
@@ -200,13 +229,21 @@
         QUEUE, "", "/", QUEUE, stretch=STRETCH, target_duration_ms=TARGET_MS
     )
     pool = fleet.Pool(QUEUE, enforces_capacity=False, is_standby=False)
-    scheduler.apply_config(fleet.FleetConfig(1, (queue,), {QUEUE: pool}, 0))
+    directory = accounts.AccountDirectory(
+        accounts.ClientAccount(
+            f"account-{number}", weight=turn.share_x * turn.usual_per_s
+        )
+        for number in range(turn.accounts)
+    )
+    scheduler.apply_config(
+        fleet.FleetConfig(1, (queue,), {QUEUE: pool}, 0, directory)
+    )
     return scheduler
 
 
 def replay(order: str, turn: Turn, seed: int) -> Outcome:
     """Plays one turn with one order of the queue."""
-    scheduler = _scheduler(order)
+    scheduler = _scheduler(order, turn)
     pool = _Pool(scheduler)
     made = list(_jobs(turn, random.Random(seed)))
     by_id = {item.job.job_id: item for item in made}
@@ -235,6 +272,7 @@
 def _judge(made: list[_Made], ended: dict[str, float]) -> Outcome:
     mean = sum(item.work for item in made) / len(made)
     large = sorted(made, key=lambda item: -item.work)[: len(made) // 10]
+    others = [item for item in made if item.job.account != "account-0"]
     owed = earned = 0.0
     in_time: set[str] = set()
     late = 0
@@ -254,6 +292,7 @@
         late / len(made),
         sum(item.job.job_id in in_time for item in large) / len(large),
         max(ended.values()),
+        sum(item.job.job_id in in_time for item in others) / len(others),
     )
 
 
