Soak client accounts: keys that come and go, machines cut off, limits

Cause: the soak handed in jobs without accounts, so neither promise about them was checked from outside.

Served calls of the intruder and starts above a limit are broken promises.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import click
 
+from soak import accounts
 from soak import run
 
 TERMINATED = 128 + signal.SIGTERM
@@ -27,12 +28,16 @@
 @click.option("--seconds", default=20.0, help="How long faults come.")
 @click.option("--keep", type=click.Path(), help="Folder for the logs.")
 @click.option("--fault", "names", multiple=True, help="Only faults so named.")
+@click.option(
+    "--accounts", "with_accounts", is_flag=True, help="With API keys."
+)
 def main(
     seeds: str,
     fresh: int,
     seconds: float,
     keep: str | None,
     names: tuple[str, ...],
+    with_accounts: bool,
 ) -> None:
     """Runs a soak for each seed and prints what was broken."""
     # Ended by the signal itself, it would leave its processes running: they
@@ -43,13 +48,19 @@
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep)
         )
-        result = run.soak(seed, seconds, folder, names)
+        book = accounts.Accounts(seed) if with_accounts else None
+        result = run.soak(seed, seconds, folder, names, book)
         handed_in, accepted, completed = result.jobs
         click.echo(
             f"seed {seed}: {handed_in} jobs, {accepted} accepted, "
             f"{completed} completed; {len(result.faults)} faults; "
             f"{len(result.broken)} broken"
         )
+        if book is not None:
+            click.echo(
+                f"  {book.replaced} keys replaced, {book.intruded} calls with "
+                "keys that must not work"
+            )
         if result.broken:
             failed += 1
             click.echo(
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -86,7 +86,7 @@
     def _hand_in(self, client: plain_http.PlainClient) -> None:
         body = self._random.choice(BODIES)
         job_id = f"{next(self._numbers):016x}"
-        record = promise_lib.JobRecord(parse(body, job_id))
+        record = promise_lib.JobRecord(parse(body, job_id, self._world))
         # Known before it is sent: its tasks may start before the answer.
         self._promises.records[job_id] = record
         self._mine.append(record)
@@ -107,7 +107,7 @@
 ) -> None:
     """Hands in a job whose tasks crash instances, until it is answered."""
     job_id = f"{FIRST_CRASHING + len(world.promises.records):016x}"
-    record = promise_lib.JobRecord(parse(CRASHING, job_id), crashes=True)
+    record = promise_lib.JobRecord(parse(CRASHING, job_id, world), crashes=True)
     world.promises.records[job_id] = record
     for _ in range(TRIES):
         if _send(client, world, record, CRASHING) == OK:
@@ -135,10 +135,13 @@
     return status
 
 
-def parse(body: object, job_id: str) -> jobs.Job:
-    """Returns the job that a body hands in."""
+def parse(body: object, job_id: str, world: worlds.World) -> jobs.Job:
+    """Returns the job that a body hands in, with its client account."""
     data = json.dumps(body).encode()
-    return job_body.parse_job(data, job_id, "quotes", "pool", 0)
+    account = world.accounts.pick(job_id) if world.accounts else ""
+    return job_body.parse_job(
+        data, job_id, "quotes", "pool", 0, account=account
+    )
 
 
 def cancel(
@@ -162,8 +165,9 @@
     """Calls any machine; returns status and body, 0 without an answer."""
     edge = world.random.choice(world.edges)
     data = b"" if body is None else json.dumps(body).encode()
+    headers = world.accounts.headers(job) if world.accounts else ()
     sent = client.call(
-        edge.entry, method, f"/q/{job.job_id}", data, timeout_s=TIMEOUT_S
+        edge.entry, method, f"/q/{job.job_id}", data, headers, TIMEOUT_S
     )
     if isinstance(sent, minions.Answered):
         return sent.answer.status, sent.answer.body
--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -44,7 +44,7 @@
         with plain_http.open_client(clocks.SystemClock()) as client:
             for number in range(FIRST, FIRST + SERVICES):
                 record = promise_lib.JobRecord(
-                    clients.parse(BODY, f"{number:016x}")
+                    clients.parse(BODY, f"{number:016x}", self._world)
                 )
                 self._world.promises.records[record.job.job_id] = record
                 self._records.append(record)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,6 +4,8 @@
 instances were told to start and listed as ended.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 
 from standins import edge_http
@@ -75,6 +77,7 @@
         self._rooms: dict[str, tuple[fleet.Resources, float]] = {}
         self._orders: dict[jobs.TaskName, list[str]] = {}
         self.records: dict[str, JobRecord] = {}
+        self.judge_start: Callable[[fleet.StartRequest], None] = lambda _: None
 
     @property
     def now(self) -> float:
@@ -210,6 +213,15 @@
         used, room = self._instances[instance].used, self._room(instance)
         if used.cpu > room.cpu or used.mem_mb > room.mem_mb:
             self.breach("room", f"{instance} holds {used} of {room}")
+        self.judge_start(order)
+
+    def running_steps(self) -> Iterator[tuple[jobs.Job, jobs.Step]]:
+        """Yields the job and the step of each task that runs."""
+        for model in self._instances.values():
+            for run in list(model.running.values()) if model.up else ():
+                record = self.records.get(run.task.job_id)
+                if record is not None:
+                    yield record.job, record.job.steps[run.task.step]
 
     def _judge_crashes(self, task: jobs.TaskName) -> None:
         if self._crashes.get(task, 0) < MOST_CRASHES:
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from soak import accounts as account_lib
 from soak import clients
 from soak import faults
 from soak import lasting
@@ -52,6 +53,7 @@
     seconds: float,
     folder: pathlib.Path,
     names: Sequence[str] = (),
+    accounts: account_lib.Accounts | None = None,
 ) -> Result:
     """Runs one soak.
 
@@ -60,8 +62,9 @@
         seconds: how long faults come.
         folder: where logs of the processes are left.
         names: the faults that come; all of them where none is named.
+        accounts: the client accounts; None where no call needs a key.
     """
-    with worlds.running(seed, folder) as world:
+    with worlds.running(seed, folder, accounts) as world:
         not_ready = _await_ready(world)
         if not_ready:
             return Result(seed, not_ready, (0, 0, 0), ())
@@ -74,6 +77,10 @@
             gevent.spawn(clients.Client(world, numbers).run)
             for _ in range(CLIENTS)
         ]
+        if accounts is not None:
+            working.append(gevent.spawn(accounts.rotate, world))
+            working.append(gevent.spawn(accounts.intrude, world))
+            working.append(gevent.spawn(accounts.cut_off, world))
         begun = _harm(world, seconds, names or faults.FAULTS.names)
         gevent.killall(working)
         world.heal()
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,9 +3,12 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import functools
 import pathlib
 import random
 import time
+from typing import Any
+from typing import Protocol
 
 import gevent
 
@@ -13,6 +16,8 @@
 from standins import edge_http
 from standins import edge_processes
 from standins import relays
+from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
 
 EDGES = 3
 INSTANCES = 4
@@ -23,6 +28,29 @@
 """How often the soak's clock is read."""
 
 
+class Accounts(Protocol):
+    """The client accounts of a soak; see ``soak.accounts``."""
+
+    @property
+    def document(self) -> list[dict[str, Any]]:
+        """The accounts as the operators' configuration has them."""
+
+    @property
+    def settings(self) -> str:
+        """Lines of a process's settings that put accounts in force."""
+
+    def headers(self, job: jobs.Job) -> tuple[tuple[str, str], ...]:
+        """Returns the fields that a call about a job carries."""
+
+    def pick(self, job_id: str) -> str:
+        """Returns the account that submits a job."""
+
+    def judge_start(
+        self, promises: promise_lib.Promises, order: fleet.StartRequest
+    ) -> None:
+        """Judges what an account has running once a task has started."""
+
+
 @dataclasses.dataclass
 class World:
     """All that faults may harm, and what watches it.
@@ -39,6 +67,7 @@
     instance_links: dict[str, relays.Relay]
     promises: promise_lib.Promises
     random: random.Random
+    accounts: Accounts | None = None
     version: int = 1
     waves: int = 0
 
@@ -56,6 +85,8 @@
         """Writes the operators' next configuration."""
         self.version += self.random.randint(1, 5)
         document = edge_processes.config(self.version)
+        if self.accounts is not None:
+            document["tenants"] = self.accounts.document
         self.platform.rows.write("op", "config", document)
 
     def order_wave(self, seconds: float) -> None:
@@ -94,15 +125,33 @@
 
 
 @contextlib.contextmanager
-def running(seed: int, folder: pathlib.Path) -> Iterator[World]:
-    """Yields a running world and ends all its processes by their ids."""
+def running(
+    seed: int,
+    folder: pathlib.Path,
+    accounts: Accounts | None = None,
+) -> Iterator[World]:
+    """Yields a running world and ends all its processes by their ids.
+
+    Args:
+        seed: of all choices.
+        folder: where logs of the processes are left.
+        accounts: the client accounts; None where no call needs a key.
+    """
     with contextlib.ExitStack() as stack:
         clock = promise_lib.Clock()
         promises = promise_lib.Promises(clock)
         timer = gevent.spawn(_keep_time, clock, promises)
         stack.callback(timer.kill)
         platform = edge_http.EdgePlatform(INSTANCES, TASK_S, promises)
-        platform.rows.write("op", "config", edge_processes.config())
+        document = edge_processes.config()
+        settings = ""
+        if accounts is not None:
+            document["tenants"] = accounts.document
+            settings = accounts.settings
+            promises.judge_start = functools.partial(
+                accounts.judge_start, promises
+            )
+        platform.rows.write("op", "config", document)
         instance_links = {}
         for instance in platform.instances:
             link = stack.enter_context(
@@ -118,7 +167,9 @@
             name = f"edge-{number}"
             link = stack.enter_context(relays.run(platform.address))
             store_links[name] = link
-            edge = edge_processes.Edge(name, folder, link.address, link.address)
+            edge = edge_processes.Edge(
+                name, folder, link.address, link.address, settings
+            )
             stack.callback(edge.kill)
             edges.append(edge)
         yield World(
@@ -128,4 +179,5 @@
             instance_links,
             promises,
             random.Random(seed),
+            accounts,
         )
--- a/standins/edge_processes.py
+++ b/standins/edge_processes.py
@@ -101,7 +101,12 @@
     """
 
     def __init__(
-        self, name: str, folder: pathlib.Path, store: str, machines: str
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store: str,
+        machines: str,
+        settings: str = "",
     ):
         """Starts the process.
 
@@ -110,6 +115,7 @@
             folder: where its settings are written, and its log.
             store: "ip:port" of the platform's store.
             machines: "ip:port" of the platform's list of machines.
+            settings: further lines of its settings.
         """
         entry = free_ports(4)
         internal = entry + 2
@@ -122,7 +128,7 @@
             f"node_name={name}\nip=127.0.0.1\n"
             f"listen.frontend={self.entry}\nlisten.ready={self.ready}\n"
             f"internal_ports={internal},{internal + 1}\n"
-            f"platform.address={store}\ncloud_api.address={machines}\n"
+            f"platform.address={store}\ncloud_api.address={machines}\n{settings}"
         )
         self.process = self._start()
 
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from soak import accounts
 from soak import promises as promise_lib
 from soak import run
 from soak import world as worlds
@@ -38,6 +39,11 @@
 CRASHES = ("tasks-crash-instances", "rooms-shrink", "kill-owner")
 """Jobs waited for a minute where suspected tasks tried one instance of four."""
 
+ACCOUNTS_SEED = 2
+ACCOUNTS_S = 12.0
+"""An account had more running than its limit and its overage, when the order
+for a large task overtook those of small ones."""
+
 _STEPS = (
     jobs.Step(count=1, cpu=9000),
     jobs.Step(count=1, cpu=1000, after=(0,)),
@@ -61,6 +67,14 @@
     assert not result.broken
 
 
+def test_a_soak_with_client_accounts_breaks_no_promise(tmp_path):
+    book = accounts.Accounts(ACCOUNTS_SEED)
+    result = run.soak(ACCOUNTS_SEED, ACCOUNTS_S, tmp_path, accounts=book)
+    assert book.replaced
+    assert book.intruded
+    assert not result.broken
+
+
 def test_a_soak_with_tasks_that_crash_instances_breaks_no_promise(tmp_path):
     """Tasks crash instances again and again, or sound jobs wait for them."""
     result = run.soak(CRASHES_SEED, CRASHES_S, tmp_path, CRASHES)
