--- a/src/vanillaswitch/cli/deployment.py
+++ b/src/vanillaswitch/cli/deployment.py
@@ -77,7 +77,7 @@
 def explain(subject: str, file: pathlib.Path, as_json: bool) -> None:
     """Prints what the rows tell of SUBJECT.
 
-    SUBJECT is job/ID, instance/ID, machine/NAME or wave/NUMBER.
+    SUBJECT is job/ID, account/NAME, instance/ID, machine/NAME or wave/NUMBER.
     """
     kind, _, name = subject.partition("/")
     if kind not in SUBJECTS.names or not name:
@@ -97,6 +97,11 @@
     return view.job(name)
 
 
+@SUBJECTS.register("account")
+def _account(view: operator_view.OperatorView, name: str) -> Found | None:
+    return view.account(name)
+
+
 @SUBJECTS.register("instance")
 def _instance(view: operator_view.OperatorView, name: str) -> Found | None:
     return view.instance(name)
@@ -122,6 +127,8 @@
 def _lines(found: Found) -> Iterable[str]:
     if isinstance(found, status_summaries.JobSummary):
         return _job_lines(found)
+    if isinstance(found, status_summaries.AccountSummary):
+        return _account_lines(found)
     if isinstance(found, status_summaries.InstanceSummary):
         return _instance_lines(found)
     if isinstance(found, status_summaries.WaveSummary):
@@ -134,7 +141,8 @@
 
 def _job_lines(job: status_summaries.JobSummary) -> Iterator[str]:
     cancelled = ", cancelled by its client" if job.cancelled else ""
-    yield f"job {job.job} of {job.queue}: {job.state}{cancelled}"
+    account = f", account {job.account}" if job.account else ""
+    yield f"job {job.job} of {job.queue}{account}: {job.state}{cancelled}"
     for crash in job.given_up:
         yield f"  given up: {crash}"
     for name, state in job.steps.items():
@@ -143,6 +151,21 @@
         yield f"  {_task_text(task)}"
 
 
+def _account_lines(
+    account: status_summaries.AccountSummary,
+) -> Iterator[str]:
+    jobs = ", ".join(f"{n} {state}" for state, n in account.jobs.items())
+    yield (
+        f"account {account.account}: {account.keys} keys, weight "
+        f"{account.weight:g}; {jobs or 'no jobs'}"
+    )
+    for quantity, most in dataclasses.asdict(account.limit).items():
+        used = getattr(account.running, quantity)
+        yield f"  {quantity}: {used} in use, limit {most or 'none'}"
+    for job in account.waiting_for_limit:
+        yield f"  job {job} waits for the limit"
+
+
 def _task_text(task: status_summaries.TaskSummary) -> str:
     where = f" on {task.instance}" if task.instance else ""
     parts = [f"task {task.task}: {task.state}, run {task.run}{where}"]
--- a/src/vanillaswitch/coordination/fleet/status_summaries.py
+++ b/src/vanillaswitch/coordination/fleet/status_summaries.py
@@ -11,8 +11,10 @@
 import dataclasses
 from typing import Any
 
+from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.protocol import accounts
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import unusable
 
@@ -53,6 +55,7 @@
 
     Attributes:
         cancelled: whether its client cancelled it.
+        account: client account that submitted it; empty on a public queue.
         steps: by "OCCURRENCE.STEP": "done", or the number of tasks in each
             state. Steps whose tasks may not run yet are left out.
         tasks: tasks that are not done, or that failed or crashed before.
@@ -66,6 +69,30 @@
     steps: Mapping[str, str]
     tasks: tuple[TaskSummary, ...]
     given_up: tuple[str, ...]
+    account: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class AccountSummary:
+    """State of one client account.
+
+    Attributes:
+        keys: number of its API keys.
+        weight: jobs a second that it is entitled to; 0 for any number.
+        limit: what it may have running; 0 for no limit.
+        running: what its jobs have running or about to start.
+        jobs: number of its jobs by state.
+        waiting_for_limit: ids of its jobs with a task that waits and would
+            exceed the limit now.
+    """
+
+    account: str
+    keys: int
+    weight: float
+    limit: accounts.ResourceLimit
+    running: accounts.ResourceLimit
+    jobs: Mapping[str, int]
+    waiting_for_limit: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,6 +200,53 @@
         dict(sorted(steps.items())),
         tuple(tasks),
         tuple(crash.text for crash in entry.fatal_crashes),
+        entry.job.account,
+    )
+
+
+def summarize_account(
+    account: accounts.ClientAccount, entries: Iterable[job_tracker.JobEntry]
+) -> AccountSummary:
+    """Returns a summary of a client account.
+
+    Args:
+        account: the account as configured.
+        entries: all jobs.
+    """
+    own = [entry for entry in entries if entry.job.account == account.name]
+    usage = limits.AccountUsage()
+    for entry in own:
+        for step in entry.open_steps_by_key.values():
+            count = sum(
+                task.state is job_tracker.TaskState.ASSIGNED
+                for task in step.tasks
+            )
+            usage.add_tasks(account.name, step.step, count)
+    used = usage.used(account.name)
+    return AccountSummary(
+        account.name,
+        len(account.key_digests),
+        account.weight,
+        account.limit,
+        used,
+        dict(collections.Counter(entry.state.value for entry in own)),
+        tuple(
+            entry.job.job_id
+            for entry in own
+            if _waits_for_limit(entry, account.limit, used)
+        ),
+    )
+
+
+def _waits_for_limit(
+    entry: job_tracker.JobEntry,
+    limit: accounts.ResourceLimit,
+    used: accounts.ResourceLimit,
+) -> bool:
+    return any(
+        step.has_waiting_task
+        and not limits.startable_count(limit, used, step.step, step.step.count)
+        for step in entry.open_due_steps(float("inf"))
     )
 
 
--- a/src/vanillaswitch/wiring/operator_view.py
+++ b/src/vanillaswitch/wiring/operator_view.py
@@ -65,6 +65,22 @@
             return entry
         return status_summaries.summarize_job(entry, cancelled is not None)
 
+    def account(
+        self, name: str
+    ) -> status_summaries.AccountSummary | unusable.Unusable | None:
+        """Returns how a client account stands; None for an unknown one."""
+        key = f"{operator_rows.OPERATOR_TABLE}/{operator_rows.CONFIG_KEY}"
+        document = self._row(key)
+        if document is None:
+            return None
+        config = operator_rows.decode_config(document)
+        if isinstance(config, unusable.Unusable):
+            return config
+        account = config.accounts.by_name.get(name)
+        if account is None:
+            return None
+        return status_summaries.summarize_account(account, self._jobs().entries)
+
     def instance(self, name: str) -> status_summaries.InstanceSummary | None:
         """Returns how an instance stands; None for one without an entry."""
         found = self._registrations().get(name)
--- a/tests/cover/test_deployment_command.py
+++ b/tests/cover/test_deployment_command.py
@@ -13,6 +13,7 @@
 from vanillaswitch.coordination.fleet import operator_table
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.ownership import fenced_writer
+from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import http_table
 from vanillaswitch.protocol import jobs
@@ -197,3 +198,38 @@
         code, text = workstation.run("status")
         assert code == 3
         assert "the platform gave no answer" in text
+
+
+def test_an_account_is_shown_with_what_it_uses_and_what_waits(tmp_path):
+    with _open_workstation(tmp_path) as workstation:
+        tenant = {
+            "name": "mare",
+            "api_keys": ["a-key-nobody-may-see"],
+            "weight": 3,
+            "max_count": {"cpu": 4000},
+        }
+        document = edge_processes.config() | {"tenants": [tenant]}
+        workstation.rows.write("op", "config", document)
+        step = (jobs.Step(count=1, cpu=3000),)
+        for number in (1, 2):
+            job = fleet_builders.job(number, step, account="mare")
+            workstation.put(
+                f"{fenced_writer.JOB_TABLE}/{job.job_id}",
+                job_rows.job_to_row(job),
+            )
+        entry = job_tracker.JobEntry(fleet_builders.job(1, step), 0.0)
+        (task,) = next(iter(entry.open_due_steps(0.0))).tasks
+        task.state, task.run = job_tracker.TaskState.ASSIGNED, 1
+        workstation.put(
+            f"{fenced_writer.PROGRESS_TABLE}/{entry.job.job_id}",
+            entry.to_document(),
+        )
+        code, text = workstation.run("explain", "account/mare")
+        assert code == 0
+        assert "account mare: 1 keys, weight 3" in text
+        assert "cpu: 3000 in use, limit 4000" in text
+        assert f"job {2:016x} waits for the limit" in text
+        assert "nobody-may-see" not in text
+        assert workstation.run("explain", "account/sahel")[0] == 1
+        code, text = workstation.run("explain", f"job/{1:016x}")
+        assert "account mare" in text
