Take back the cap on the growth of a pool

Conclusion: machines that stand beyond the mean are worth their price, since demand varies as much and a machine comes two seconds later.

--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -77,15 +77,7 @@
             arrival_history = self.arrivals.setdefault(
                 pool, arrival_rate.ArrivalRate()
             )
-            work = sum(
-                job_tracker.task_demand(step).cpu
-                * step.count
-                * step.estimate_ms
-                / 1000
-                for step in entry.job.steps
-                if not step.long_running
-            )
-            arrival_history.record_job(cpu, work, now)
+            arrival_history.record_job(cpu, now)
 
     def restore(
         self,
--- a/src/vanillaswitch/coordination/fleet/machines/capacity_planner.py
+++ b/src/vanillaswitch/coordination/fleet/machines/capacity_planner.py
@@ -42,10 +42,6 @@
             ``PoolLoad.arrival_growth``. One large job is not a burst: without
             the limit a pool of 19 machines briefly required 52, and kept seven
             too many for 3 to 5 s.
-        steady_window_s: window over which arrivals are counted. Demand is not
-            expected to grow beyond what arrivals at this rate lead to in the
-            end. Without the limit, growth that varies with each job made a pool
-            require 168 machines while it used 96. 0 for no limit.
         idle_s: how long a pool must have a surplus before a machine moves to
             standby. Over that time an idle machine costs as much as a move.
         settle_s: how long a planner that sees no short tasks moves no machine
@@ -62,7 +58,6 @@
     look_ahead_s: float = 0.8
     longest_look_ahead_s: float = 2.0
     most_growth: float = 1.0
-    steady_window_s: float = 1.0
     idle_s: float = 1.5
     settle_s: float = 15.0
     familiar_s: float = 2.0
@@ -90,8 +85,6 @@
         arrival_growth: growth of demand if each of the recent jobs had the
             average size, thousandths of a core per second; None for no limit
             on the measured growth.
-        steady_demand: demand that lasting arrivals at the recent rate lead to,
-            thousandths of a core; None for no limit on the growth.
         lost_cpu: the difference between the full and the current capacity of
             its machines, thousandths of a core.
     """
@@ -106,7 +99,6 @@
     surge_machines: int = 0
     standby: bool = False
     arrival_growth: float | None = None
-    steady_demand: float | None = None
     lost_cpu: int = 0
 
 
@@ -134,11 +126,6 @@
         """Window over which growth is measured, seconds."""
         return self._policy.growth_window_s
 
-    @property
-    def steady_window_s(self) -> float:
-        """Window over which arrivals are counted, seconds; 0 for none."""
-        return self._policy.steady_window_s
-
     @property
     def required_machines(self) -> Mapping[str, int]:
         """Machines that each pool needs, according to the last plan."""
@@ -213,8 +200,6 @@
         if load.arrival_growth is not None:
             growth = min(growth, policy.most_growth * load.arrival_growth)
         demand = load.demand_cpu + growth * look_ahead_s
-        if load.steady_demand is not None:
-            demand = min(demand, max(load.demand_cpu, load.steady_demand))
         demand += load.lost_cpu * policy.utilisation
         usable_cpu = max(1, load.machine_cpu) * policy.utilisation
         return max(load.min_machines, math.ceil(demand / usable_cpu))
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -21,7 +21,6 @@
 from vanillaswitch.coordination.fleet.machines import capacity_planner
 from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.coordination.fleet.ownership import fenced_writer
-from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
@@ -290,7 +289,6 @@
             lost_cpu=lost_cpu,
             mean_task_s=load.mean_task_s,
             arrival_growth=self._arrival_growth(pool.name),
-            steady_demand=self._steady_demand(pool.name),
             surge_machines=0
             if pool.is_standby
             else min(awaiting_maintenance, MAINTENANCE_SURGE),
@@ -304,22 +302,6 @@
         now = self._clock.monotonic()
         return arrivals.demand_growth(self._planner.growth_window_s, now)
 
-    def _steady_demand(self, pool: str) -> float | None:
-        """Returns the demand to which arrivals at the recent rate lead.
-
-        The rate is the higher one of a short window, which shows the start of a
-        burst, and of the longest one, which varies less.
-        """
-        arrivals = self._scheduler.arrivals.get(pool)
-        window_s = self._planner.steady_window_s
-        if arrivals is None or not window_s:
-            return None
-        now = self._clock.monotonic()
-        return max(
-            arrivals.steady_demand(window_s, now),
-            arrivals.steady_demand(arrival_rate.RETENTION_S, now),
-        )
-
     def _instance_on(
         self, machine: fleet.Machine
     ) -> instance_state.Instance | None:
--- a/src/vanillaswitch/coordination/fleet/queue/arrival_rate.py
+++ b/src/vanillaswitch/coordination/fleet/queue/arrival_rate.py
@@ -3,8 +3,8 @@
 Load pattern: jobs come in bursts, many within a second, with few in between.
 Their sizes differ by a factor of ten and more. One large job makes the demand
 of a pool jump as much as the first second of a burst does, but no further
-demand follows it. The estimates therefore multiply the number of jobs by their
-average size.
+demand follows it. The estimate therefore multiplies the number of jobs by
+their average size.
 """
 
 import collections
@@ -23,16 +23,13 @@
     def __init__(self) -> None:
         """Starts without any job."""
         self._average_cpu: float | None = None
-        self._average_work = 0.0
         self._times: collections.deque[float] = collections.deque()
 
-    def record_job(self, cpu: int, work: float, now: float) -> None:
+    def record_job(self, cpu: int, now: float) -> None:
         """Records the arrival of a job.
 
         Args:
             cpu: thousandths of a core that its first steps request.
-            work: thousandths of a core times estimated seconds of all its
-                steps.
             now: monotonic seconds.
         """
         self._times.append(now)
@@ -40,9 +37,7 @@
             self._times.popleft()
         if self._average_cpu is None:
             self._average_cpu = cpu
-            self._average_work = work
         self._average_cpu += SMOOTHING_FACTOR * (cpu - self._average_cpu)
-        self._average_work += SMOOTHING_FACTOR * (work - self._average_work)
 
     def demand_growth(self, window_s: float, now: float) -> float:
         """Returns how fast demand grew in a window, assuming average jobs.
@@ -55,25 +50,5 @@
         Returns:
             Thousandths of a core per second.
         """
-        return (
-            self._count(window_s, now) * (self._average_cpu or 0.0) / window_s
-        )
-
-    def steady_demand(self, window_s: float, now: float) -> float:
-        """Returns the demand that lasting arrivals at this rate lead to.
-
-        By Little's law it is the rate of arrivals times the work of a job: in
-        the end as many tasks end in a second as begin.
-
-        Args:
-            window_s: length of the window, which ends now; at most
-                ``RETENTION_S``.
-            now: monotonic seconds.
-
-        Returns:
-            Thousandths of a core.
-        """
-        return self._count(window_s, now) * self._average_work / window_s
-
-    def _count(self, window_s: float, now: float) -> int:
-        return sum(at > now - window_s for at in self._times)
+        count = sum(at > now - window_s for at in self._times)
+        return count * (self._average_cpu or 0.0) / window_s
