Report an account at its limit once in a while, feed accounts to the fuzz target

Cause: an account that is at its limit in every other plan gave up to ten lines a second. Drawn configurations held no accounts.

Change: a line only after 5 s in which the limit held nothing up; an unused property removed; the drawn configurations hold an account.

--- a/src/vanillaswitch/coordination/fleet/accounts/limits.py
+++ b/src/vanillaswitch/coordination/fleet/accounts/limits.py
@@ -5,8 +5,6 @@
 wait, and the jobs of other accounts behind them go on. Nothing is stopped.
 """
 
-from collections.abc import Mapping
-
 from vanillaswitch.protocol import accounts
 from vanillaswitch.protocol import jobs
 
@@ -35,11 +33,6 @@
         """Returns what an account has reserved."""
         return self._used.get(account, NO_LIMIT)
 
-    @property
-    def by_account(self) -> Mapping[str, accounts.ResourceLimit]:
-        """What the accounts that have anything running have reserved."""
-        return self._used
-
     def add_tasks(self, account: str, step: jobs.Step, count: int) -> None:
         """Adds tasks of a step to an account; removes them if negative.
 
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -105,7 +105,7 @@
         self.account_usage = limits.AccountUsage()
         self._shares = shares.ShareTracker(bounds.share_window_s)
         self._limited_accounts: set[str] = set()
-        self._reported_accounts: set[str] = set()
+        self._limited_at: dict[str, float] = {}
         self._held_up_pools: set[str] = set()
         self.unreadable_jobs: Collection[str] = frozenset()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -23,6 +23,10 @@
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 
+LIMIT_REPORT_PAUSE_S = 5.0
+"""How long the limit of an account must have held nothing up before it is
+reported again."""
+
 
 class Planning(order_outcomes.OrderOutcomes):
     """Decides which tasks start on which instances."""
@@ -114,7 +118,7 @@
             pool_name: self._backlog(steps, usage)
             for pool_name, steps in waiting.items()
         }
-        self._report_limited_accounts()
+        self._report_limited_accounts(now)
         self.backlog_cpu = {name: cpu for name, (cpu, _) in backlog.items()}
         self.backlog_load = {name: load for name, (_, load) in backlog.items()}
 
@@ -391,9 +395,13 @@
             limit, self.account_usage.used(account), step.step, wanted
         )
 
-    def _report_limited_accounts(self) -> None:
+    def _report_limited_accounts(self, now: float) -> None:
         """Emits the accounts whose limit newly holds tasks up."""
-        for account in self._limited_accounts - self._reported_accounts:
+        for account in self._limited_accounts:
+            last_at = self._limited_at.get(account, float("-inf"))
+            self._limited_at[account] = now
+            if now - last_at <= LIMIT_REPORT_PAUSE_S:
+                continue
             used = self.account_usage.used(account)
             limit = self.account_limit(account)
             self._emit(
@@ -404,8 +412,7 @@
                     f"{used.gpu}/{limit.gpu}",
                 )
             )
-        self._reported_accounts = self._limited_accounts
-        self._limited_accounts = set()
+        self._limited_accounts.clear()
 
     def _assign(
         self,
--- a/tests/cover/test_document_validation.py
+++ b/tests/cover/test_document_validation.py
@@ -59,6 +59,15 @@
     ],
     "services": [{"name": "berthing", "standby": False}],
     "limits": {"max_body_bytes": 1000},
+    "tenants": [
+        {
+            "name": "mare",
+            "api_keys": ["key-a1", "key-b2"],
+            "priority": 1,
+            "weight": 65,
+            "max_count": {"cpu": 2128093, "mem_mb": 5408450, "gpu": 0},
+        }
+    ],
 }
 WAVE = {"wave": 1, "machines": ["m-1"], "duration_s": 20, "max_count": 1}
 STATUS_REPORT = {
