Let a soak's jobs be parsed without a world again

Cause: made the client account of a parsed job come from the world, so parse() needed one.

Change: parse() takes the account, empty by default; the test is as it was.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -86,7 +86,8 @@
     def _hand_in(self, client: plain_http.PlainClient) -> None:
         body = self._random.choice(BODIES)
         job_id = f"{next(self._numbers):016x}"
-        record = promise_lib.JobRecord(parse(body, job_id, self._world))
+        account = self._world.account_of(job_id)
+        record = promise_lib.JobRecord(parse(body, job_id, account))
         # Known before it is sent: its tasks may start before the answer.
         self._promises.records[job_id] = record
         self._mine.append(record)
@@ -107,7 +108,10 @@
 ) -> None:
     """Hands in a job whose tasks crash instances, until it is answered."""
     job_id = f"{FIRST_CRASHING + len(world.promises.records):016x}"
-    record = promise_lib.JobRecord(parse(CRASHING, job_id, world), crashes=True)
+    account = world.account_of(job_id)
+    record = promise_lib.JobRecord(
+        parse(CRASHING, job_id, account), crashes=True
+    )
     world.promises.records[job_id] = record
     for _ in range(TRIES):
         if _send(client, world, record, CRASHING) == OK:
@@ -135,10 +139,9 @@
     return status
 
 
-def parse(body: object, job_id: str, world: worlds.World) -> jobs.Job:
-    """Returns the job that a body hands in, with its client account."""
+def parse(body: object, job_id: str, account: str = "") -> jobs.Job:
+    """Returns the job that a body hands in for a client account."""
     data = json.dumps(body).encode()
-    account = world.accounts.pick(job_id) if world.accounts else ""
     return job_body.parse_job(
         data, job_id, "quotes", "pool", 0, account=account
     )
--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -43,8 +43,10 @@
         """Hands the services in, each until it is accepted."""
         with plain_http.open_client(clocks.SystemClock()) as client:
             for number in range(FIRST, FIRST + SERVICES):
+                job_id = f"{number:016x}"
+                account = self._world.account_of(job_id)
                 record = promise_lib.JobRecord(
-                    clients.parse(BODY, f"{number:016x}", self._world)
+                    clients.parse(BODY, job_id, account)
                 )
                 self._world.promises.records[record.job.job_id] = record
                 self._records.append(record)
--- a/soak/world.py
+++ b/soak/world.py
@@ -81,6 +81,10 @@
         holder = self.platform.rows.owner()
         return next((edge for edge in self.edges if edge.name == holder), None)
 
+    def account_of(self, job_id: str) -> str:
+        """Returns the client account that submits a job; empty for none."""
+        return self.accounts.pick(job_id) if self.accounts else ""
+
     def configure(self) -> None:
         """Writes the operators' next configuration."""
         self.version += self.random.randint(1, 5)
