Confirm an accepted job again after its account's limit was lowered

Found in review: a submission that got no answer may have been stored. If the limit of its account was lowered before the client repeated it, the client was told 429, which says that the job never runs, and it ran.

Change: a job with a task above the limit is refused only where neither the owner nor the store knows it, and with 400, since 429 promises more than can be known while a write may still arrive late. A plan looks at waiting tasks for a limit only where there is one.

Tests: test_accepted_job_is_confirmed_again_after_its_limit_was_lowered, 429 before.

--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -206,6 +206,8 @@
 
     def _is_held_up(self, step: job_tracker.OpenStep) -> bool:
         """Whether the limit of its account lets not all waiting tasks start."""
+        if self.account_limit(step.entry.job.account) == limits.NO_LIMIT:
+            return False
         count = len(step.waiting_tasks)
         return self._startable_count(step, count) < count
 
--- a/src/vanillaswitch/platform/job_request_handler.py
+++ b/src/vanillaswitch/platform/job_request_handler.py
@@ -162,12 +162,11 @@
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
-        owner = config.accounts.by_name.get(account)
-        if owner and any(
-            limits.exceeds_alone(owner.limit, step) for step in job.steps
+        if self._exceeds_limit(config, job) and not self._may_be_accepted(
+            incoming, job
         ):
             return _refusal(
-                429,
+                400,
                 "account-limit",
                 "a task of it is larger than all that the account may have "
                 "running; make its tasks smaller",
@@ -192,6 +191,27 @@
             )
         return _write_failure(result)
 
+    def _exceeds_limit(self, config: fleet.FleetConfig, job: jobs.Job) -> bool:
+        account = config.accounts.by_name.get(job.account)
+        return account is not None and any(
+            limits.exceeds_alone(account.limit, step) for step in job.steps
+        )
+
+    def _may_be_accepted(
+        self, incoming: requests.RawRequest, job: jobs.Job
+    ) -> bool:
+        """Whether a job may have been accepted before.
+
+        Its client repeats a submission that got no answer. The limit of its
+        account may have been lowered since, and an accepted job runs.
+        """
+        if self._owner_rpc.recorded_state(job.job_id, job.account) is not None:
+            return True
+        stored = self._job_service.state(
+            job.job_id, self._deadline(incoming), job.account
+        )
+        return stored is not None
+
     def _get_state(
         self, incoming: requests.RawRequest, job_id: str, account: str
     ) -> requests.Reply:
