--- a/src/vanillaswitch/coordination/fleet/ownership/owner_rpc.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner_rpc.py
@@ -65,13 +65,7 @@
     def recorded_state(
         self, job_id: str, account: str = ""
     ) -> jobs.JobState | None:
-        """Asks the owner for a job's stored state; None if unknown.
-
-        Args:
-            job_id: the job.
-            account: client account of the caller. The job of another account
-                is unknown to it.
-        """
+        """Asks the owner for a job's state; see ``Owner.recorded_state``."""
         answer = self._ask(job_id, "", account)
         if answer is None or not answer.state:
             return None
--- a/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
+++ b/src/vanillaswitch/coordination/fleet/queue/crash_evidence.py
@@ -13,9 +13,11 @@
 count against the task (see ``remaining_crashes``).
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import enum
+from typing import Any
 
 
 class CrashKind(enum.StrEnum):
@@ -162,3 +164,23 @@
     if not crashes:
         return False
     return crashes[-1].kind is not CrashKind.OLDER_RUN or len(crashes) > 1
+
+
+def encode_crashes(
+    crashes: Iterable[Crash],
+) -> list[list[Any]]:
+    """Returns crashes as rows of a job's document."""
+    return [
+        [crash.run, crash.instance, crash.kind, round(crash.run_time_s, 2)]
+        for crash in crashes
+    ]
+
+
+def decode_crashes(
+    rows: Iterable[Sequence[Any]],
+) -> tuple[Crash, ...]:
+    """Returns the crashes from rows that ``encode_crashes`` returned."""
+    return tuple(
+        Crash(run, instance, CrashKind(kind), float(run_time_s))
+        for run, instance, kind, run_time_s in rows
+    )
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -325,7 +325,9 @@
         if evidence:
             document["evidence"] = evidence
         if self.fatal_crashes:
-            document["given_up"] = _encode_crashes(self.fatal_crashes)
+            document["given_up"] = crash_evidence.encode_crashes(
+                self.fatal_crashes
+            )
         return document
 
     def load_document(
@@ -352,7 +354,9 @@
         self.ended = jobs.JobState(ended) if ended else None
         self.recorded_state = self.state
         self.ended_store_ms = float(document.get("ended_store_ms", 0.0))
-        self.fatal_crashes = _decode_crashes(document.get("given_up", ()))
+        self.fatal_crashes = crash_evidence.decode_crashes(
+            document.get("given_up", ())
+        )
         if self.ended is not None:
             return
         for row in document.get("tasks", ()):
@@ -403,7 +407,7 @@
         step = self.open_steps_by_key[occurrence, number]
         task = step.tasks[index]
         task.born_ms = born_ms
-        for crash in _decode_crashes(crashes):
+        for crash in crash_evidence.decode_crashes(crashes):
             task.record_crash(crash)
         step.has_crashed = step.has_crashed or bool(task.crashes)
 
@@ -454,32 +458,12 @@
             step.number,
             task.name.index,
             task.born_ms,
-            _encode_crashes(task.crashes),
+            crash_evidence.encode_crashes(task.crashes),
         ]
         for task in tasks
     ]
 
 
-def _encode_crashes(
-    crashes: Iterable[crash_evidence.Crash],
-) -> list[list[Any]]:
-    return [
-        [crash.run, crash.instance, crash.kind, round(crash.run_time_s, 2)]
-        for crash in crashes
-    ]
-
-
-def _decode_crashes(
-    rows: Iterable[Sequence[Any]],
-) -> tuple[crash_evidence.Crash, ...]:
-    return tuple(
-        crash_evidence.Crash(
-            run, instance, crash_evidence.CrashKind(kind), float(run_time_s)
-        )
-        for run, instance, kind, run_time_s in rows
-    )
-
-
 class JobTracker:
     """All accepted jobs, and those whose rows have to be written."""
 
