Count the bytes of answers that did not arrive completely

What operators saw: machines whose links were full of answers that were cut off wrote no usage line, and 'no whole answer in time' both for those and for a store that answers nothing.

Cause: only the bodies of whole answers were counted.

Change: what arrived of a truncated answer counts for usage, and the reason of a lost dependency names the bytes. So an answer that is too large for a link (many bytes), a store that does not answer (none) and a processor that is too slow (late timers) can be told apart.

The tests of usage, of truncated answers and of the silent store pass; the one of a stall in an answer now also holds the number of bytes.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -536,7 +536,7 @@
         calls: calls to instances and to the platform.
         unanswered: calls without a complete answer.
         sent_kb: kilobytes of request bodies.
-        received_kb: kilobytes of answer bodies.
+        received_kb: kilobytes of answer bodies, also of incomplete ones.
     """
 
     period_ms: int
--- a/src/vanillaswitch/internal/usage.py
+++ b/src/vanillaswitch/internal/usage.py
@@ -18,7 +18,7 @@
         calls: calls that were sent.
         unanswered: those of them that got no whole answer.
         sent_bytes: bodies of calls.
-        received_bytes: bodies of answers.
+        received_bytes: bodies of answers, and what arrived of incomplete ones.
         late_s: how late the latest timer fired.
     """
 
@@ -49,17 +49,21 @@
         self._received = 0
         self._late_s = 0.0
 
-    def called(self, sent: int, received: int | None) -> None:
+    def called(
+        self, sent: int, received: int | None, truncated: int = 0
+    ) -> None:
         """Counts a call.
 
         Args:
             sent: bytes of its body.
             received: bytes of its answer's body; None without an answer.
+            truncated: bytes of an answer that did not arrive completely.
         """
         self._calls += 1
         self._sent += sent
         if received is None:
             self._unanswered += 1
+            self._received += truncated
         else:
             self._received += received
 
--- a/src/vanillaswitch/platform/http_calls.py
+++ b/src/vanillaswitch/platform/http_calls.py
@@ -68,7 +68,7 @@
     if isinstance(outcome, minions.NotSent):
         return NoResponse(False, outcome.reason)
     if isinstance(outcome, minions.AnswerLost):
-        return NoResponse(True, outcome.reason)
+        return NoResponse(True, _describe_loss(outcome))
     try:
         decoded = (
             validation.decode_json(outcome.answer.body)
@@ -80,3 +80,9 @@
     if not isinstance(decoded, dict):
         decoded = {}
     return JsonResponse(outcome.answer.status, decoded)
+
+
+def _describe_loss(lost: minions.AnswerLost) -> str:
+    if not lost.received:
+        return lost.reason
+    return f"{lost.reason}, {lost.received} bytes of it arrived"
--- a/src/vanillaswitch/protocol/minions.py
+++ b/src/vanillaswitch/protocol/minions.py
@@ -51,10 +51,12 @@
     Attributes:
         timed_out: the attempt timed out without a single byte of an answer.
             False after a reset or a truncated answer.
+        received: bytes of the answer that arrived, including its head.
     """
 
     reason: str
     timed_out: bool
+    received: int = 0
 
 
 SendOutcome = Answered | NotSent | AnswerLost
--- a/src/vanillaswitch/transport/minion_http.py
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -127,8 +127,8 @@
         """Returns what is known when the exchange ended early."""
         if not self._sent:
             return minions.NotSent(reason)
-        silent = timed_out and not self._reader.received
-        return minions.AnswerLost(reason, silent)
+        received = self._reader.received
+        return minions.AnswerLost(reason, timed_out and not received, received)
 
     def _send(self, connection: socket.socket, data: bytes) -> None:
         # ``sendall`` does not tell how much had left when it failed. Here
--- a/src/vanillaswitch/transport/plain_http.py
+++ b/src/vanillaswitch/transport/plain_http.py
@@ -86,12 +86,13 @@
             deadline=0.0,
         )
         outcome = self._client.send(target_minion, request, timeout_s, fresh)
-        received = (
-            len(outcome.answer.body)
-            if isinstance(outcome, minions.Answered)
-            else None
-        )
-        self._meter.called(len(body), received)
+        match outcome:
+            case minions.Answered(answer):
+                self._meter.called(len(body), len(answer.body))
+            case minions.AnswerLost(received=truncated):
+                self._meter.called(len(body), None, truncated)
+            case _:
+                self._meter.called(len(body), None)
         return outcome
 
 
--- a/tests/cover/test_usage_events.py
+++ b/tests/cover/test_usage_events.py
@@ -10,13 +10,13 @@
     """Returns the events of one period.
 
     Args:
-        calls: bytes sent and received by each call.
+        calls: bytes sent and received by each call, and truncated ones.
         late_s: delay of the latest timer.
     """
     clock = clocks.ManualClock()
     meter = usage.Meter(clock.monotonic())
-    for sent, received in calls:
-        meter.called(sent, received)
+    for call in calls:
+        meter.called(*call)
     meter.woken(late_s)
     clock.advance(edge.USAGE_S)
     emitted = []
@@ -33,6 +33,12 @@
     assert emitted == [events.Usage(2000, 6, 2, 1, 3, 400)]
 
 
+def test_bytes_of_truncated_answers_show_on_a_saturated_link():
+    """Guards against a full link that the log presents as an idle one."""
+    emitted = _usage_events([(0, None, 900_000)], late_s=0.001)
+    assert emitted == [events.Usage(2000, 1, 1, 1, 0, 900)]
+
+
 def test_a_saturated_processor_shows_as_late_timers():
     assert [event.late_ms for event in _usage_events(late_s=0.25)] == [250]
 
--- a/tests/failures/test_sent_once.py
+++ b/tests/failures/test_sent_once.py
@@ -159,7 +159,7 @@
     monkeypatch.setattr(sockets, "connect", lambda *_: mine)
     outcome = wire.send(client, "127.0.0.1:1", "r", SOON_S)
     assert outcome == minions.AnswerLost(
-        "no whole answer in time", timed_out=False
+        "no whole answer in time", timed_out=False, received=17
     )
     theirs.close()
 
