Show that a large configuration never reaches a slow link

Each try to read it is cut off in the middle and the next one begins anew, so the follower keeps version 1.

--- a/standins/relays.py
+++ b/standins/relays.py
@@ -15,6 +15,7 @@
 from vanillaswitch.transport import sockets
 
 _BLOCK_BYTES = 65_536
+_SLOW_BLOCK_BYTES = 8_192
 _CONNECT_S = 5.0
 _PAUSE_S = 0.02
 """How often a held block looks whether its link is whole again."""
@@ -60,6 +61,9 @@
     With ``DELAY`` each block waits; with ``SILENT`` nothing passes; with
     ``ONE_WAY`` what is asked passes and no answer comes back. Blocks that are
     held back pass once the harm is over.
+
+    Attributes:
+        answer_bytes_per_s: rate at which answers pass; None for no limit.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         self._held: list[Block] = []
         self._open: set[socket.socket] = set()
         self._harm = Harm.NONE
+        self.answer_bytes_per_s: float | None = None
         self._server = gevent.server.StreamServer(
             sockets.listen("127.0.0.1:0"), self._serve
         )
@@ -160,11 +165,19 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(_BLOCK_BYTES):
-                if back:
-                    self._hold(back)
-                else:
+                if not back:
                     self._hold_for_target(data, target)
-                target.sendall(data)
+                    target.sendall(data)
+                    continue
+                for start in range(0, len(data), _SLOW_BLOCK_BYTES):
+                    block = data[start : start + _SLOW_BLOCK_BYTES]
+                    self._pace(len(block))
+                    self._hold(back)
+                    target.sendall(block)
+
+    def _pace(self, size: int) -> None:
+        if self.answer_bytes_per_s is not None:
+            gevent.sleep(size / self.answer_bytes_per_s)
 
     def _hold_for_target(self, data: bytes, target: socket.socket) -> None:
         port = str(target.getsockname()[1])
