Limit reads of the store by progress instead of their whole time

Cause: a read had a limit of 1.5 s (2 s for changes) for its whole answer. The configuration of 4,251 queues takes 2.1 s of a link of 5 Mbit/s. Each try was cut off in the middle and repeated from the beginning, so it never arrived, filled the link, and the copy of the configuration grew too old for keys.

The test failed before with the same reason.

Change: the time limit holds until the answer begins and for each pause in it; an answer that has begun may take as long as it arrives at 32 KB/s on average. Bytes that arrive count as a sign of life: the store is not taken for silent meanwhile, and the end of an outage ends only calls that nothing arrived of. It holds for all calls on kept connections to the store, the list of machines and instances. The attempts of entries towards their upstreams stay limited as a whole.

Why it works: no size of the configuration leads to a retry that can't succeed; a stalled answer is still given up within its limit, a trickle as well.

--- a/src/vanillaswitch/platform/http_calls.py
+++ b/src/vanillaswitch/platform/http_calls.py
@@ -8,6 +8,7 @@
 from vanillaswitch.platform import validation
 from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import requests
+from vanillaswitch.transport import minion_http
 from vanillaswitch.transport import plain_http
 
 
@@ -44,6 +45,7 @@
     headers: requests.Headers = (),
     timeout_s: float = 1.0,
     fresh: bool = False,
+    on_progress: minion_http.OnProgress = lambda _: None,
 ) -> JsonResponse | NoResponse:
     """Sends a request once and decodes its response.
 
@@ -54,8 +56,10 @@
         target: path and query.
         body: JSON object; None for an empty body.
         headers: additional header fields.
-        timeout_s: limit for the whole call.
+        timeout_s: limit for the time until the response begins, and for each
+            pause in it.
         fresh: use a new connection instead of a pooled one.
+        on_progress: called while a response arrives in parts.
     """
     data = (
         b""
@@ -63,7 +67,7 @@
         else json.dumps(body, separators=(",", ":")).encode()
     )
     outcome = client.call(
-        address, method, target, data, headers, timeout_s, fresh
+        address, method, target, data, headers, timeout_s, fresh, on_progress
     )
     if isinstance(outcome, minions.NotSent):
         return NoResponse(False, outcome.reason)
--- a/src/vanillaswitch/platform/http_table.py
+++ b/src/vanillaswitch/platform/http_table.py
@@ -20,21 +20,24 @@
 from vanillaswitch.platform import store_rows
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import platform
+from vanillaswitch.transport import minion_http
 from vanillaswitch.transport import page_size
 from vanillaswitch.transport import plain_http
 
 CALL_TIMEOUT_S = 1.5
-"""Time limit for one call. A slow store answers in about half a second (60
-times its usual 7 ms); a silent connection must be given up well within a
-lease."""
+"""Time limit until the answer to a call begins, and for each pause in it. A
+slow store answers in about half a second (60 times its usual 7 ms); a silent
+connection must be given up well within a lease. There is no fixed limit for
+the whole answer: its size depends on what operators wrote."""
 
 FEED_MARGIN_S = 1.0
 """Time that a call for changes may take beyond its wait time."""
 
 SUSPECT_CONNECTIONS_S = 0.1
-"""Once a call has waited for its answer for this long, other calls open new
-connections. The pooled connections may all have gone silent together, and each
-would delay a call up to its time limit. An idle store answers in 7 ms."""
+"""Once a call has waited for (the next part of) its answer for this long, other
+calls open new connections. The pooled connections may all have gone silent
+together, and each would delay a call up to its time limit. An idle store
+answers in 7 ms."""
 
 OUTAGE_S = 1.0
 """A store that has answered nothing for this long was unavailable: one that is
@@ -90,9 +93,9 @@
 
     @property
     def unresponsive_s(self) -> float:
-        """Seconds since the first call after the store's last answer.
+        """Seconds since the first call after the store's last sign of life.
 
-        It is 0 if there was no call since then.
+        That is an answer or a part of one. It is 0 if there was no call since.
         """
         since = self._unanswered_since
         return 0.0 if since is None else self._clock.monotonic() - since
@@ -306,8 +309,14 @@
         started_at = self._clock.monotonic()
         self._calls_in_flight[number] = started_at
         send = self._call_until_recovered if body is None else self._send
+
+        def record_progress(_: int) -> None:
+            self._calls_in_flight[number] = self._clock.monotonic()
+
         try:
-            response = send(method, target, body, timeout_s, fresh)
+            response = send(
+                method, target, body, timeout_s, fresh, record_progress
+            )
         finally:
             del self._calls_in_flight[number]
         self._last_call_failed = isinstance(response, http_calls.NoResponse)
@@ -323,6 +332,7 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
         fresh: bool,
+        on_progress: minion_http.OnProgress = lambda _: None,
     ) -> http_calls.JsonResponse | http_calls.NoResponse:
         return http_calls.call(
             self._client,
@@ -332,6 +342,7 @@
             body,
             timeout_s=timeout_s,
             fresh=fresh,
+            on_progress=on_progress,
         )
 
     def _call_until_recovered(
@@ -341,18 +352,28 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
         fresh: bool,
+        on_progress: minion_http.OnProgress = lambda _: None,
     ) -> http_calls.JsonResponse | http_calls.NoResponse:
         """Makes a read-only call; gives it up when the store recovers.
 
         After an outage the store answers new calls, but not those that it got
-        during the outage. So an answer to any other call ends this one early.
+        during the outage. So an answer to any other call ends this one early,
+        unless its own answer has begun to arrive.
         """
+        has_begun = False
+
+        def record_progress(received: int) -> None:
+            nonlocal has_begun
+            has_begun = True
+            self._record_sign_of_life()
+            on_progress(received)
+
         greenlet = gevent.spawn(
-            self._send, method, target, body, timeout_s, fresh
+            self._send, method, target, body, timeout_s, fresh, record_progress
         )
         try:
             gevent.wait([greenlet, self._recovered], count=1)
-            if not greenlet.ready():
+            if not greenlet.ready() and not has_begun:
                 return http_calls.NoResponse(
                     True, "sent during an outage that is over"
                 )
@@ -364,12 +385,16 @@
             # Also runs when the calling greenlet is killed.
             greenlet.kill(block=False)
 
-    def _on_response(self, response: http_calls.JsonResponse) -> None:
-        """Ends the calls sent during an outage and passes the clock on."""
+    def _record_sign_of_life(self) -> None:
+        """Ends the calls that were sent during an outage, if there was one."""
         if self.unresponsive_s > OUTAGE_S:
             self._recovered.set()
             self._recovered = gevent.event.Event()
         self._unanswered_since = None
+
+    def _on_response(self, response: http_calls.JsonResponse) -> None:
+        """Records that the store answers and passes its clock on."""
+        self._record_sign_of_life()
         now_ms = response.body.get("now_ms")
         if isinstance(now_ms, int | float):
             self._on_store_clock(now_ms)
--- a/src/vanillaswitch/transport/minion_http.py
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -45,6 +45,9 @@
         idle_s: longest time that a connection is kept open without work.
         patience_s: how much longer an answer is waited for than the time that
             the other end is told, for one that refuses at the last moment.
+        min_answer_bytes_per_s: an answer that has begun may go on arriving
+            beyond the timeout at this average rate or more; None if the
+            timeout limits the whole attempt.
     """
 
     max_answer_bytes: int = 16 * 1024 * 1024
@@ -52,6 +55,62 @@
     idle_per_minion: int = 8
     idle_s: float = 30.0
     patience_s: float = 0.0
+    min_answer_bytes_per_s: float | None = None
+
+
+class _AttemptTimeout:
+    """Time limit of one attempt.
+
+    It limits the whole attempt, or, with a minimum rate, each pause in which
+    nothing arrives. An answer whose size grows with the deployment would
+    otherwise be cut off at the same point by each retry.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        timeout_s: float,
+        min_bytes_per_s: float | None,
+    ):
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._min_bytes_per_s = min_bytes_per_s
+        self._started_at = clock.monotonic()
+        self._timeout = gevent.Timeout(timeout_s)
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator[None]:
+        """Runs the timer, which raises ``gevent.Timeout`` in the block."""
+        self._timeout.start()
+        try:
+            yield
+        finally:
+            self._timeout.close()
+
+    def has_raised(self, timeout: gevent.Timeout) -> bool:
+        """Whether an exception is this time limit and not an outer one."""
+        return timeout is self._timeout
+
+    def record_progress(self, received: int) -> None:
+        """Allows an answer that arrives fast enough another pause.
+
+        Args:
+            received: bytes of the answer so far.
+
+        Raises:
+            gevent.Timeout: the answer arrives too slowly.
+        """
+        if self._min_bytes_per_s is None:
+            return
+        allowed_s = self._timeout_s + received / self._min_bytes_per_s
+        if self._clock.monotonic() - self._started_at > allowed_s:
+            raise self._timeout
+        self._timeout.close()
+        self._timeout = gevent.Timeout.start_new(self._timeout_s)
+
+
+OnProgress = Callable[[int], None]
+"""Receives the bytes of an answer so far, whenever some more arrived."""
 
 
 def encode(
@@ -100,7 +159,10 @@
 class _Exchange:
     """One request and its answer on one connection."""
 
-    def __init__(self, limit: int, request: requests.Request):
+    def __init__(
+        self, limit: int, request: requests.Request, on_progress: OnProgress
+    ):
+        self._on_progress = on_progress
         self._reader = answer_reader.AnswerReader(request.method, limit)
         self._request = request
         self._sent = 0
@@ -141,6 +203,8 @@
     def _read(self, connection: socket.socket) -> None:
         while not self._reader.whole:
             self._reader.feed(connection.recv(_BLOCK_BYTES))
+            if not self._reader.whole:
+                self._on_progress(self._reader.received)
 
     def _check(self, answer: requests.Answer) -> minions.SendOutcome:
         # A minion that answers one request twice leaves an answer on the
@@ -176,23 +240,39 @@
         request: requests.Request,
         timeout_s: float,
         fresh: bool,
+        on_progress: OnProgress = lambda _: None,
     ) -> minions.SendOutcome:
-        """Sends one request once; see ``protocol.minions.MinionClient``."""
+        """Sends one request once; see ``protocol.minions.MinionClient``.
+
+        Args:
+            minion: gets the request.
+            request: is sent at most once.
+            timeout_s: limit for the attempt, or for each pause in it; see
+                ``ClientSettings.min_answer_bytes_per_s``.
+            fresh: on a new connection rather than a kept one.
+            on_progress: called while an answer arrives in parts.
+        """
         if timeout_s <= 0:
             return minions.NotSent("no time left")
         data = self._encode(minion, request, timeout_s)
-        exchange = _Exchange(self._settings.max_answer_bytes, request)
-        timeout = gevent.Timeout.start_new(
-            timeout_s + self._settings.patience_s
+        limit = _AttemptTimeout(
+            self._clock,
+            timeout_s + self._settings.patience_s,
+            self._settings.min_answer_bytes_per_s,
         )
-        try:
-            return self._exchange(exchange, minion.address, data, fresh)
-        except gevent.Timeout as raised:
-            if raised is not timeout:
-                raise
-            return self._timed_out(exchange, minion.address)
-        finally:
-            timeout.close()
+
+        def report(received: int) -> None:
+            limit.record_progress(received)
+            on_progress(received)
+
+        exchange = _Exchange(self._settings.max_answer_bytes, request, report)
+        with limit.running():
+            try:
+                return self._exchange(exchange, minion.address, data, fresh)
+            except gevent.Timeout as raised:
+                if not limit.has_raised(raised):
+                    raise
+                return self._timed_out(exchange, minion.address)
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/src/vanillaswitch/transport/plain_http.py
+++ b/src/vanillaswitch/transport/plain_http.py
@@ -24,6 +24,10 @@
 CONNECT_TIMEOUT_S = 1.0
 """Longest wait for a connection; a machine behind a cut never answers."""
 
+MIN_ANSWER_BYTES_PER_S = 32_000.0
+"""An answer that arrives more slowly is given up. A link of 2 Mbit/s carries
+eight times as much, and several calls share it."""
+
 
 def _encode(
     minion: minions.Minion, request: requests.Request, timeout_s: float
@@ -61,6 +65,7 @@
         headers: requests.Headers = (),
         timeout_s: float = 1.0,
         fresh: bool = False,
+        on_progress: minion_http.OnProgress = lambda _: None,
     ) -> minions.SendOutcome:
         """Sends one call once.
 
@@ -70,8 +75,10 @@
             target: path and query.
             body: JSON text; empty for none.
             headers: besides those that frame the message.
-            timeout_s: limit for the whole call.
+            timeout_s: limit for the time until the answer begins, and for each
+                pause in it.
             fresh: on a new connection rather than a kept one.
+            on_progress: called while an answer arrives in parts.
         """
         target_minion = minions.Minion(address, "", address, "", "", 0, 0)
         request = requests.Request(
@@ -85,7 +92,9 @@
             body=body,
             deadline=0.0,
         )
-        outcome = self._client.send(target_minion, request, timeout_s, fresh)
+        outcome = self._client.send(
+            target_minion, request, timeout_s, fresh, on_progress
+        )
         match outcome:
             case minions.Answered(answer):
                 self._meter.called(len(body), len(answer.body))
@@ -110,6 +119,7 @@
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_per_minion=IDLE_CONNECTIONS,
         idle_s=IDLE_S,
+        min_answer_bytes_per_s=MIN_ANSWER_BYTES_PER_S,
     )
     client = minion_http.HttpMinionClient(clock, settings, _encode)
     try:
--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 
+import gevent
 import pytest
 
 from standins import edge_http
@@ -15,6 +16,7 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import http_table
 from vanillaswitch.platform import operator_rows
+from vanillaswitch.protocol import platform
 from vanillaswitch.transport import plain_http
 
 LINK_BYTES_PER_S = 2e6 / 8
@@ -106,3 +108,49 @@
     assert machine.poll(1) == 1
     machine.operate(2, int(LINK_BYTES_PER_S * TRANSFER_S))
     assert machine.poll(1) == 2
+
+
+def test_a_process_that_starts_on_a_slow_link_reads_its_configuration(machine):
+    """Guards against a process that never serves since each read is cut."""
+    machine.operate(1, int(LINK_BYTES_PER_S * TRANSFER_S))
+    assert machine.poll(1) == 1
+
+
+def test_an_answer_that_stalls_is_given_up(machine):
+    """Guards against a read that waits for good behind a cut link."""
+    machine.operate(1, int(LINK_BYTES_PER_S * TRANSFER_S))
+    reading = gevent.spawn(machine.store.snapshot, "op")
+    gevent.sleep(0.5)
+    machine.link.harm(relays.Harm.SILENT)
+    outcome = reading.get(timeout=2 * http_table.CALL_TIMEOUT_S)
+    assert isinstance(outcome, platform.Unavailable)
+
+
+def test_an_answer_that_trickles_is_given_up(machine):
+    """Guards against a read that takes minutes and then starts anew."""
+    machine.link.answer_bytes_per_s = 10_000.0
+    machine.operate(1, 1_000_000)
+    outcome = gevent.spawn(machine.store.snapshot, "op").get(
+        timeout=4 * http_table.CALL_TIMEOUT_S
+    )
+    assert isinstance(outcome, platform.Unavailable)
+
+
+def test_a_store_whose_answer_is_arriving_is_not_taken_for_silent(machine):
+    """Guards against submissions refused while a configuration arrives."""
+    machine.operate(1, int(LINK_BYTES_PER_S * TRANSFER_S))
+    reading = gevent.spawn(machine.store.snapshot, "op")
+    gevent.sleep(http_table.OUTAGE_S + 0.4)
+    assert not reading.ready()
+    assert machine.store.unresponsive_s < http_table.OUTAGE_S / 2
+    reading.kill()
+
+
+def test_the_end_of_an_outage_does_not_end_an_answer_that_is_arriving(machine):
+    """Guards against a long answer that is read again from its beginning."""
+    machine.operate(1, int(LINK_BYTES_PER_S * TRANSFER_S))
+    reading = gevent.spawn(machine.store.snapshot, "op")
+    gevent.sleep(http_table.OUTAGE_S + 0.1)
+    machine.store.read(["op/none"])
+    outcome = reading.get(timeout=4 * TRANSFER_S)
+    assert not isinstance(outcome, platform.Unavailable)
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -161,8 +161,8 @@
     def __init__(self):
         self.silent = True
 
-    def call(self, address, method, target, data, headers, timeout_s, fresh):
-        del address, method, target, data, headers, fresh
+    def call(self, address, method, target, data, headers, timeout_s, *_):
+        del address, method, target, data, headers
         if self.silent:
             gevent.sleep(timeout_s)
             return minions.AnswerLost("silent", True)
