Confirm a configuration at once after a slow transfer

What callers saw: on links of 5 Mbit/s calls with API keys were still refused for up to a second after a large configuration had come into force.

Cause: a copy counts as confirmed up to when its call was sent, which is as long ago as the transfer took. The next call then waited a second for changes before it confirmed the copy.

Change: after an answer that took longer than its wait, the next call doesn't wait. It failed before: waits of 1.0 and 1.0 s instead of 1.0 and 0.0 s.

--- a/src/vanillaswitch/coordination/fleet/table_follower.py
+++ b/src/vanillaswitch/coordination/fleet/table_follower.py
@@ -74,6 +74,7 @@
         self._missing_partitions: tuple[str, ...] = ()
         self._is_failing = False
         self._recovered_at = 0.0
+        self._was_last_answer_slow = False
 
     @property
     def recovered_at(self) -> float:
@@ -110,6 +111,10 @@
         if self._missing_partitions:
             self._read_missing_partitions()
         wait_s = RETRY_S if self._missing_partitions else self._wait_s
+        if self._was_last_answer_slow:
+            # The copy is as old as the transfer was long. An answer without
+            # changes confirms it at once.
+            wait_s = 0.0
         sent_at = self._clock.monotonic()
         outcome = self._feed.changes(self._table, self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
@@ -117,7 +122,7 @@
             if self._resync_after_failure:
                 self._version = None
             return False
-        self._on_answer()
+        self._on_answer(sent_at)
         if isinstance(outcome, change_feeds.HistoryTruncated):
             self._report_state(
                 "back", "the store has dropped some changes; reading all rows"
@@ -140,7 +145,7 @@
         if isinstance(outcome, platform.Unavailable):
             self._on_failure(outcome.reason)
             return False
-        self._on_answer()
+        self._on_answer(sent_at)
         self._version = outcome.version
         self._update_missing(outcome)
         self._on_snapshot(outcome)
@@ -170,7 +175,9 @@
             self._report_state("lost", reason)
         self._is_failing = True
 
-    def _on_answer(self) -> None:
+    def _on_answer(self, sent_at: float) -> None:
+        elapsed_s = self._clock.monotonic() - sent_at
+        self._was_last_answer_slow = elapsed_s > self._wait_s + RETRY_S
         if self._is_failing:
             self._report_state("back", "")
             self._recovered_at = self._clock.monotonic()
--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -10,12 +10,14 @@
 from standins import edge_http
 from standins import relays
 from tests.common import account_calls
+from tests.common import clocks as manual
 from vanillaswitch.coordination.fleet import operator_table
 from vanillaswitch.coordination.fleet import reference_clock
 from vanillaswitch.coordination.fleet import table_follower
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import http_table
 from vanillaswitch.platform import operator_rows
+from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import plain_http
 
@@ -154,3 +156,41 @@
     machine.store.read(["op/none"])
     outcome = reading.get(timeout=4 * TRANSFER_S)
     assert not isinstance(outcome, platform.Unavailable)
+
+
+class _SlowChanges:
+    """Delivers one change by a slow transfer and then none."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.waits = []
+
+    def snapshot(self, table, parts=()):
+        del table, parts
+        return change_feeds.Snapshot((), 1)
+
+    def changes(self, table, after, wait_s):
+        del table
+        self.waits.append(wait_s)
+        self._clock.advance(3.0 if len(self.waits) == 1 else wait_s)
+        return change_feeds.ChangeBatch((), after + 1)
+
+
+def test_a_copy_that_arrived_slowly_is_confirmed_without_waiting():
+    """Guards against keys refused for another second after a long transfer."""
+    clock = manual.ManualClock()
+    feed = _SlowChanges(clock)
+    confirmed = []
+    follower = table_follower.Follower(
+        feed,
+        "op",
+        clock,
+        lambda _: None,
+        lambda _: None,
+        lambda _: None,
+        on_current=confirmed.append,
+    )
+    for _ in range(4):
+        follower._poll()
+    assert feed.waits == [1.0, 0.0, 1.0]
+    assert confirmed[2] - confirmed[1] == pytest.approx(3.0)
