Limit reads of entries and controllers by progress, too

The same cause as of the lost answers about jobs, found by looking for it elsewhere: entries fetch the body of a configuration from the object store with a limit of 2 s for the whole answer, and fetch it again at the next poll. A body of 1.25 MB never arrives over a link of 5 Mbit/s.

Change: the client of the platform takes the minimum rate of the edge's client. The test failed before: Unavailable, no whole answer in time.

--- a/src/vanillaswitch/transport/plain_http.py
+++ b/src/vanillaswitch/transport/plain_http.py
@@ -24,10 +24,6 @@
 CONNECT_TIMEOUT_S = 1.0
 """Longest wait for a connection; a machine behind a cut never answers."""
 
-MIN_ANSWER_BYTES_PER_S = 32_000.0
-"""An answer that arrives more slowly is given up. A link of 2 Mbit/s carries
-eight times as much, and several calls share it."""
-
 
 def _encode(
     minion: minions.Minion, request: requests.Request, timeout_s: float
@@ -119,7 +115,7 @@
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_per_minion=IDLE_CONNECTIONS,
         idle_s=IDLE_S,
-        min_answer_bytes_per_s=MIN_ANSWER_BYTES_PER_S,
+        min_answer_bytes_per_s=minion_http.MIN_ANSWER_BYTES_PER_S,
     )
     client = minion_http.HttpMinionClient(clock, settings, _encode)
     try:
--- a/src/vanillaswitch/transport/platform_caller.py
+++ b/src/vanillaswitch/transport/platform_caller.py
@@ -33,7 +33,7 @@
         Args:
             client: sends one call once.
             address: "ip:port" of the platform.
-            timeout_s: limit for one attempt as a whole.
+            timeout_s: time limit for one attempt, as the client applies it.
         """
         self._client = client
         self._timeout_s = timeout_s
--- a/src/vanillaswitch/transport/platform_http.py
+++ b/src/vanillaswitch/transport/platform_http.py
@@ -193,12 +193,14 @@
 
     Args:
         address: the platform's HTTP interface.
-        timeout_s: limit for connecting, and for one attempt as a whole.
+        timeout_s: limit for connecting, for the time until an answer begins,
+            and for each pause in it.
     """
     settings = minion_http.ClientSettings(
         connect_timeout_s=timeout_s,
         idle_per_minion=platform_caller.IDLE_CONNECTIONS,
         idle_s=_IDLE_S,
+        min_answer_bytes_per_s=minion_http.MIN_ANSWER_BYTES_PER_S,
     )
     clock = clock_module.SystemClock()
     with minion_http.open_client(clock, settings) as client:
--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import hashlib
 import json
 
 import gevent
@@ -11,6 +12,7 @@
 from standins import relays
 from tests.common import account_calls
 from tests.common import clocks as manual
+from tests.common import platforms
 from vanillaswitch.coordination.fleet import operator_table
 from vanillaswitch.coordination.fleet import reference_clock
 from vanillaswitch.coordination.fleet import table_follower
@@ -20,6 +22,7 @@
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import plain_http
+from vanillaswitch.transport import platform_http
 
 LINK_BYTES_PER_S = 2e6 / 8
 """Of the slowest links that deployments have."""
@@ -194,3 +197,17 @@
         follower._poll()
     assert feed.waits == [1.0, 0.0, 1.0]
     assert confirmed[2] - confirmed[1] == pytest.approx(3.0)
+
+
+def test_a_configuration_in_the_object_store_arrives_over_a_slow_link():
+    """Guards against entries that fetch half of a body at each poll."""
+    body = b"x" * int(LINK_BYTES_PER_S * TRANSFER_S)
+    with (
+        platforms.served(manual.ManualClock()) as (standin, _, address),
+        relays.run(address) as link,
+        platform_http.connect(link.address) as client,
+    ):
+        link.answer_bytes_per_s = LINK_BYTES_PER_S
+        digest = hashlib.sha256(body).hexdigest()
+        standin.objects.put(digest, body)
+        assert client.objects.get(digest) == platform.ObjectContent(body)
