Read only the newest of several large configurations

Since a long answer is no longer cut off, a machine on a slow link reads all versions of a large configuration that came meanwhile, and more come while it reads.

Change: changes of the operators' table that are larger than 1 MiB by the head of their answer are not read; the table is, with the newest version alone.

--- a/src/vanillaswitch/coordination/fleet/ownership/spec_table.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/spec_table.py
@@ -109,7 +109,10 @@
                 self._clock.sleep(table_follower.RETRY_S)
                 continue
             self._report_source_state(_CHANGES_SOURCE, "")
-            if isinstance(outcome, change_feeds.HistoryTruncated):
+            if isinstance(
+                outcome,
+                change_feeds.HistoryTruncated | change_feeds.ChangesTooLarge,
+            ):
                 # ``read_missing`` reads the specs written in between. Until the
                 # owner's next write, the version of its last one may be too old
                 # as well.
--- a/src/vanillaswitch/coordination/fleet/table_follower.py
+++ b/src/vanillaswitch/coordination/fleet/table_follower.py
@@ -20,6 +20,11 @@
 RETRY_S = 0.25
 """Pause after a failed call, and between reads of missing partitions."""
 
+MAX_CHANGES_BYTES = 1_048_576
+"""Larger changes of a table of few rows are not read, but the table as a whole.
+The changes contain each version of a large row, and while they arrive over a
+slow link, further versions come."""
+
 OnSnapshot = Callable[[change_feeds.Snapshot], None]
 OnChanges = Callable[[Iterable[change_feeds.RowChange]], None]
 
@@ -37,8 +42,8 @@
         emit: Callable[[object], None],
         pause_s: float = 0.0,
         wait_s: float = LONG_POLL_S,
-        resync_after_failure: bool = False,
-        on_current: Callable[[float], None] = lambda _: None,
+        prefers_snapshots: bool = False,
+        on_current: Callable[[float], None] | None = None,
     ):
         """Creates a follower.
 
@@ -53,10 +58,9 @@
                 recovers.
             pause_s: pause between two calls, which batches changes.
             wait_s: longest time that one call waits for a change.
-            resync_after_failure: read the whole table after a failed call. Use
-                it for a table of few rows that change often. After an outage,
-                its changes may be too large for a slow link within the timeout
-                of a call, and each retry would fail in the same way.
+            prefers_snapshots: read the whole table instead of large changes,
+                and after a failed call. Use it for a table of few rows that
+                change often.
             on_current: called whenever the copy is complete, with the monotonic
                 seconds up to which it has all acknowledged changes.
         """
@@ -68,13 +72,13 @@
         self._emit = emit
         self._pause_s = pause_s
         self._wait_s = wait_s
-        self._resync_after_failure = resync_after_failure
+        self._prefers_snapshots = prefers_snapshots
         self._on_current = on_current
         self._version: int | None = None
         self._missing_partitions: tuple[str, ...] = ()
         self._is_failing = False
         self._recovered_at = 0.0
-        self._was_last_answer_slow = False
+        self._is_confirmation_due = False
 
     @property
     def recovered_at(self) -> float:
@@ -111,31 +115,53 @@
         if self._missing_partitions:
             self._read_missing_partitions()
         wait_s = RETRY_S if self._missing_partitions else self._wait_s
-        if self._was_last_answer_slow:
-            # The copy is as old as the transfer was long. An answer without
-            # changes confirms it at once.
+        if self._is_confirmation_due:
             wait_s = 0.0
         sent_at = self._clock.monotonic()
-        outcome = self._feed.changes(self._table, self._version, wait_s)
+        outcome = self._read_changes(self._version, wait_s)
         if isinstance(outcome, platform.Unavailable):
             self._on_failure(outcome.reason)
-            if self._resync_after_failure:
+            if self._prefers_snapshots:
                 self._version = None
             return False
-        self._on_answer(sent_at)
+        self._on_answer()
         if isinstance(outcome, change_feeds.HistoryTruncated):
             self._report_state(
                 "back", "the store has dropped some changes; reading all rows"
             )
             self._version = None
             return True
+        if isinstance(outcome, change_feeds.ChangesTooLarge):
+            self._version = None
+            return True
         self._version = outcome.version
         if outcome.changes:
             self._on_changes(outcome.changes)
-        self._report_current(sent_at)
+        self._report_current(sent_at, bool(outcome.changes))
         return True
 
-    def _report_current(self, sent_at: float) -> None:
+    def _read_changes(
+        self, after: int, wait_s: float
+    ) -> (
+        change_feeds.ChangeBatch
+        | change_feeds.HistoryTruncated
+        | change_feeds.ChangesTooLarge
+        | platform.Unavailable
+    ):
+        if not self._prefers_snapshots:
+            return self._feed.changes(self._table, after, wait_s)
+        return self._feed.changes(self._table, after, wait_s, MAX_CHANGES_BYTES)
+
+    def _report_current(self, sent_at: float, has_rows: bool) -> None:
+        """Reports up to when the copy is complete.
+
+        That is before a transfer, which may take seconds. Afterwards an answer
+        without changes confirms the copy at once.
+        """
+        if self._on_current is None:
+            return
+        elapsed_s = self._clock.monotonic() - sent_at
+        self._is_confirmation_due = has_rows and elapsed_s > self._wait_s
         if not self._missing_partitions:
             self._on_current(sent_at)
 
@@ -145,11 +171,11 @@
         if isinstance(outcome, platform.Unavailable):
             self._on_failure(outcome.reason)
             return False
-        self._on_answer(sent_at)
+        self._on_answer()
         self._version = outcome.version
         self._update_missing(outcome)
         self._on_snapshot(outcome)
-        self._report_current(sent_at)
+        self._report_current(sent_at, True)
         return True
 
     def _read_missing_partitions(self) -> None:
@@ -175,9 +201,7 @@
             self._report_state("lost", reason)
         self._is_failing = True
 
-    def _on_answer(self, sent_at: float) -> None:
-        elapsed_s = self._clock.monotonic() - sent_at
-        self._was_last_answer_slow = elapsed_s > self._wait_s + RETRY_S
+    def _on_answer(self) -> None:
         if self._is_failing:
             self._report_state("back", "")
             self._recovered_at = self._clock.monotonic()
--- a/src/vanillaswitch/platform/http_calls.py
+++ b/src/vanillaswitch/platform/http_calls.py
@@ -45,7 +45,7 @@
     headers: requests.Headers = (),
     timeout_s: float = 1.0,
     fresh: bool = False,
-    on_progress: minion_http.OnProgress = lambda _: None,
+    on_progress: minion_http.OnProgress = minion_http.ignore_progress,
 ) -> JsonResponse | NoResponse:
     """Sends a request once and decodes its response.
 
--- a/src/vanillaswitch/platform/http_table.py
+++ b/src/vanillaswitch/platform/http_table.py
@@ -219,13 +219,24 @@
             first_key = str(page[-1]["key"]) + "\0"
 
     def changes(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
     ) -> (
         change_feeds.ChangeBatch
         | change_feeds.HistoryTruncated
+        | change_feeds.ChangesTooLarge
         | platform.Unavailable
     ):
         """Waits for changes of a table after a version."""
+        too_large = gevent.event.Event()
+
+        def check_size(received: int, announced: int) -> None:
+            if max_bytes is not None and max(received, announced) > max_bytes:
+                too_large.set()
+
         query = urllib.parse.urlencode(
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         )
@@ -235,7 +246,11 @@
             None,
             wait_s + FEED_MARGIN_S,
             self._suspects_pooled_connections(),
+            check_size,
+            too_large,
         )
+        if too_large.is_set() and isinstance(response, http_calls.NoResponse):
+            return change_feeds.ChangesTooLarge()
         if isinstance(response, http_calls.NoResponse):
             return platform.Unavailable(response.reason)
         self._on_response(response)
@@ -310,7 +325,7 @@
         self._calls_in_flight[number] = started_at
         send = self._call_until_recovered if body is None else self._send
 
-        def record_progress(_: int) -> None:
+        def record_progress(*_: int) -> None:
             self._calls_in_flight[number] = self._clock.monotonic()
 
         try:
@@ -332,7 +347,7 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
         fresh: bool,
-        on_progress: minion_http.OnProgress = lambda _: None,
+        on_progress: minion_http.OnProgress = minion_http.ignore_progress,
     ) -> http_calls.JsonResponse | http_calls.NoResponse:
         return http_calls.call(
             self._client,
@@ -352,31 +367,45 @@
         body: Mapping[str, Any] | None,
         timeout_s: float,
         fresh: bool,
-        on_progress: minion_http.OnProgress = lambda _: None,
+        on_progress: minion_http.OnProgress = minion_http.ignore_progress,
+        abandoned: gevent.event.Event | None = None,
     ) -> http_calls.JsonResponse | http_calls.NoResponse:
         """Makes a read-only call; gives it up when the store recovers.
 
         After an outage the store answers new calls, but not those that it got
         during the outage. So an answer to any other call ends this one early,
         unless its own answer has begun to arrive.
+
+        Args:
+            method: HTTP method.
+            target: path and query.
+            body: JSON object; None for an empty body.
+            timeout_s: see ``http_calls.call``.
+            fresh: use a new connection instead of a pooled one.
+            on_progress: called while the answer arrives in parts.
+            abandoned: set by ``on_progress`` to give up the call.
         """
         has_begun = False
 
-        def record_progress(received: int) -> None:
+        def record_progress(received: int, announced: int) -> None:
             nonlocal has_begun
             has_begun = True
             self._record_sign_of_life()
-            on_progress(received)
+            on_progress(received, announced)
 
+        abandoned = abandoned or gevent.event.Event()
         greenlet = gevent.spawn(
             self._send, method, target, body, timeout_s, fresh, record_progress
         )
         try:
-            gevent.wait([greenlet, self._recovered], count=1)
+            gevent.wait([greenlet, self._recovered, abandoned], count=1)
             if not greenlet.ready() and not has_begun:
                 return http_calls.NoResponse(
                     True, "sent during an outage that is over"
                 )
+            gevent.wait([greenlet, abandoned], count=1)
+            if not greenlet.ready():
+                return http_calls.NoResponse(True, "the answer is too large")
             response: http_calls.JsonResponse | http_calls.NoResponse = (
                 greenlet.get()
             )
--- a/src/vanillaswitch/protocol/change_feeds.py
+++ b/src/vanillaswitch/protocol/change_feeds.py
@@ -63,6 +63,14 @@
     """The store no longer has these changes: take a new snapshot."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangesTooLarge:
+    """The changes exceed the caller's limit: take a new snapshot.
+
+    They contain every version of a row, a snapshot only the newest one.
+    """
+
+
 class ChangeFeed(Protocol):
     """Reads snapshots of tables and the changes that follow."""
 
@@ -80,6 +88,19 @@
         """
 
     def changes(
-        self, table: str, after: int, wait_s: float
-    ) -> ChangeBatch | HistoryTruncated | platform.Unavailable:
-        """Waits up to ``wait_s`` for changes after a version."""
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
+    ) -> (
+        ChangeBatch | HistoryTruncated | ChangesTooLarge | platform.Unavailable
+    ):
+        """Waits up to ``wait_s`` for changes after a version.
+
+        Args:
+            table: name of the table.
+            after: the version.
+            wait_s: longest wait for a change.
+            max_bytes: largest answer to read; None for no limit.
+        """
--- a/src/vanillaswitch/transport/answer_reader.py
+++ b/src/vanillaswitch/transport/answer_reader.py
@@ -61,6 +61,11 @@
         """How many bytes came."""
         return self._received
 
+    @property
+    def announced(self) -> int:
+        """The body's length by its head; 0 while it is unknown."""
+        return self._parser.content_length or 0
+
     @property
     def whole(self) -> bool:
         """Whether the answer is complete by its own length."""
--- a/src/vanillaswitch/transport/minion_http.py
+++ b/src/vanillaswitch/transport/minion_http.py
@@ -113,8 +113,14 @@
         self._timeout = gevent.Timeout.start_new(self._timeout_s)
 
 
-OnProgress = Callable[[int], None]
-"""Receives the bytes of an answer so far, whenever some more arrived."""
+OnProgress = Callable[[int, int], None]
+"""Called when a part of an answer arrived, with the bytes so far and the length
+of the body by its head (0 while that is unknown)."""
+
+
+def ignore_progress(received: int, announced: int) -> None:
+    """Is the ``OnProgress`` of calls whose progress nobody observes."""
+    del received, announced
 
 
 def encode(
@@ -208,7 +214,7 @@
         while not self._reader.whole:
             self._reader.feed(connection.recv(_BLOCK_BYTES))
             if not self._reader.whole:
-                self._on_progress(self._reader.received)
+                self._on_progress(self._reader.received, self._reader.announced)
 
     def _check(self, answer: requests.Answer) -> minions.SendOutcome:
         # A minion that answers one request twice leaves an answer on the
@@ -244,7 +250,7 @@
         request: requests.Request,
         timeout_s: float,
         fresh: bool,
-        on_progress: OnProgress = lambda _: None,
+        on_progress: OnProgress = ignore_progress,
     ) -> minions.SendOutcome:
         """Sends one request once; see ``protocol.minions.MinionClient``.
 
@@ -265,9 +271,9 @@
             self._settings.min_answer_bytes_per_s,
         )
 
-        def report(received: int) -> None:
+        def report(received: int, announced: int) -> None:
             limit.record_progress(received)
-            on_progress(received)
+            on_progress(received, announced)
 
         exchange = _Exchange(self._settings.max_answer_bytes, request, report)
         with limit.running():
--- a/src/vanillaswitch/transport/plain_http.py
+++ b/src/vanillaswitch/transport/plain_http.py
@@ -61,7 +61,7 @@
         headers: requests.Headers = (),
         timeout_s: float = 1.0,
         fresh: bool = False,
-        on_progress: minion_http.OnProgress = lambda _: None,
+        on_progress: minion_http.OnProgress = minion_http.ignore_progress,
     ) -> minions.SendOutcome:
         """Sends one call once.
 
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -316,7 +316,7 @@
             view.on_snapshot,
             view.on_changes,
             told.emit,
-            resync_after_failure=True,
+            prefers_snapshots=True,
             on_current=view.on_current,
         )
         stack.enter_context(
--- a/standins/relays.py
+++ b/standins/relays.py
@@ -15,7 +15,9 @@
 from vanillaswitch.transport import sockets
 
 _BLOCK_BYTES = 65_536
-_SLOW_BLOCK_BYTES = 8_192
+_PACKET_S = 0.01
+"""How long one packet occupies a link of limited rate."""
+
 _CONNECT_S = 5.0
 _PAUSE_S = 0.02
 """How often a held block looks whether its link is whole again."""
@@ -63,7 +65,9 @@
     held back pass once the harm is over.
 
     Attributes:
-        answer_bytes_per_s: rate at which answers pass; None for no limit.
+        answer_bytes_per_s: rate at which the answers on all connections pass
+            together; None for no limit.
+        answer_bytes: how much of answers has passed.
     """
 
     def __init__(
@@ -87,6 +91,8 @@
         self._open: set[socket.socket] = set()
         self._harm = Harm.NONE
         self.answer_bytes_per_s: float | None = None
+        self.answer_bytes = 0
+        self._free_at = 0.0
         self._server = gevent.server.StreamServer(
             sockets.listen("127.0.0.1:0"), self._serve
         )
@@ -169,15 +175,25 @@
                     self._hold_for_target(data, target)
                     target.sendall(data)
                     continue
-                for start in range(0, len(data), _SLOW_BLOCK_BYTES):
-                    block = data[start : start + _SLOW_BLOCK_BYTES]
+                for start in range(0, len(data), self._packet_bytes):
+                    block = data[start : start + self._packet_bytes]
                     self._pace(len(block))
                     self._hold(back)
                     target.sendall(block)
+                    self.answer_bytes += len(block)
+
+    @property
+    def _packet_bytes(self) -> int:
+        if self.answer_bytes_per_s is None:
+            return _BLOCK_BYTES
+        return max(1, int(self.answer_bytes_per_s * _PACKET_S))
 
     def _pace(self, size: int) -> None:
-        if self.answer_bytes_per_s is not None:
-            gevent.sleep(size / self.answer_bytes_per_s)
+        if self.answer_bytes_per_s is None:
+            return
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + size / self.answer_bytes_per_s
+        gevent.sleep(self._free_at - now)
 
     def _hold_for_target(self, data: bytes, target: socket.socket) -> None:
         port = str(target.getsockname()[1])
--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -76,7 +76,7 @@
             self.view.on_snapshot,
             self.view.on_changes,
             self.events.append,
-            resync_after_failure=True,
+            prefers_snapshots=True,
             on_current=self.view.on_current,
         )
 
@@ -112,7 +112,19 @@
     machine.operate(1, 1_000)
     assert machine.poll(1) == 1
     machine.operate(2, int(LINK_BYTES_PER_S * TRANSFER_S))
-    assert machine.poll(1) == 2
+    assert machine.poll(2) == 2
+
+
+def test_only_the_newest_of_several_large_configurations_is_read(machine):
+    """Guards against a backlog of versions that grows while it is read."""
+    size = table_follower.MAX_CHANGES_BYTES // 5
+    machine.operate(1, 1_000)
+    assert machine.poll(1) == 1
+    for version in range(2, 10):
+        machine.operate(version, size)
+    before = machine.link.answer_bytes
+    assert machine.poll(2) == 9
+    assert machine.link.answer_bytes - before < 3 * size
 
 
 def test_a_process_that_starts_on_a_slow_link_reads_its_configuration(machine):
@@ -155,10 +167,16 @@
     """Guards against a long answer that is read again from its beginning."""
     machine.operate(1, int(LINK_BYTES_PER_S * TRANSFER_S))
     reading = gevent.spawn(machine.store.snapshot, "op")
+    gevent.sleep(0.3)
+    machine.link.harm(relays.Harm.SILENT)
+    gevent.sleep(0.1)
+    other = gevent.spawn(machine.store.read, ["op/none"])
     gevent.sleep(http_table.OUTAGE_S + 0.1)
-    machine.store.read(["op/none"])
+    assert machine.store.unresponsive_s > http_table.OUTAGE_S
+    machine.link.harm(relays.Harm.NONE)
     outcome = reading.get(timeout=4 * TRANSFER_S)
     assert not isinstance(outcome, platform.Unavailable)
+    other.kill()
 
 
 class _SlowChanges:
@@ -175,8 +193,12 @@
     def changes(self, table, after, wait_s):
         del table
         self.waits.append(wait_s)
-        self._clock.advance(3.0 if len(self.waits) == 1 else wait_s)
-        return change_feeds.ChangeBatch((), after + 1)
+        if len(self.waits) > 1:
+            self._clock.advance(wait_s)
+            return change_feeds.ChangeBatch((), after)
+        self._clock.advance(3.0)
+        change = change_feeds.RowChange("config", {}, after + 1)
+        return change_feeds.ChangeBatch((change,), after + 1)
 
 
 def test_a_copy_that_arrived_slowly_is_confirmed_without_waiting():
--- a/tests/failures/test_silent_store.py
+++ b/tests/failures/test_silent_store.py
@@ -201,8 +201,8 @@
     def __init__(self):
         self.reads = 0
 
-    def changes(self, table, after, wait_s):
-        del table, wait_s
+    def changes(self, table, after, wait_s, max_bytes=None):
+        del table, wait_s, max_bytes
         if after < 50:
             return platform.Unavailable("no whole answer in time")
         return change_feeds.ChangeBatch((), after)
@@ -229,7 +229,7 @@
         lambda snapshot: received.extend(snapshot.rows),
         received.extend,
         lambda _: None,
-        resync_after_failure=True,
+        prefers_snapshots=True,
     )
     follower.resume_from(change_feeds.Snapshot((), 1))
     for _ in range(3):
