--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -9,6 +9,7 @@
 import pytest
 
 from standins import edge_http
+from standins import edge_processes
 from standins import relays
 from tests.common import account_calls
 from tests.common import clocks as manual
@@ -19,8 +20,10 @@
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import http_table
 from vanillaswitch.platform import operator_rows
+from vanillaswitch.platform import settings as platform_settings
 from vanillaswitch.platform import store_rows
 from vanillaswitch.protocol import change_feeds
+from vanillaswitch.protocol import minions
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import plain_http
 from vanillaswitch.transport import platform_http
@@ -44,6 +47,10 @@
     return document
 
 
+PROCESS_S = 20.0
+"""Longest wait for a real process."""
+
+
 class _Machine:
     """Follows the operators' table over a link of limited rate."""
 
@@ -247,3 +254,51 @@
         digest = hashlib.sha256(body).hexdigest()
         standin.objects.put(digest, body)
         assert client.objects.get(digest) == platform.ObjectContent(body)
+
+
+def _answer(client, address, target):
+    headers = (("X-Api-Key", account_calls.MARE),)
+    sent = client.call(address, "GET", target, b"", headers, timeout_s=3.0)
+    return sent.answer.status if isinstance(sent, minions.Answered) else 0
+
+
+def test_a_process_on_a_slow_link_serves_routes_of_a_large_configuration(
+    tmp_path,
+):
+    """Guards against a process that refuses all keys after routes were added.
+
+    It kept the old configuration for good, and so answered 503 and 404.
+    """
+    keys = [{"name": "mare", "api_keys": [account_calls.MARE]}]
+    config = {**edge_processes.config(1), "tenants": keys}
+    outside = edge_http.EdgePlatform(0, 0.1)
+    outside.rows.write("op", "config", config)
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(outside.serving())
+        link = stack.enter_context(relays.run(outside.address))
+        client = stack.enter_context(
+            plain_http.open_client(clocks.SystemClock())
+        )
+        edge = edge_processes.Edge(
+            "edge-0",
+            tmp_path,
+            link.address,
+            outside.address,
+            f"contracts={platform_settings.ACCOUNTS_CONTRACT}\n"
+            f"bounds.revoke_ms={account_calls.REVOCATION_S * 1000:.0f}\n",
+        )
+        stack.callback(edge.kill)
+        with gevent.Timeout(PROCESS_S):
+            while _answer(client, edge.entry, "/q/") != 200:
+                gevent.sleep(0.05)
+        link.answer_bytes_per_s = LINK_BYTES_PER_S
+        (route,) = config["routes"]
+        more = [
+            {**route, "name": f"r{number}", "path_prefix": f"/r{number}/"}
+            for number in range(5_000)
+        ]
+        changed = {**config, "version": 2, "routes": [route, *more]}
+        outside.rows.write("op", "config", changed)
+        with gevent.Timeout(PROCESS_S):
+            while _answer(client, edge.entry, "/r4999/") != 200:
+                gevent.sleep(0.05)
--- a/tests/failures/test_sent_once.py
+++ b/tests/failures/test_sent_once.py
@@ -164,6 +164,14 @@
     theirs.close()
 
 
+def test_the_time_limit_of_an_answered_request_interrupts_nothing_later(client):
+    """Guards against work that ends since an earlier request had a limit."""
+    with standin.run_minion() as running:
+        outcome = wire.send(client, running.address, "q", SOON_S)
+        assert isinstance(outcome, minions.Answered)
+        gevent.sleep(2 * SOON_S)
+
+
 def test_no_time_left_means_not_sent(client):
     """A caller that has long given up is charged.
 
