Begin the fault that a soak is about in any case

A listed failure: a soak broke no promise, but its fault had not been drawn among the six that came. A seed fixes the choices, not their number.

Change: where faults are named, the first one begins at the end if it did not come before. Draws are unchanged. The check stays as it is; its test of no seconds failed before.

--- a/soak/run.py
+++ b/soak/run.py
@@ -63,7 +63,8 @@
         seed: of all choices.
         seconds: how long faults come.
         folder: where logs of the processes are left.
-        names: the faults that come; all of them where none is named.
+        names: the faults that come, the first of them in any case; all of them
+            where none is named.
         accounts: the client accounts; None where no call needs a key.
     """
     with worlds.running(seed, folder, accounts) as world:
@@ -92,7 +93,7 @@
             working.append(gevent.spawn(accounts.rotate, world))
             working.append(gevent.spawn(accounts.intrude, world))
             working.append(gevent.spawn(accounts.cut_off, world))
-        begun = _harm(world, seconds, names or faults.FAULTS.names)
+        begun = _harm(world, seconds, names)
         gevent.killall(working)
         if load is not None:
             load.end()
@@ -150,13 +151,19 @@
     begun: list[str] = []
     lasting = []
     until = world.promises.now + seconds
-    while world.promises.now < until:
-        name = world.random.choice(names)
+
+    def begin(name: str) -> None:
         length = world.random.uniform(0.3, LONGEST_S)
         begun.append(name)
         fault = faults.FAULTS.get(name)
         lasting.append(gevent.spawn(fault, world, length))
+
+    while world.promises.now < until:
+        begin(world.random.choice(names or faults.FAULTS.names))
         gevent.sleep(world.random.expovariate(1 / GAP_S))
+    # A seed fixes the choices but not how many come.
+    if names and names[0] not in begun:
+        begin(names[0])
     for task in lasting:
         # A fault that itself failed must not pass for one that did no harm.
         task.get()
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -4,10 +4,12 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
 import time
+import types
 
 import pytest
 
@@ -72,6 +74,18 @@
     assert not result.broken
 
 
+def test_the_fault_that_a_soak_is_about_comes_however_few_are_drawn():
+    """Guards against a soak that passes without the fault it is there for."""
+    configured = []
+    world = types.SimpleNamespace(
+        random=random.Random(RESTARTS_SEED),
+        promises=types.SimpleNamespace(now=0.0),
+        configure=lambda: configured.append(True),
+    )
+    assert run._harm(world, 0.0, ("configure", "kill")) == ["configure"]
+    assert configured
+
+
 def test_a_soak_with_client_accounts_breaks_no_promise(tmp_path):
     book = accounts.Accounts(ACCOUNTS_SEED)
     result = run.soak(ACCOUNTS_SEED, ACCOUNTS_S, tmp_path, accounts=book)
