Read through the change of reads over slow links

Names and docstrings only, but for the relay of the tests: it takes the size of a packet once for each block, so that a change of its rate in between neither drops nor repeats bytes. Behaviour of the product does not change.

--- a/soak/overload.py
+++ b/soak/overload.py
@@ -79,7 +79,6 @@
 is refused, and a surge of 1,000 core-seconds that was accepted as a whole takes
 the 52 cores that are not lost to slowness 20 s; two may follow each other."""
 
-_TOO_BUSY = 429
 _UNANSWERED = (0, 502, 504)
 _SURGE_JOBS = 0xB000_0000_0000_0000
 
@@ -180,7 +179,7 @@
                     edge = self._random.choice(others)
                 elif answer.status in promise_lib.REFUSALS and left:
                     gevent.sleep(max(1, _retry_after_s(answer)))
-                    if answer.status == _TOO_BUSY:
+                    if answer.status == promise_lib.OVERLOADED:
                         self.returned.add(job_id)
                     edge = self._random.choice(world.edges)
                 else:
@@ -218,7 +217,7 @@
                 f"{job_id} is told {answer.status} without a time to return: "
                 f"{answer.body!r}",
             )
-        if answer.status != _TOO_BUSY:
+        if answer.status != promise_lib.OVERLOADED:
             # A machine without the store can't know that it was accepted.
             self._unavailable += was_accepted
             return
--- a/src/vanillaswitch/platform/http_table.py
+++ b/src/vanillaswitch/platform/http_table.py
@@ -93,7 +93,7 @@
 
     @property
     def unresponsive_s(self) -> float:
-        """Seconds since the first call after the store's last sign of life.
+        """Seconds since the first call after the store last sent something.
 
         That is an answer or a part of one. It is 0 if there was no call since.
         """
@@ -388,7 +388,7 @@
         def record_progress(received: int, announced: int) -> None:
             nonlocal has_begun
             has_begun = True
-            self._record_sign_of_life()
+            self._record_activity()
             on_progress(received, announced)
 
         if too_large is None:
@@ -413,7 +413,7 @@
             # Also runs when the calling greenlet is killed.
             greenlet.kill(block=False)
 
-    def _record_sign_of_life(self) -> None:
+    def _record_activity(self) -> None:
         """Ends the calls that were sent during an outage, if there was one."""
         if self.unresponsive_s > OUTAGE_S:
             self._recovered.set()
@@ -422,7 +422,7 @@
 
     def _on_response(self, response: http_calls.JsonResponse) -> None:
         """Records that the store answers and passes its clock on."""
-        self._record_sign_of_life()
+        self._record_activity()
         now_ms = response.body.get("now_ms")
         if isinstance(now_ms, int | float):
             self._on_store_clock(now_ms)
--- a/standins/relays.py
+++ b/standins/relays.py
@@ -175,8 +175,9 @@
                     self._hold_for_target(data, target)
                     target.sendall(data)
                     continue
-                for start in range(0, len(data), self._packet_bytes):
-                    block = data[start : start + self._packet_bytes]
+                size = self._packet_bytes
+                for start in range(0, len(data), size):
+                    block = data[start : start + size]
                     self._pace(len(block))
                     self._hold(back)
                     target.sendall(block)
--- a/tests/failures/test_large_configuration.py
+++ b/tests/failures/test_large_configuration.py
@@ -59,9 +59,9 @@
         self.link = link
         self._outside = outside
         clock = clocks.SystemClock()
-        self._client = contextlib.ExitStack()
         self._clock = clock
         self._meter = usage.Meter(clock.monotonic())
+        self._client = contextlib.ExitStack()
         client = self._client.enter_context(
             plain_http.open_client(clock, self._meter)
         )
@@ -172,7 +172,7 @@
 
 
 def test_an_answer_that_began_fast_and_then_trickles_is_given_up():
-    """Guards against a read that lives on what arrived minutes ago."""
+    """Guards against a read that takes minutes since it began fast."""
     clock = manual.ManualClock()
     began_at = clock.monotonic()
     rate = minion_http.MIN_ANSWER_BYTES_PER_S
