Leave more room in the case of the queue with advice

A job a second and a first job before the traffic, so that a slow start of the processes can't fail the control.

--- a/review/2/advice_burst.py
+++ b/review/2/advice_burst.py
@@ -28,14 +28,14 @@
 
 TASK_CPU = 500
 TASK_MS = 300
-EVERY_S = 0.5
-"""Time between two jobs; the advice for them takes a third of it."""
+EVERY_S = 1.0
+"""Time between two jobs; the advice for one takes a sixth of it."""
 
 BURST = 20
 """Jobs that come at once; the advice for them takes 3.2 s."""
 
-BURST_AT_S = 8.0
-TRAFFIC_S = 30.0
+BURST_AT_S = 6.0
+TRAFFIC_S = 26.0
 FINISH_S = 14.0
 """Time after the end of the traffic from which jobs are asked for."""
 
@@ -70,6 +70,7 @@
             3, pathlib.Path(folder), platform.address, advisor.address
         ) as nodes,
     ):
+        edges.warm_up(record, nodes[0], "/bills/")
         accepted = hand_in(record, advisor, nodes, has_trouble)
         time.sleep(FINISH_S)
         stuck = judge.find_stuck(record, platform, nodes, accepted, TASK_CPU)
