--- a/review/3/lasting_task.py
+++ b/review/3/lasting_task.py
@@ -48,7 +48,7 @@
         with edges.running(3, pathlib.Path(folder), platform.address) as nodes:
             play(record, platform, links, nodes, has_trouble)
     record.close()
-    found = judge.overlaps(judge.read(HERE / "record.txt"))
+    found = judge.overlaps(record.lines)
     for line in found:
         print("TWICE", line)
     return 1 if found else 0
@@ -62,6 +62,7 @@
     has_trouble: bool,
 ) -> None:
     """Hands the job in, cuts the minion that runs it off, and heals the cut."""
+    edges.warm_up(record, nodes[0], "/watch/")
     step = {"count": 1, "cpu": 1000, "mem_mb": 256, "long_running": True}
     step["anti_affinity"] = 1
     body = {"spec": f'{{"serves_ms":{SERVES_MS}}}', "steps": [step]}
