--- a/review/further/dropped_route/dropped_route.py
+++ b/review/further/dropped_route/dropped_route.py
@@ -16,7 +16,6 @@
 sys.path.insert(0, str(HERE.parent.parent))
 
 import edges  # noqa: E402
-import judge  # noqa: E402
 import outside  # noqa: E402
 
 ATTEMPTS = 4
@@ -45,7 +44,7 @@
         with edges.running(3, pathlib.Path(folder), platform.address) as nodes:
             shown = play(record, platform, nodes, has_trouble)
     record.close()
-    failures = failed_ends(judge.read(HERE / "record.txt"))
+    failures = failed_ends(record.lines)
     broken = [
         name
         for name, state in shown.items()
