Log when an instance counts as ending with its machine

Cause: whether the owner takes an instance for one that an order ends decides which tasks it may stop, and no line told when that began and why it ended. So the log could not tell an upkeep that was forgotten from one that was refused.

Change: instance-changed has the changes terminating (with the order) and continues (with the reason). Decisions are as before.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -269,6 +269,8 @@
             * "gone": it was removed, because it certainly no longer runs.
             * "restarted": it restarted under the same id.
             * "former": a message from before its restart arrived late.
+            * "terminating": an order for its machine may end all its runs.
+            * "continues": such an order does not end it after all.
         age_ms: time since its last status report.
         runs: number of runs on the instance at that time.
     """
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -242,6 +242,32 @@
         if name in self.instances:
             self.instances[name].is_listed = False
 
+    def mark_terminating(
+        self, instance: instance_state.Instance, order: str, now: float
+    ) -> None:
+        """Records an order for a machine that ends all runs of its instance.
+
+        Args:
+            instance: the instance on the machine.
+            order: the order, for the log.
+            now: monotonic seconds.
+        """
+        instance.is_terminating = True
+        self._emit_instance_changed(instance, "terminating", order, now)
+
+    def mark_continuing(
+        self, instance: instance_state.Instance, why: str, now: float
+    ) -> None:
+        """Records that an instance outlasts an order for its machine.
+
+        Args:
+            instance: the instance on the machine.
+            why: why it does.
+            now: monotonic seconds.
+        """
+        instance.is_terminating = False
+        self._emit_instance_changed(instance, "continues", why, now)
+
     def _emit_instance_changed(
         self,
         instance: instance_state.Instance,
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -451,7 +451,9 @@
             if instance.runs:
                 return
             # No new task may start on the instance from now on.
-            instance.is_terminating = True
+            self._scheduler.mark_terminating(
+                instance, f"move to {move.pool}", now
+            )
         self._releases.end(move.machine, "moved", now)
         self._pending_moves.setdefault(
             move.machine, _PendingMove(move, now, False)
@@ -520,7 +522,11 @@
     ) -> None:
         self._pending_moves.pop(move.machine, None)
         if instance is not None:
-            instance.is_terminating = False
+            self._scheduler.mark_continuing(
+                instance,
+                f"move {type(outcome).__name__.lower()}",
+                self._clock.monotonic(),
+            )
         if fleet.is_fenced(outcome):
             self._writer.end_term()
         elif isinstance(outcome, fleet.Refused):
--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -379,10 +379,11 @@
             # Only the list shows whether the runs have ended: if an earlier
             # owner's order was executed already, the platform accepts this one
             # without effect and the runs continue.
-            self._scheduler.emit_maintenance_stops(
-                instance, self._clock.monotonic()
+            now = self._clock.monotonic()
+            self._scheduler.emit_maintenance_stops(instance, now)
+            self._scheduler.mark_terminating(
+                instance, f"maintenance by {wave.order.name}", now
             )
-            instance.is_terminating = True
             self._marked_terminating.add(name)
         outcome = self._machines.maintain(
             name, wave.order.number, self._writer.last_written_version
@@ -402,7 +403,9 @@
         elif fleet.is_fenced(outcome):
             self._writer.end_term()
         elif instance is not None:
-            instance.is_terminating = False
+            self._scheduler.mark_continuing(
+                instance, change, self._clock.monotonic()
+            )
 
     def _update_cordons(self) -> None:
         """Cordons the instances of draining machines; updates related flags.
@@ -421,7 +424,11 @@
                     # Reset the flag only if this controller has set it: the
                     # mover sets it too.
                     self._marked_terminating.discard(name)
-                    instance.is_terminating = False
+                    self._scheduler.mark_continuing(
+                        instance,
+                        "its machine was maintained",
+                        self._clock.monotonic(),
+                    )
 
 
 def _finished_machines(wave: waves.Wave) -> set[str]:
