--- a/tests/common/wave_doubles.py
+++ b/tests/common/wave_doubles.py
@@ -24,24 +24,37 @@
 
 
 class WaveStore:
-    """Store of one wave with one machine at a time.
+    """Store of waves with one machine at a time.
 
     Attributes:
+        duration_s: time in which each wave is to be completed.
         reports: the reported states: the wave and whether it was completed.
+        finished: machines that are stored as finished at first, by wave.
     """
 
-    def __init__(self, *machines: str):
-        self._order = fleet.WaveOrder("wave/1", 1, machines, 60.0, 1)
+    def __init__(self, *machines: str, duration_s: float = 60.0):
+        self._orders: list[fleet.WaveOrder] = []
+        self.duration_s = duration_s
         self.reports: list[tuple[str, bool]] = []
+        self.finished: dict[str, tuple[str, ...]] = {}
+        self.add_wave(*machines)
+
+    def add_wave(self, *machines: str) -> None:
+        """Adds a wave, named by its number."""
+        number = len(self._orders) + 1
+        self._orders.append(
+            fleet.WaveOrder(
+                f"wave/{number}", number, machines, self.duration_s, 1
+            )
+        )
 
     def wave_orders(self) -> tuple[fleet.WaveOrder, ...]:
         """Returns the waves that operators have ordered."""
-        return (self._order,)
+        return tuple(self._orders)
 
     def start_wave(self, wave: str) -> wave_controller.WaveProgress:
-        """Returns the stored state of a wave: nothing is finished."""
-        del wave
-        return wave_controller.WaveProgress((), 0.0)
+        """Returns the stored state of a wave."""
+        return wave_controller.WaveProgress(self.finished.get(wave, ()), 0.0)
 
     def save_finished(self, wave: str, machines: Iterable[str]) -> bool:
         """Accepts finished machines and drops them."""
@@ -60,13 +73,13 @@
     Attributes:
         names: names of the listed machines.
         ordered: machines whose maintenance was ordered, in order.
-        lost: how many of the first orders get no answer.
+        answers: answers to the first orders; the others are accepted.
     """
 
     def __init__(self, names: Iterable[str]):
         self.names = list(names)
         self.ordered: list[str] = []
-        self.lost = 0
+        self.answers: list[fleet.Accepted | fleet.Busy | fleet.NoAnswer] = []
 
     def list(self) -> list[fleet.Machine]:
         """Returns the list of machines."""
@@ -89,13 +102,11 @@
 
     def maintain(
         self, machine: str, wave: int, token: int
-    ) -> fleet.Accepted | fleet.NoAnswer:
+    ) -> fleet.Accepted | fleet.Busy | fleet.NoAnswer:
         """Records a maintenance order."""
         del wave, token
         self.ordered.append(machine)
-        if len(self.ordered) <= self.lost:
-            return fleet.NoAnswer(True, "no answer")
-        return fleet.Accepted(0.0)
+        return self.answers.pop(0) if self.answers else fleet.Accepted(0.0)
 
 
 def task(
--- a/tests/failures/test_maintenance_budgets.py
+++ b/tests/failures/test_maintenance_budgets.py
@@ -71,7 +71,7 @@
         scheduler, fleet_builders.plan_batch(scheduler, now), percent=100.0
     )
     machines = wave_doubles.Machines(_MACHINES)
-    machines.lost = 100
+    machines.answers = [fleet.NoAnswer(True, "no answer")] * 100
     task = wave_doubles.task(
         scheduler, machines, wave_doubles.WaveStore("m-1"), clock
     )
