Settle each order for a machine by its own sender

Cause: one flag of an instance said that its machine ends it. Each wave and the mover set it and reset it for themselves. Where an earlier wave had finished a machine, the step that ordered the upkeep for a later one took the reset for its own and gave the instance work again. Its tasks counted as at work by a report from before, for up to 2 s, and the next line of the same pass over the machines stopped another one.

Ruled out: leaving out machines in upkeep when orders are settled (mends this case alone; a move and an upkeep could still reset each other's flag).

Change: an instance keeps the names of the orders that may end it. Whoever sent an order takes just that one back: a wave once it has finished the machine or its order was refused, the mover once its order was refused.

--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -242,31 +242,43 @@
         if name in self.instances:
             self.instances[name].is_listed = False
 
-    def mark_terminating(
+    def begin_machine_order(
         self, instance: instance_state.Instance, order: str, now: float
     ) -> None:
-        """Records an order for a machine that ends all runs of its instance.
+        """Records an order that may end all runs of an instance.
+
+        Several orders may concern one machine at the same time, such as the
+        maintenance of two waves. Only whoever sent an order knows whether it
+        may still take effect, so each is recorded by its own name.
 
         Args:
             instance: the instance on the machine.
-            order: the order, for the log.
+            order: name of the order; recording it again has no effect.
             now: monotonic seconds.
         """
-        instance.is_terminating = True
-        self._emit_instance_changed(instance, "terminating", order, now)
+        if order not in instance.machine_orders:
+            instance.machine_orders.add(order)
+            self._emit_instance_changed(instance, "terminating", order, now)
 
-    def mark_continuing(
-        self, instance: instance_state.Instance, why: str, now: float
+    def settle_machine_order(
+        self,
+        instance: instance_state.Instance,
+        order: str,
+        why: str,
+        now: float,
     ) -> None:
-        """Records that an instance outlasts an order for its machine.
+        """Records that an order does not end an instance.
 
         Args:
             instance: the instance on the machine.
-            why: why it does.
+            order: name of the order; has no effect if it is not recorded.
+            why: why the order can't take effect any more.
             now: monotonic seconds.
         """
-        instance.is_terminating = False
-        self._emit_instance_changed(instance, "continues", why, now)
+        if order in instance.machine_orders:
+            instance.machine_orders.remove(order)
+            why = f"{order}: {why}"
+            self._emit_instance_changed(instance, "continues", why, now)
 
     def _emit_instance_changed(
         self,
--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -451,8 +451,8 @@
             if instance.runs:
                 return
             # No new task may start on the instance from now on.
-            self._scheduler.mark_terminating(
-                instance, f"move to {move.pool}", now
+            self._scheduler.begin_machine_order(
+                instance, _order_name(move), now
             )
         self._releases.end(move.machine, "moved", now)
         self._pending_moves.setdefault(
@@ -522,12 +522,18 @@
     ) -> None:
         self._pending_moves.pop(move.machine, None)
         if instance is not None:
-            self._scheduler.mark_continuing(
+            self._scheduler.settle_machine_order(
                 instance,
-                f"move {type(outcome).__name__.lower()}",
+                _order_name(move),
+                type(outcome).__name__.lower(),
                 self._clock.monotonic(),
             )
         if fleet.is_fenced(outcome):
             self._writer.end_term()
         elif isinstance(outcome, fleet.Refused):
             self._rejected_moves.add(move)
+
+
+def _order_name(move: capacity_planner.Move) -> str:
+    """Returns the name of an order to move a machine."""
+    return f"move to {move.pool}"
--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -117,7 +117,6 @@
         self._waves: dict[str, waves.Wave] = {}
         self._listed: Mapping[str, fleet.Machine] = {}
         self._draining: dict[str, float] = {}
-        self._marked_terminating: set[str] = set()
 
     @property
     def reserved_machines(self) -> waves.ReservedMachines:
@@ -153,6 +152,7 @@
         for wave in self._waves.values():
             if wave.reported_completed is not True:
                 self._advance(wave, now)
+        self._settle_finished_orders()
         self._update_cordons()
 
     def _add_wave(self, order: fleet.WaveOrder, now: float) -> None:
@@ -381,10 +381,9 @@
             # without effect and the runs continue.
             now = self._clock.monotonic()
             self._scheduler.emit_maintenance_stops(instance, now)
-            self._scheduler.mark_terminating(
-                instance, f"maintenance by {wave.order.name}", now
+            self._scheduler.begin_machine_order(
+                instance, _order_name(wave), now
             )
-            self._marked_terminating.add(name)
         outcome = self._machines.maintain(
             name, wave.order.number, self._writer.last_written_version
         )
@@ -403,32 +402,38 @@
         elif fleet.is_fenced(outcome):
             self._writer.end_term()
         elif instance is not None:
-            self._scheduler.mark_continuing(
-                instance, change, self._clock.monotonic()
+            self._scheduler.settle_machine_order(
+                instance, _order_name(wave), change, self._clock.monotonic()
             )
 
-    def _update_cordons(self) -> None:
-        """Cordons the instances of draining machines; updates related flags.
+    def _settle_finished_orders(self) -> None:
+        """Gives instances work again that outlast their maintenance order.
 
-        If an instance still runs after the maintenance of its machine has
-        finished, it gets work again.
+        An instance may still run after its machine has finished in a wave. The
+        order of this wave can't end it any more, but that of another may.
         """
+        now = self._clock.monotonic()
+        for wave in self._waves.values():
+            for name in _finished_machines(wave):
+                instance = self._instance_on(name)
+                if instance is not None:
+                    self._scheduler.settle_machine_order(
+                        instance, _order_name(wave), "finished", now
+                    )
+
+    def _update_cordons(self) -> None:
+        """Cordons the instances of draining machines; updates related flags."""
         awaiting_maintenance = self.reserved_machines.awaiting_maintenance
-        finished = set().union(*map(_finished_machines, self._waves.values()))
         for name, machine in self._listed.items():
             instance = self._scheduler.instances.get(machine.instance)
             if instance is not None:
                 instance.is_cordoned = name in self._draining
                 instance.is_maintenance_due = name in awaiting_maintenance
-                if name in self._marked_terminating & finished:
-                    # Reset the flag only if this controller has set it: the
-                    # mover sets it too.
-                    self._marked_terminating.discard(name)
-                    self._scheduler.mark_continuing(
-                        instance,
-                        "its machine was maintained",
-                        self._clock.monotonic(),
-                    )
+
+
+def _order_name(wave: waves.Wave) -> str:
+    """Returns the name of a wave's order for the maintenance of a machine."""
+    return f"maintenance by {wave.order.name}"
 
 
 def _finished_machines(wave: waves.Wave) -> set[str]:
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -187,8 +187,8 @@
         is_maintenance_due: a maintenance wave will need it without runs later.
         is_released: its machine is to move to another pool once its runs have
             ended.
-        is_terminating: its machine was ordered to do something that ends all
-            its runs.
+        machine_orders: names of the orders for its machine that may end all its
+            runs. Each one stays until it is certain that it does not.
         last_contact_at: monotonic seconds of its last status report.
         runs: the runs that reserve resources on it.
         has_reported: its current incarnation has answered this owner. From then
@@ -244,7 +244,7 @@
         self.is_cordoned = False
         self.is_maintenance_due = False
         self.is_released = False
-        self.is_terminating = False
+        self.machine_orders: set[str] = set()
         self.last_contact_at = now
         self._known_capacity = known_capacity.KnownCapacity(
             registration.capacity
@@ -317,6 +317,11 @@
         """The id of the instance."""
         return self.registration.instance
 
+    @property
+    def is_terminating(self) -> bool:
+        """Whether an order for its machine may end all its runs."""
+        return bool(self.machine_orders)
+
     @property
     def max_cpu(self) -> int:
         """Largest capacity so far, in thousandths of a core."""
--- a/tests/common/disruption_simulation.py
+++ b/tests/common/disruption_simulation.py
@@ -494,7 +494,7 @@
                 continue
             for task in sorted(model.running):
                 self._check_budget(task, name, "ended by maintenance")
-            instance.is_terminating = True
+            instance.machine_orders.add("maintenance")
             self._crash(name)
 
     # Invariants.
--- a/tests/cover/test_crash_events.py
+++ b/tests/cover/test_crash_events.py
@@ -75,7 +75,7 @@
 
 def test_no_crash_event_for_an_instance_that_the_owner_ended():
     scheduler, emitted = _scheduler_with_tasks()
-    scheduler.instances["i-1"].is_terminating = True
+    scheduler.instances["i-1"].machine_orders.add("maintenance")
     scheduler.remove_instance("i-1", 1.2, "no machine runs it")
     assert not _crashes(emitted)
 
--- a/tests/failures/test_draining_machines.py
+++ b/tests/failures/test_draining_machines.py
@@ -93,7 +93,9 @@
     task._apply()
     for progress in task._wave_controller._waves["wave/1"].machines.values():
         progress.phase = waves.MachinePhase.DONE
-    scheduler.instances["i-1"].is_terminating = True
+    scheduler.begin_machine_order(
+        scheduler.instances["i-1"], "move to spare", clock.monotonic()
+    )
     assert task._read_list()
     task._apply()
     assert scheduler.instances["i-1"].is_terminating
--- a/tests/failures/test_fleet_failures.py
+++ b/tests/failures/test_fleet_failures.py
@@ -79,7 +79,7 @@
     scheduler, _ = _two_long_running_tasks()
     first, second = scheduler.instances["i-1"], scheduler.instances["i-2"]
     assert evacuation.allows_disruption_of_all(scheduler, first, 2.0)
-    first.is_terminating = True
+    first.machine_orders.add("maintenance")
     assert not evacuation.allows_disruption_of_all(scheduler, second, 2.0)
 
 
--- a/tests/failures/test_restarted_instance.py
+++ b/tests/failures/test_restarted_instance.py
@@ -517,7 +517,7 @@
         "is_cordoned",
         "is_maintenance_due",
         "is_released",
-        "is_terminating",
+        "terminating",
         "draining",
         "distrusted",
     ],
@@ -532,6 +532,10 @@
         scheduler.mark_registration_unreadable(
             "i-1", "its bytes can't be read", 2.5
         )
+    elif state == "terminating":
+        scheduler.begin_machine_order(
+            scheduler.instances["i-1"], "maintenance", 2.5
+        )
     else:
         setattr(scheduler.instances["i-1"], state, True)
     _report(scheduler, "i-1", 3.0, SECOND)
