Keep an unanswered upkeep in force when a later copy is rejected

What callers would see: AVAIL, a stop beside a task that an upkeep has just ended.

Cause: an upkeep without an answer may be carried out at any moment and is sent again until it is answered. A copy that the platform rejected as busy, or for its rate of calls, made the instance count as going on, though the first copy could still end it.

Change: a rejection settles an order only while no copy of it is without an answer.

The test failed before (a stop on i-2 beside the unanswered upkeep of m-1), with both answers, and passes.

--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -401,7 +401,11 @@
             progress.phase = waves.MachinePhase.OUTCOME_UNKNOWN
         elif fleet.is_fenced(outcome):
             self._writer.end_term()
-        elif instance is not None:
+        elif (
+            instance is not None
+            and progress.phase is waves.MachinePhase.WAITING
+        ):
+            # An earlier copy without an answer may take effect all the same.
             self._scheduler.settle_machine_order(
                 instance, _order_name(wave), change, self._clock.monotonic()
             )
--- a/tests/failures/test_orders_for_shared_machines.py
+++ b/tests/failures/test_orders_for_shared_machines.py
@@ -4,6 +4,8 @@
 budgets until it is certain that the order does not end them.
 """
 
+import pytest
+
 from tests.common import clocks
 from tests.common import fleet_builders
 from tests.common import wave_doubles
@@ -116,3 +118,27 @@
     owner.step()
     now = owner.clock.monotonic()
     assert owner.scheduler.instances["i-1"].is_schedulable(now)
+
+
+@pytest.mark.parametrize(
+    "answer", [fleet.Busy(), fleet.NoAnswer(False, "status 429")]
+)
+def test_a_rejected_copy_does_not_settle_an_unanswered_maintenance_order(
+    answer,
+):
+    """Guards against two unavailable tasks of a step with a budget of one.
+
+    The first copy of the order got no answer and may still be carried out. The
+    platform rejected the second one, and the owner stopped another task.
+    """
+    store = wave_doubles.WaveStore("m-1", "m-2", duration_s=_DURATION_S)
+    owner = _Fleet(store)
+    owner.machines.answers = [fleet.NoAnswer(True, "no answer"), answer]
+    owner.drain()
+    owner.step()
+    assert owner.machines.ordered == ["m-1"]
+    owner.add_spare()
+    owner.step()
+    assert owner.machines.ordered == ["m-1", "m-1"]
+    stopped = {stop.instance for stop in owner.scheduler.take_stops()}
+    assert stopped <= {"i-1"}
