Take an unanswered move for done once its machine has arrived

Cause: a move without an answer is sent again until it is answered, also once the machine is listed in its new pool. The copy recorded itself on the instance that had arrived there, as an order that ends it, and nothing ever settled that.

Change: a machine that is listed in its new pool answers the order, and no copy is sent to a machine that is not up.

--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -211,7 +211,9 @@
     ) -> None:
         """Drops moves that completed or expired, and moves of removed machines.
 
-        Moves whose order is in flight are kept.
+        Moves whose order is in flight are kept. A machine that is listed in its
+        new pool answers an order without an answer: no copy of it has an effect
+        any more.
         """
         for name, pending_move in list(self._pending_moves.items()):
             machine = listed.get(name)
@@ -224,14 +226,15 @@
             if machine is None or is_expired:
                 del self._pending_moves[name]
                 continue
-            is_in_target_pool = (
-                machine.pool == pending_move.move.pool
-                and machine.state is fleet.MachineState.UP
-            )
-            if (
-                is_in_target_pool
-                and pending_move.accepted
-                and self._counts_as_arrived(machine, pending_move, now)
+            if not _is_in_target_pool(machine, pending_move.move):
+                continue
+            if pending_move.outcome_unknown:
+                pending_move = dataclasses.replace(
+                    pending_move, accepted=True, outcome_unknown=False
+                )
+                self._pending_moves[name] = pending_move
+            if pending_move.accepted and self._counts_as_arrived(
+                machine, pending_move, now
             ):
                 del self._pending_moves[name]
                 self._releases.record_move(name, now)
@@ -439,11 +442,16 @@
         """Sends an order in a new greenlet unless one is in flight.
 
         Does nothing for a machine that still runs tasks, since a move would end
-        them.
+        them, and for one that is not up or has arrived: an earlier copy of the
+        order was carried out, and a new instance may run there.
         """
         machine = self._listed.get(move.machine)
         if machine is None or move.machine in self._in_flight:
             return
+        if machine.state is not fleet.MachineState.UP or _is_in_target_pool(
+            machine, move
+        ):
+            return
         if not self._writer.may_operate_machines():
             return
         instance = self._instance_on(machine)
@@ -534,6 +542,12 @@
             self._rejected_moves.add(move)
 
 
+def _is_in_target_pool(
+    machine: fleet.Machine, move: capacity_planner.Move
+) -> bool:
+    return machine.pool == move.pool and machine.state is fleet.MachineState.UP
+
+
 def _order_name(move: capacity_planner.Move) -> str:
     """Returns the name of an order to move a machine."""
     return f"move to {move.pool}"
