Keep an unanswered move in force when a later copy is rejected as busy

What callers would see: tasks that end with their machine, which moves after the owner gave it work again.

Cause: a move without an answer may be carried out at any moment. A later copy that was rejected as busy dropped the move, so that its machine got work, though busy may just mean that the first copy is being carried out.

Change: only a refusal that holds for all copies drops such a move. It is repeated at most every 0.4 s, so that a machine that is leaving costs few calls.

--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -37,8 +37,8 @@
 limit are planned again."""
 
 RETRY_DELAY_S = 0.4
-"""How long no orders are sent after one that got no usable answer, counted from
-when that order was planned."""
+"""How long no orders are sent after one that got no answer, and how long an
+unanswered one is not repeated, counted from when the order was planned."""
 
 MAINTENANCE_SURGE = 3
 """Maximum number of additional machines of a pool while some of its machines
@@ -190,6 +190,7 @@
             pending_move.move
             for pending_move in self._pending_moves.values()
             if pending_move.outcome_unknown
+            and now - pending_move.ordered_at >= RETRY_DELAY_S
         ]
         planned = [
             move
@@ -507,12 +508,19 @@
                 move, ordered_at, False, True
             )
             self._back_off(ordered_at)
-        elif isinstance(outcome, fleet.NoAnswer):
-            self._back_off(ordered_at)
-            if not self._pending_moves[move.machine].outcome_unknown:
-                self._drop_order(move, outcome, instance)
         else:
-            self._drop_order(move, outcome, instance)
+            if isinstance(outcome, fleet.NoAnswer):
+                self._back_off(ordered_at)
+            earlier = self._pending_moves[move.machine]
+            if earlier.outcome_unknown and not isinstance(
+                outcome, fleet.Refused
+            ):
+                # This copy had no effect, but an earlier one may have one.
+                self._pending_moves[move.machine] = dataclasses.replace(
+                    earlier, ordered_at=ordered_at
+                )
+            else:
+                self._drop_order(move, outcome, instance)
 
     def _back_off(self, ordered_at: float) -> None:
         """Pauses all orders after one that got no usable answer.
--- a/tests/cover/test_mover.py
+++ b/tests/cover/test_mover.py
@@ -136,17 +136,22 @@
     )
 
 
-def test_an_unanswered_order_is_repeated_although_a_later_copy_was_not_sent():
+@pytest.mark.parametrize(
+    "later_answer", [fleet.NoAnswer(False, "no connection"), fleet.Busy()]
+)
+def test_an_unanswered_order_is_repeated_although_a_later_copy_has_no_effect(
+    later_answer,
+):
     """Otherwise tasks are killed by a move whose order was dropped.
 
-    The first copy of the order gets no answer and the second can't be sent.
-    If the order is dropped then, the machine gets work while the first copy
-    may still take effect.
+    The first copy of the order gets no answer; the second can't be sent, or the
+    platform rejects it. If the order is dropped then, the machine gets work
+    while the first copy may still take effect.
     """
     setup = _Setup(fleet.NoAnswer(True, "no answer"))
     setup.answer()
     setup.step()
-    setup.machines.outcome = fleet.NoAnswer(False, "no connection")
+    setup.machines.outcome = later_answer
     setup.step(2 * mover.RETRY_DELAY_S)
     setup.scheduler.cancel_job(fleet_builders.job().job_id, 0.0)
     setup.scheduler.plan(0.0, fleet_builders.WALL_MS)
