Wait for a wave's own maintenance where another wave shares the machine

What callers saw: MIXED, a wave was said to be completed and machines of it had not begun their upkeep.

Cause: the list tells that a machine is in maintenance and not for which wave. Each wave that contains the machine took it for its own.

Ruled out: the repeated order of an earlier owner, which the platform accepts without effect (the logs show one order for one wave, and two that finish the machine).

Change: a wave takes a listed maintenance for its own only where no other wave has the machine unfinished. Otherwise the machine waits, counts as down for the limit of the wave, and gets the order of this wave later; if an earlier owner had sent that, the platform accepts it without effect.

--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -184,7 +184,11 @@
     def _advance(self, wave: waves.Wave, now: float) -> None:
         before = _finished_machines(wave)
         waves.update_progress(
-            wave, self._listed, self._bounds.maintenance_s, now
+            wave,
+            self._listed,
+            self._bounds.maintenance_s,
+            now,
+            self._machines_of_other_waves(wave),
         )
         finished = _finished_machines(wave)
         if finished != before:
@@ -195,11 +199,24 @@
                 self._advance_machine(wave, name, now - since, now)
         self._report_status(wave)
 
+    def _machines_of_other_waves(self, wave: waves.Wave) -> set[str]:
+        """Returns the machines that another wave may have in maintenance."""
+        machines: set[str] = set()
+        for order in self._wave_store.wave_orders():
+            if order.name not in self._waves:
+                # Its progress can't be read yet.
+                machines.update(order.machines)
+        for other in self._waves.values():
+            if other is not wave:
+                machines |= other.machines.keys() - _finished_machines(other)
+        return machines
+
     def _advance_machine(
         self, wave: waves.Wave, name: str, drained_for_s: float, now: float
     ) -> None:
         """Orders maintenance of a draining machine once that is allowed."""
-        phase = wave.machines[name].phase
+        progress = wave.machines[name]
+        phase = progress.phase
         if phase is waves.MachinePhase.OUTCOME_UNKNOWN:
             # Check the disruption budgets again before resending the order:
             # other tasks of the same steps may have become unavailable.
@@ -208,9 +225,9 @@
                 self._scheduler, instance, now
             ):
                 self._order_maintenance(wave, name)
-        elif phase is not waves.MachinePhase.WAITING:
-            # The machine was removed from the list, or an order that this
-            # controller did not send has started its maintenance.
+        elif phase is not waves.MachinePhase.WAITING or progress.is_down:
+            # The machine was removed from the list, or an order of an earlier
+            # owner or of another wave has started its maintenance.
             del self._draining[name]
         elif waves.count_in_maintenance(
             wave
--- a/src/vanillaswitch/coordination/fleet/machines/waves.py
+++ b/src/vanillaswitch/coordination/fleet/machines/waves.py
@@ -42,12 +42,14 @@
             ordered.
         ordered_at: monotonic seconds at which the order was accepted, or the
             maintenance was first seen.
+        is_down: it is listed as in maintenance, of this wave or another one.
     """
 
     machine: str
     phase: MachinePhase = MachinePhase.WAITING
     instance: str = ""
     ordered_at: float = 0.0
+    is_down: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,6 +102,7 @@
     listed: Mapping[str, fleet.Machine],
     maintenance_s: float,
     now: float,
+    shared: Collection[str] = (),
 ) -> None:
     """Updates the progress of a wave from the list of machines.
 
@@ -109,18 +112,30 @@
     the repeated order without effect. A machine that is not in the list any
     more counts as done.
 
+    The list does not tell for which wave a machine is in maintenance. Unless no
+    other wave may have ordered it, the machine waits for the order of this one.
+
     Args:
         wave: the wave to update.
         listed: machines by name.
         maintenance_s: duration of the maintenance of a machine.
         now: monotonic seconds.
+        shared: machines of the wave that another one may have in maintenance.
     """
     for progress in wave.machines.values():
         machine = listed.get(progress.machine)
+        progress.is_down = (
+            machine is not None
+            and machine.state is fleet.MachineState.MAINTENANCE
+        )
         if machine is None:
             progress.phase = MachinePhase.DONE
-        elif machine.state is fleet.MachineState.MAINTENANCE:
-            if progress.phase is not MachinePhase.IN_MAINTENANCE:
+        elif progress.is_down:
+            is_unfinished = progress.phase in (
+                MachinePhase.WAITING,
+                MachinePhase.OUTCOME_UNKNOWN,
+            )
+            if is_unfinished and progress.machine not in shared:
                 progress.phase = MachinePhase.IN_MAINTENANCE
                 progress.ordered_at = now
         elif progress.phase is MachinePhase.IN_MAINTENANCE:
@@ -134,7 +149,8 @@
 def count_in_maintenance(wave: Wave) -> int:
     """Returns how many machines of a wave are, or may be, in maintenance."""
     return sum(
-        progress.phase
+        progress.is_down
+        or progress.phase
         in (MachinePhase.IN_MAINTENANCE, MachinePhase.OUTCOME_UNKNOWN)
         for progress in wave.machines.values()
     )
--- a/tests/common/wave_doubles.py
+++ b/tests/common/wave_doubles.py
@@ -68,16 +68,18 @@
 
 
 class Machines:
-    """Platform whose machines are all up; ``m-1`` runs instance ``i-1``.
+    """Platform whose machine ``m-1`` runs instance ``i-1``, and so on.
 
     Attributes:
         names: names of the listed machines.
+        in_maintenance: names of those that are listed as in maintenance.
         ordered: machines whose maintenance was ordered, in order.
         answers: answers to the first orders; the others are accepted.
     """
 
     def __init__(self, names: Iterable[str]):
         self.names = list(names)
+        self.in_maintenance: set[str] = set()
         self.ordered: list[str] = []
         self.answers: list[fleet.Accepted | fleet.Busy | fleet.NoAnswer] = []
 
@@ -87,9 +89,11 @@
             fleet.Machine(
                 name,
                 "berthing",
-                fleet.MachineState.UP,
+                fleet.MachineState.MAINTENANCE
+                if name in self.in_maintenance
+                else fleet.MachineState.UP,
                 "zone-1",
-                name.replace("m", "i"),
+                "" if name in self.in_maintenance else name.replace("m", "i"),
                 fleet.Resources(4000, 32_000),
             )
             for name in self.names
--- a/tests/failures/test_orders_for_shared_machines.py
+++ b/tests/failures/test_orders_for_shared_machines.py
@@ -61,6 +61,13 @@
             self.step()
             assert not self.scheduler.take_stops()
 
+    def step_until_ordered(self):
+        """Steps until maintenance is ordered."""
+        for _ in range(40):
+            if not self.machines.ordered:
+                self.step()
+        assert self.machines.ordered
+
     def add_spare(self):
         """Adds an idle instance, to which each of the tasks could go."""
         now = self.clock.monotonic()
@@ -142,3 +149,23 @@
     assert owner.machines.ordered == ["m-1", "m-1"]
     stopped = {stop.instance for stop in owner.scheduler.take_stops()}
     assert stopped <= {"i-1"}
+
+
+def test_maintenance_for_one_wave_does_not_complete_another():
+    """Guards against a completed wave that never maintained a machine.
+
+    The machine was in maintenance for another wave that contains it too.
+    """
+    store = wave_doubles.WaveStore("m-1", duration_s=_DURATION_S)
+    store.add_wave("m-1")
+    owner = _Fleet(store)
+    for wave in ("wave/1", "wave/2"):
+        owner.machines.ordered.clear()
+        assert (wave, True) not in store.reports
+        owner.step_until_ordered()
+        owner.machines.in_maintenance.add("m-1")
+        owner.step()
+        owner.clock.advance(fleet_builders.deployment().bounds.maintenance_s)
+        owner.machines.in_maintenance.clear()
+        owner.step()
+        assert (wave, True) in store.reports
