Let each machine drain for the wave that chose it

Cause: machines drained for all waves together. A wave that had finished a machine took it, while it drained for another one, for a machine whose maintenance had begun, and ended its draining in each step. The other wave began anew and never came to the time after which a machine that still runs tasks gets its maintenance.

Change: a draining machine belongs to the wave that chose it.

--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -72,6 +72,19 @@
         """Writes the status for the operators; False when that failed."""
 
 
+@dataclasses.dataclass(frozen=True)
+class _Drain:
+    """A machine drains for one wave, also if others contain it.
+
+    Attributes:
+        wave: name of the wave.
+        since: monotonic seconds at which it was chosen.
+    """
+
+    wave: str
+    since: float
+
+
 class WaveController:
     """Drains machines of waves and orders their maintenance.
 
@@ -116,7 +129,7 @@
         self._emit = emit
         self._waves: dict[str, waves.Wave] = {}
         self._listed: Mapping[str, fleet.Machine] = {}
-        self._draining: dict[str, float] = {}
+        self._draining: dict[str, _Drain] = {}
 
     @property
     def reserved_machines(self) -> waves.ReservedMachines:
@@ -194,9 +207,9 @@
         if finished != before:
             self._wave_store.save_finished(wave.order.name, finished)
         self._choose_machines(wave, now)
-        for name, since in sorted(self._draining.items(), key=_by_drain_start):
-            if name in wave.machines:
-                self._advance_machine(wave, name, now - since, now)
+        for name, drain in sorted(self._draining.items(), key=_by_drain_start):
+            if drain.wave == wave.order.name:
+                self._advance_machine(wave, name, now - drain.since, now)
         self._report_status(wave)
 
     def _machines_of_other_waves(self, wave: waves.Wave) -> set[str]:
@@ -317,7 +330,7 @@
                 pool and surplus[pool] <= 0 and not is_behind_schedule
             ):
                 continue
-            self._draining[name] = now
+            self._draining[name] = _Drain(wave.order.name, now)
             surplus[pool] -= 1
 
     def _cancel_needed_drains(
@@ -333,8 +346,8 @@
         latest_first = sorted(
             self._draining.items(), key=_by_drain_start, reverse=True
         )
-        for name, _ in latest_first:
-            if name not in wave.machines or name not in self._listed:
+        for name, drain in latest_first:
+            if drain.wave != wave.order.name or name not in self._listed:
                 continue
             pool = self._active_pool(name)
             is_waiting = wave.machines[name].phase is waves.MachinePhase.WAITING
@@ -465,5 +478,6 @@
     }
 
 
-def _by_drain_start(item: tuple[str, float]) -> tuple[float, str]:
-    return item[1], item[0]
+def _by_drain_start(item: tuple[str, _Drain]) -> tuple[float, str]:
+    name, drain = item
+    return drain.since, name
--- a/tests/failures/test_draining_machines.py
+++ b/tests/failures/test_draining_machines.py
@@ -4,6 +4,7 @@
 from tests.common import fleet_builders
 from tests.common import wave_doubles
 from vanillaswitch.coordination.fleet.machines import evacuation
+from vanillaswitch.coordination.fleet.machines import wave_controller
 from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.protocol import jobs
 
@@ -26,7 +27,9 @@
     )
     clock = clocks.ManualClock()
     task = wave_doubles.task(scheduler, machines, wave_store, clock)
-    task._wave_controller._draining["m-1"] = clock.monotonic()
+    task._wave_controller._draining["m-1"] = wave_controller._Drain(
+        "wave/1", clock.monotonic()
+    )
     machines.names = ["m-2"]
     for _ in range(40):
         assert task._read_list()
--- a/tests/failures/test_orders_for_shared_machines.py
+++ b/tests/failures/test_orders_for_shared_machines.py
@@ -169,3 +169,18 @@
         owner.machines.in_maintenance.clear()
         owner.step()
         assert (wave, True) in store.reports
+
+
+def test_a_wave_that_finished_a_machine_does_not_restart_its_draining():
+    """Guards against a machine that drains for one wave until another ends.
+
+    Each step of the wave that had finished the machine took it for one whose
+    maintenance had begun, so that its draining never lasted long enough.
+    """
+    store = wave_doubles.WaveStore("m-1", "m-2", duration_s=_DURATION_S)
+    store.finished["wave/1"] = ("m-1",)
+    store.add_wave("m-1")
+    owner = _Fleet(store)
+    owner.machines.in_maintenance.add("m-2")
+    owner.step_until_ordered()
+    assert owner.machines.ordered == ["m-1"]
