Simulate waves that share machines with the owner's own control loop

Cause: the simulation of long-running tasks maintained machines by itself, one reason why it never showed the incident: the code that orders maintenance did not run in it.

Change: a simulation in which waves share machines. The real control loop reads the list and orders maintenance; orders get lost, are rejected or carried out late, and owners change. Checked are the disruption budgets, the limit of each wave, that a wave is completed by its own maintenance only, and that all comes to rest afterwards.

--- a/tests/common/disruption_simulation.py
+++ b/tests/common/disruption_simulation.py
@@ -342,10 +342,7 @@
                 scheduler.remove_instance(name, self.now, "no machine runs it")
         scheduler.release_expired_leases(self.now)
         scheduler.resend_stops(self.now)
-        for name, instance in scheduler.instances.items():
-            instance.is_cordoned = name in self.drained_since
-        evacuation.evacuate_instances(scheduler, self.now)
-        self._maintain_machines(term)
+        self._operate_machines(term)
         scheduler.plan(self.now, fleet_builders.WALL_MS + self.now * 1000)
         self._send_stops(term)
         if term is self.terms[-1]:
@@ -482,7 +479,11 @@
             )
         return True
 
-    def _maintain_machines(self, term: Term) -> None:
+    def _operate_machines(self, term: Term) -> None:
+        """Drains and maintains random machines."""
+        for name, instance in term.scheduler.instances.items():
+            instance.is_cordoned = name in self.drained_since
+        evacuation.evacuate_instances(term.scheduler, self.now)
         for name, since in list(self.drained_since.items()):
             instance = term.scheduler.instances.get(name)
             model = self.instances[name]
--- a/tests/failures/test_orders_for_shared_machines.py
+++ b/tests/failures/test_orders_for_shared_machines.py
@@ -7,8 +7,10 @@
 import pytest
 
 from tests.common import clocks
+from tests.common import disruption_simulation
 from tests.common import fleet_builders
 from tests.common import wave_doubles
+from tests.common import wave_simulation
 from vanillaswitch.coordination.fleet.machines import wave_controller
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -184,3 +186,20 @@
     owner.machines.in_maintenance.add("m-2")
     owner.step_until_ordered()
     assert owner.machines.ordered == ["m-1"]
+
+
+@pytest.mark.parametrize("seed", [0, 2, 5, 11, 53, 62, 66, 84])
+def test_random_waves_that_share_machines_break_no_limit(seed):
+    """Guards against waves that end a task too many, or complete too early.
+
+    Answers get lost, orders are rejected or carried out late, and ownership
+    changes hands. Each of these seeds once ended a task too many.
+    """
+    simulation = wave_simulation.WaveSimulation(seed)
+    simulation.run(60.0)
+    simulation.run_without_faults(90.0)
+    assert not simulation.violations
+    assert simulation.completed == simulation.waves
+    assert not simulation.instances_without_work
+    count = sum(step.count for step in disruption_simulation.STEPS)
+    assert len(simulation.serving) == count
