Soak waves that share machines, with several tasks of a service on each

Cause: the soak's services have one task of a job on each of four machines, and waves take one machine at a time. Draining a machine ends before the wave orders its upkeep, so no upkeep ended a task while another one could be stopped.

A short run of it is a test.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from soak import accounts
 from soak import overload
 from soak import run
+from soak import world as worlds
 
 TERMINATED = 128 + signal.SIGTERM
 """Exit code of a soak that was told to stop, as of a shell."""
@@ -38,6 +39,9 @@
     is_flag=True,
     help="With accounts that send too much; harms keys if --accounts is given.",
 )
+@click.option(
+    "--large", is_flag=True, help="Eight machines, waves that share some."
+)
 def main(
     seeds: str,
     fresh: int,
@@ -46,6 +50,7 @@
     names: tuple[str, ...],
     with_accounts: bool,
     with_overload: bool,
+    large: bool,
 ) -> None:
     """Runs a soak for each seed and prints what was broken."""
     # Ended by the signal itself, it would leave its processes running: they
@@ -59,7 +64,8 @@
         book = accounts.Accounts(seed) if with_accounts else None
         if with_overload:
             book = overload.Overload(seed, harms_keys=with_accounts)
-        result = run.soak(seed, seconds, folder, names, book)
+        scale = worlds.LARGE if large else worlds.SMALL
+        result = run.soak(seed, seconds, folder, names, book, scale)
         handed_in, accepted, completed = result.jobs
         click.echo(
             f"seed {seed}: {handed_in} jobs, {accepted} accepted, "
--- a/soak/lasting.py
+++ b/soak/lasting.py
@@ -5,6 +5,8 @@
 the promise beside as many others that are away.
 """
 
+from typing import Any
+
 import gevent
 
 from soak import clients
@@ -14,39 +16,39 @@
 from vanillaswitch.protocol import jobs
 from vanillaswitch.transport import plain_http
 
-BODY = {
-    "spec": "service",
-    "steps": [
-        {
-            "count": 3,
-            "cpu": 500,
-            "mem_mb": 100,
-            "long_running": True,
-            "may_miss": 1,
-            "anti_affinity": 1,
-        }
-    ],
-}
-SERVICES = 2
 FIRST = 1
 """Number of the first service; jobs of clients begin at a million."""
 
 
+def _body(scale: worlds.Scale) -> dict[str, Any]:
+    """Returns the job of a service as clients hand it in."""
+    step = {
+        "count": scale.tasks,
+        "cpu": 500,
+        "mem_mb": 100,
+        "long_running": True,
+        "may_miss": 1,
+        "anti_affinity": scale.tasks_per_instance,
+    }
+    return {"spec": "service", "steps": [step]}
+
+
 class Services:
     """The services of one soak, from their hand-in to their cancel."""
 
     def __init__(self, world: worlds.World):
         self._world = world
+        self._body = _body(world.scale)
         self._records: list[promise_lib.JobRecord] = []
 
     def begin(self) -> None:
         """Hands the services in, each until it is accepted."""
         with plain_http.open_client(clocks.SystemClock()) as client:
-            for number in range(FIRST, FIRST + SERVICES):
+            for number in range(FIRST, FIRST + self._world.scale.services):
                 job_id = f"{number:016x}"
                 account = self._world.account_of(job_id)
                 record = promise_lib.JobRecord(
-                    clients.parse(BODY, job_id, account)
+                    clients.parse(self._body, job_id, account)
                 )
                 self._world.promises.records[record.job.job_id] = record
                 self._records.append(record)
@@ -57,7 +59,7 @@
     ) -> None:
         while record.accepted_at is None:
             status, _ = clients.call(
-                client, self._world, "POST", record.job, BODY
+                client, self._world, "POST", record.job, self._body
             )
             if status == clients.OK:
                 record.accepted_at = self._world.promises.now
--- a/soak/run.py
+++ b/soak/run.py
@@ -56,6 +56,7 @@
     folder: pathlib.Path,
     names: Sequence[str] = (),
     accounts: account_lib.Accounts | None = None,
+    scale: worlds.Scale = worlds.SMALL,
 ) -> Result:
     """Runs one soak.
 
@@ -66,8 +67,9 @@
         names: the faults that come, the first of them in any case; all of them
             where none is named.
         accounts: the client accounts; None where no call needs a key.
+        scale: size of the fleet.
     """
-    with worlds.running(seed, folder, accounts) as world:
+    with worlds.running(seed, folder, accounts, scale) as world:
         not_ready = _await_ready(world)
         if not_ready:
             return Result(seed, not_ready, (0, 0, 0), ())
--- a/soak/world.py
+++ b/soak/world.py
@@ -20,7 +20,6 @@
 from vanillaswitch.protocol import jobs
 
 EDGES = 3
-INSTANCES = 4
 TASK_S = 0.4
 """How long each task runs; several holds of an instance."""
 
@@ -28,6 +27,41 @@
 """How often the soak's clock is read."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Scale:
+    """Size of a soak's fleet, of its services and of its waves.
+
+    Attributes:
+        instances: number of machines, each with an instance.
+        services: number of services whose tasks last.
+        tasks: tasks of each service.
+        tasks_per_instance: how many tasks of a service an instance may run.
+        wave_share: least share of the machines that a wave contains.
+        wave_limit: most machines of a wave that may be down at once; each wave
+            draws its own limit.
+    """
+
+    instances: int = 4
+    services: int = 2
+    tasks: int = 3
+    tasks_per_instance: int = 1
+    wave_share: float = 1.0
+    wave_limit: int = 1
+
+
+SMALL = Scale()
+LARGE = Scale(
+    instances=8,
+    services=3,
+    tasks=8,
+    tasks_per_instance=3,
+    wave_share=0.6,
+    wave_limit=3,
+)
+"""Machines run several tasks of each service, so that draining them takes
+longer than a wave waits, and waves share some of their machines."""
+
+
 class Accounts(Protocol):
     """The client accounts of a soak; see ``soak.accounts``."""
 
@@ -67,6 +101,7 @@
     promises: promise_lib.Promises
     random: random.Random
     accounts: Accounts | None = None
+    scale: Scale = SMALL
     version: int = 1
     waves: int = 0
 
@@ -93,13 +128,20 @@
         self.platform.rows.write("op", "config", document)
 
     def order_wave(self, seconds: float) -> None:
-        """Has all machines due for upkeep, one at a time."""
+        """Has machines due for upkeep."""
         self.waves += 1
+        machines = self.platform.machine_names
+        max_count = 1
+        if self.scale.wave_share < 1:
+            least = round(self.scale.wave_share * len(machines))
+            count = self.random.randint(least, len(machines))
+            machines = self.random.sample(machines, count)
+            max_count = self.random.randint(1, self.scale.wave_limit)
         document = {
             "wave": self.waves,
-            "machines": self.platform.machine_names,
+            "machines": machines,
             "duration_s": seconds,
-            "max_count": 1,
+            "max_count": max_count,
         }
         self.platform.rows.write("op", f"wave/{self.waves}", document)
 
@@ -132,6 +174,7 @@
     seed: int,
     folder: pathlib.Path,
     accounts: Accounts | None = None,
+    scale: Scale = SMALL,
 ) -> Iterator[World]:
     """Yields a running world and ends all its processes by their ids.
 
@@ -139,13 +182,14 @@
         seed: of all choices.
         folder: where logs of the processes are left.
         accounts: the client accounts; None where no call needs a key.
+        scale: size of the fleet.
     """
     with contextlib.ExitStack() as stack:
         clock = promise_lib.Clock()
         promises = promise_lib.Promises(clock)
         timer = gevent.spawn(_keep_time, clock, promises)
         stack.callback(timer.kill)
-        platform = edge_http.EdgePlatform(INSTANCES, TASK_S, promises)
+        platform = edge_http.EdgePlatform(scale.instances, TASK_S, promises)
         document = edge_processes.config()
         settings = ""
         if accounts is not None:
@@ -183,4 +227,5 @@
             promises,
             random.Random(seed),
             accounts,
+            scale,
         )
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -43,6 +43,12 @@
 CRASHES = ("tasks-crash-instances", "rooms-shrink", "kill-owner")
 """Jobs waited for a minute where suspected tasks tried one instance of four."""
 
+WAVES_SEED = 307
+WAVES_S = 22.0
+WAVES = ("wave", "reload", "configure", "reload")
+"""A stop ended a task right after the upkeep of another, where two waves shared
+a machine."""
+
 ACCOUNTS_SEED = 2
 ACCOUNTS_S = 12.0
 """An account had more running than its limit and its overage, when the order
@@ -74,6 +80,12 @@
     assert not result.broken
 
 
+def test_a_soak_with_waves_that_share_machines_breaks_no_promise(tmp_path):
+    result = run.soak(WAVES_SEED, WAVES_S, tmp_path, WAVES, scale=worlds.LARGE)
+    assert WAVES[0] in result.faults
+    assert not result.broken
+
+
 def test_the_fault_that_a_soak_is_about_comes_however_few_are_drawn():
     """Guards against a soak that passes without the fault it is there for."""
     configured = []
