Settle the order of each move that ends

Cause: a move that expired or completed left its order recorded on the instance of its machine. Where the machine still runs that instance, it would get no work for the rest of the term.

Change: dropping a move settles its order on the instance that the machine runs.

--- a/src/vanillaswitch/coordination/fleet/machines/mover.py
+++ b/src/vanillaswitch/coordination/fleet/machines/mover.py
@@ -212,9 +212,9 @@
     ) -> None:
         """Drops moves that completed or expired, and moves of removed machines.
 
-        Moves whose order is in flight are kept. A machine that is listed in its
-        new pool answers an order without an answer: no copy of it has an effect
-        any more.
+        Moves whose order is in flight are kept. An unanswered order counts as
+        accepted once its machine is listed in the new pool: no copy of it has
+        an effect any more.
         """
         for name, pending_move in list(self._pending_moves.items()):
             machine = listed.get(name)
@@ -224,9 +224,12 @@
             )
             if name in self._in_flight:
                 continue
-            if machine is None or is_expired:
+            if machine is None:
                 del self._pending_moves[name]
                 continue
+            if is_expired:
+                self._end_move(machine, pending_move.move, "expired", now)
+                continue
             if not _is_in_target_pool(machine, pending_move.move):
                 continue
             if pending_move.outcome_unknown:
@@ -237,9 +240,24 @@
             if pending_move.accepted and self._counts_as_arrived(
                 machine, pending_move, now
             ):
-                del self._pending_moves[name]
+                self._end_move(machine, pending_move.move, "completed", now)
                 self._releases.record_move(name, now)
 
+    def _end_move(
+        self,
+        machine: fleet.Machine,
+        move: capacity_planner.Move,
+        why: str,
+        now: float,
+    ) -> None:
+        """Drops a move whose order has no effect on the machine any more."""
+        del self._pending_moves[machine.name]
+        instance = self._instance_on(machine)
+        if instance is not None:
+            self._scheduler.settle_machine_order(
+                instance, _order_name(move), why, now
+            )
+
     def _track_unregistered(
         self, listed: Mapping[str, fleet.Machine], now: float
     ) -> None:
--- a/src/vanillaswitch/coordination/fleet/machines/waves.py
+++ b/src/vanillaswitch/coordination/fleet/machines/waves.py
@@ -112,8 +112,9 @@
     the repeated order without effect. A machine that is not in the list any
     more counts as done.
 
-    The list does not tell for which wave a machine is in maintenance. Unless no
-    other wave may have ordered it, the machine waits for the order of this one.
+    The list does not tell for which wave a machine is in maintenance. If
+    another wave may have ordered it, the machine still waits for the order of
+    this one.
 
     Args:
         wave: the wave to update.
--- a/tests/failures/test_unanswered_moves.py
+++ b/tests/failures/test_unanswered_moves.py
@@ -5,6 +5,7 @@
 
 from tests.common import clocks
 from tests.common import fleet_builders
+from vanillaswitch.coordination.fleet.machines import capacity_planner
 from vanillaswitch.coordination.fleet.machines import mover
 from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.protocol import fleet
@@ -116,3 +117,23 @@
     assert owner.machines.ordered == ["m-1"]
     owner.list(_machine("spare", fleet.MachineState.UP, ""))
     assert owner.machines.ordered == ["m-1", "m-1"]
+
+
+def test_an_instance_that_outlasts_an_accepted_move_gets_work_again():
+    """Guards against an instance that stays without work after a failed move.
+
+    The platform accepted the move of an idle machine, but the machine still
+    runs the same instance long after.
+    """
+    owner = _Mover(fleet.Accepted(0.0))
+    now = owner.clock.monotonic()
+    fleet_builders.add_instances(owner.scheduler, "i-1", now=now, cpu=16_000)
+    order = mover._order_name(capacity_planner.Move("m-1", "berthing"))
+    owner.scheduler.begin_machine_order(
+        owner.scheduler.instances["i-1"], order, now
+    )
+    owner.scheduler.cancel_job(fleet_builders.job().job_id, now)
+    owner.scheduler.plan(now, fleet_builders.WALL_MS)
+    owner.clock.advance(mover.MOVE_EXPIRY_S + 1.0)
+    owner.list(_machine("spare", fleet.MachineState.UP, "i-1"))
+    assert owner.gets_work
