--- a/tests/failures/test_unanswered_moves.py
+++ b/tests/failures/test_unanswered_moves.py
@@ -71,11 +71,15 @@
             self.clock,
             lambda _: None,
         )
-        self.list(_machine("spare", fleet.MachineState.UP, ""))
+        self.read_and_order(_machine("spare", fleet.MachineState.UP, ""))
 
-    def list(self, machines):
-        """Reads a list of machines, then plans and orders moves."""
+    def read(self, machines):
+        """Reads a list of machines."""
         self._mover.update_machines(machines)
+
+    def read_and_order(self, machines):
+        """Reads a list of machines, then plans and orders moves."""
+        self.read(machines)
         self.clock.advance(2 * mover.RETRY_DELAY_S)
         self._mover.step()
         gevent.sleep(0)
@@ -85,7 +89,7 @@
         """Lets the machine arrive in its pool with a new instance."""
         now = self.clock.monotonic()
         fleet_builders.add_instances(self.scheduler, "i-1", now=now, cpu=16_000)
-        self.list(_machine("berthing", fleet.MachineState.UP, "i-1"))
+        self.read_and_order(_machine("berthing", fleet.MachineState.UP, "i-1"))
 
     @property
     def gets_work(self):
@@ -106,16 +110,16 @@
     owner = _Mover(_NO_ANSWER, later_answer)
     owner.arrive()
     assert owner.gets_work
-    owner.list(_machine("berthing", fleet.MachineState.UP, "i-1"))
+    owner.read_and_order(_machine("berthing", fleet.MachineState.UP, "i-1"))
     assert owner.machines.ordered == ["m-1"]
     assert owner.gets_work
 
 
 def test_an_unanswered_move_is_not_repeated_while_the_machine_moves():
     owner = _Mover(_NO_ANSWER)
-    owner.list(_machine("spare", fleet.MachineState.MOVING, ""))
+    owner.read_and_order(_machine("spare", fleet.MachineState.MOVING, ""))
     assert owner.machines.ordered == ["m-1"]
-    owner.list(_machine("spare", fleet.MachineState.UP, ""))
+    owner.read_and_order(_machine("spare", fleet.MachineState.UP, ""))
     assert owner.machines.ordered == ["m-1", "m-1"]
 
 
@@ -132,8 +136,6 @@
     owner.scheduler.begin_machine_order(
         owner.scheduler.instances["i-1"], order, now
     )
-    owner.scheduler.cancel_job(fleet_builders.job().job_id, now)
-    owner.scheduler.plan(now, fleet_builders.WALL_MS)
     owner.clock.advance(mover.MOVE_EXPIRY_S + 1.0)
-    owner.list(_machine("spare", fleet.MachineState.UP, "i-1"))
+    owner.read(_machine("spare", fleet.MachineState.UP, "i-1"))
     assert owner.gets_work
