--- a/tests/common/wave_simulation.py
+++ b/tests/common/wave_simulation.py
@@ -70,9 +70,9 @@
 class WaveSimulation(disruption_simulation.Simulation):
     """A fleet whose machines are due for maintenance by several waves.
 
-    Serves the platform and the store of the waves to all owners. A violation is
-    also a wave that exceeds its limit of machines, or that is reported as
-    completed before each of its machines had its own maintenance.
+    Serves the platform, the store of the waves and the clock to all owners. A
+    violation is also a wave that exceeds its limit of machines, or that is
+    reported as completed before each of its machines had its own maintenance.
     """
 
     def __init__(self, seed: int):
