--- a/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
+++ b/src/vanillaswitch/coordination/fleet/machines/wave_controller.py
@@ -74,7 +74,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Drain:
-    """A machine drains for one wave, also if others contain it.
+    """The draining of a machine, for one of the waves that contain it.
 
     Attributes:
         wave: name of the wave.
@@ -435,7 +435,7 @@
             instance is not None
             and progress.phase is waves.MachinePhase.WAITING
         ):
-            # An earlier copy without an answer may take effect all the same.
+            # In any other phase, an earlier copy may still take effect.
             self._scheduler.settle_machine_order(
                 instance, _order_name(wave), change, self._clock.monotonic()
             )
