Log and count each call to the advice service

Ruled out: a line for failed calls alone (the calls that are answered show whether the service is idle).

Change: event advice-call with outcome, reason, number of instances named and good, time until the outcome, calls open when it was sent and earlier calls for the step; counters by outcome; a histogram of answered calls by queue. A 429 is an outcome of its own. No decision changes.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -525,6 +525,34 @@
     rate: int
 
 
+@dataclasses.dataclass(frozen=True)
+class AdviceCall:
+    """A call to the advice service is over.
+
+    Attributes:
+        step: occurrence and number of the step.
+        outcome: "answered"; "refused" if too many calls were waiting there;
+            "unanswered" if it may still be handled; "unsent" if it can't be.
+        reason: why there is no answer; empty if there is one.
+        instances: number of instances that the call named.
+        good: number of these that may run the step.
+        waited_ms: time from sending the call until its outcome.
+        open_calls: calls without an outcome when it was sent.
+        calls_before: earlier calls for the same step.
+    """
+
+    job: str
+    queue: str
+    step: str
+    outcome: str
+    reason: str
+    instances: int
+    good: int
+    waited_ms: int
+    open_calls: int
+    calls_before: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Usage:
     """Resource usage of a busy process over the last seconds.
--- a/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
+++ b/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
@@ -10,11 +10,11 @@
 import gevent
 import gevent.event
 
+from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import clock as clocks
-from vanillaswitch.internal import logs
 from vanillaswitch.protocol import fleet
 
 TIMEOUT_MARGIN_S = 1.0
@@ -34,13 +34,16 @@
         clock: clocks.Clock,
         wake_planner: gevent.event.Event,
         wall_ms: Callable[[], float],
+        emit: Callable[[object], None],
     ):
         self._scheduler = scheduler
         self._wall_ms = wall_ms
         self._advisor = advisor
         self._clock = clock
         self._wake_planner = wake_planner
+        self._emit = emit
         self._requested_steps: set[tuple[str, int, int]] = set()
+        self._calls_by_step: dict[tuple[str, int, int], int] = {}
 
     def request_missing_tickets(self) -> None:
         """Requests tickets for ready steps that need them."""
@@ -85,17 +88,32 @@
         expected_ms = queue.advice.decision_ms
         expected_ms += queue.advice.period_ms * len(names)
         job_id = step.entry.job.job_id
+        path = f"{step.occurrence}.{step.number}"
+        open_calls = len(self._requested_steps) - 1
         outcome = self._advisor.request_tickets(
-            f"{job_id}.{step.occurrence}.{step.number}",
+            f"{job_id}.{path}",
             names,
             expected_ms / 1000 + TIMEOUT_MARGIN_S,
         )
-        if isinstance(outcome, fleet.NoAnswer):
-            logs.warning(
-                "advice service did not answer for job {}: {}",
+        step_key = (job_id, step.occurrence, step.number)
+        calls_before = self._calls_by_step.get(step_key, 0)
+        self._calls_by_step[step_key] = calls_before + 1
+        name, reason, good = _describe(outcome)
+        self._emit(
+            events.AdviceCall(
                 job_id,
-                outcome.reason,
+                queue.name,
+                path,
+                name,
+                reason,
+                len(names),
+                good,
+                int((self._clock.monotonic() - requested_at) * 1000),
+                open_calls,
+                calls_before,
             )
+        )
+        if not isinstance(outcome, fleet.Tickets):
             self._clock.sleep(RETRY_PAUSE_S)
             return
         validity_s = outcome.validity_s or queue.advice.validity_ms / 1000
@@ -103,3 +121,14 @@
             step, outcome.by_instance, requested_at + validity_s
         )
         self._wake_planner.set()
+
+
+def _describe(outcome: fleet.AdviceOutcome) -> tuple[str, str, int]:
+    """Returns the outcome of a call, its reason and the number of tickets."""
+    match outcome:
+        case fleet.Tickets(by_instance=tickets):
+            return "answered", "", len(tickets)
+        case fleet.AdvisorOverloaded():
+            return "refused", "too many calls are waiting", 0
+        case fleet.NoAnswer(may_take_effect=was_sent, reason=reason):
+            return "unanswered" if was_sent else "unsent", reason, 0
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -172,6 +172,7 @@
             clock,
             self._replan_event,
             lambda: dependencies.time.wall_now_ms,
+            emit,
         )
         self._watcher = registration_watcher.RegistrationWatcher(
             self._scheduler,
--- a/src/vanillaswitch/coordination/fleet/telemetry.py
+++ b/src/vanillaswitch/coordination/fleet/telemetry.py
@@ -8,7 +8,8 @@
 
 MAX_SERIES = 64
 """Maximum number of histograms of one kind; further queues share one. Each
-queue has a histogram of submissions and one of jobs."""
+queue has a histogram of submissions, one of jobs and, if it has an advisor, one
+of answered calls to it."""
 
 _US_PER_MS = 1000
 
@@ -26,6 +27,7 @@
         self._counters = metrics.Counters()
         self._submissions = histograms.Histograms(MAX_SERIES)
         self._jobs = histograms.Histograms(MAX_SERIES)
+        self._advice = histograms.Histograms(MAX_SERIES)
 
     @property
     def counters(self) -> metrics.Counters:
@@ -35,7 +37,11 @@
     @property
     def latencies(self) -> dict[str, histograms.Histograms]:
         """Histograms by measured quantity, each keyed by queue name."""
-        return {"hand_in": self._submissions, "job": self._jobs}
+        return {
+            "hand_in": self._submissions,
+            "job": self._jobs,
+            "advice": self._advice,
+        }
 
     def emit(self, event: object) -> None:
         """Logs, counts and measures an event."""
@@ -45,6 +51,10 @@
             self._submissions.record(event.queue, event.waited_ms * _US_PER_MS)
         elif isinstance(event, events.JobEnded):
             self._jobs.record(event.queue, event.age_ms * _US_PER_MS)
+        elif (
+            isinstance(event, events.AdviceCall) and event.outcome == "answered"
+        ):
+            self._advice.record(event.queue, event.waited_ms * _US_PER_MS)
 
 
 def _counter_suffix(event: object) -> str:
@@ -74,6 +84,8 @@
             return f".{outcome}"
         case events.LoadReport(change=outcome):
             return f".{outcome}"
+        case events.AdviceCall(outcome=outcome):
+            return f".{outcome}"
         case events.MachineMoved(outcome=outcome):
             return f".{outcome}"
         case events.MachineReleaseEnded(how=outcome):
--- a/src/vanillaswitch/platform/advice.py
+++ b/src/vanillaswitch/platform/advice.py
@@ -10,6 +10,7 @@
 """Largest number of instances in one call."""
 
 _OK = 200
+_TOO_MANY_REQUESTS = 429
 
 
 class HttpAdvisor:
@@ -21,7 +22,7 @@
 
     def request_tickets(
         self, step: str, instances: Sequence[str], timeout_s: float
-    ) -> fleet.Tickets | fleet.NoAnswer:
+    ) -> fleet.AdviceOutcome:
         """Requests the tickets of a step.
 
         Args:
@@ -41,6 +42,8 @@
         )
         if isinstance(response, http_calls.NoResponse):
             return fleet.NoAnswer(response.sent, response.reason)
+        if response.status == _TOO_MANY_REQUESTS:
+            return fleet.AdvisorOverloaded()
         if response.status != _OK:
             return fleet.NoAnswer(False, f"status {response.status}")
         # "good" lists pairs of an instance and its ticket.
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -491,10 +491,25 @@
     validity_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class AdvisorOverloaded:
+    """The advisor refused a call, because too many calls wait for their turn.
+
+    Calls that this process gave up still wait there.
+    """
+
+
+AdviceOutcome = Tickets | AdvisorOverloaded | NoAnswer
+
+
 class Advisor(Protocol):
-    """The service that decides which instances may run a step."""
+    """The service that decides which instances may run a step.
+
+    It handles the calls of one machine one at a time, in the order in which
+    they arrive. It also handles those that were given up meanwhile.
+    """
 
     def request_tickets(
         self, step: str, instances: Sequence[str], timeout_s: float
-    ) -> Tickets | NoAnswer:
+    ) -> AdviceOutcome:
         """Requests tickets for a step on some instances."""
