Keep one call at a time open at the advice service

What callers saw: after a burst on a queue with advice, or while the service is slow or away for some seconds, no accepted job of the queue starts any more, also of those accepted later, although all instances are idle.

Cause: each waiting step sent a call of its own, at once and without a limit, and gave it up after the duration of one call and a second. The service handles the calls of a machine one at a time, and abandoned ones too. From some eight waiting steps on the answer came after its caller had left, and the repeated calls kept the queue of the service full.

Ruled out: a longer timeout (by calculation, with 40 steps at once the last answer would come after 6.4 s, and tickets of 3 s counted from the time of the call); a fixed limit of calls that are still given up (a slow service fills up just the same).

Change: advice_calls decides on calls without input or output. One call is open, for the step whose turn is next. It is given up only once a later one was answered, since the service handles calls in order. While nothing is answered, further calls follow after 1 to 4 s, for other steps where there are any, eight at most. Tickets count from the arrival of the answer, no longer from the time of the call. Calls end with the term.

Open: with 100 instances a call takes 0.44 s, and 40 jobs at once are not done in 14 s.

--- a/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
+++ b/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
@@ -3,29 +3,29 @@
 Tasks of a queue with an advice service (``Queue.advice``) may start only on
 instances for which the service has issued a ticket. The ticket is sent with the
 start. Tickets expire, so they are requested again while steps wait.
+
+``advice_calls`` decides which call is sent next, and when.
 """
 
 from collections.abc import Callable
 
-import gevent
 import gevent.event
+import gevent.pool
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.instances import advice_calls
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
-from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
 
-TIMEOUT_MARGIN_S = 1.0
-"""Time that an advice call may take in addition to its configured duration."""
-
-RETRY_PAUSE_S = 0.1
-"""Pause after a failed call before tickets are requested again."""
+CALL_TIMEOUT_S = 120.0
+"""Time after which the connection of a call without an answer is closed. The
+call does not hold up others for so long; see ``advice_calls``."""
 
 
 class TicketRefresher:
-    """Keeps the tickets of waiting steps valid, with one call per step."""
+    """Keeps the tickets of waiting steps valid during one term."""
 
     def __init__(
         self,
@@ -36,91 +36,97 @@
         wall_ms: Callable[[], float],
         emit: Callable[[object], None],
     ):
+        """Creates a refresher that has sent no call.
+
+        Args:
+            scheduler: knows the steps and receives tickets.
+            advisor: issues tickets.
+            clock: times the calls.
+            wake_planner: set when tickets have arrived.
+            wall_ms: returns the time of day in milliseconds since 1970.
+            emit: receives events.
+        """
         self._scheduler = scheduler
         self._wall_ms = wall_ms
         self._advisor = advisor
         self._clock = clock
         self._wake_planner = wake_planner
         self._emit = emit
-        self._requested_steps: set[tuple[str, int, int]] = set()
-        self._calls_by_step: dict[tuple[str, int, int], int] = {}
+        self._calls = advice_calls.AdviceCalls()
+        self._wake = gevent.event.Event()
 
-    def request_missing_tickets(self) -> None:
-        """Requests tickets for ready steps that need them."""
+    def update_requests(self) -> None:
+        """Finds out which tickets the waiting steps need after a plan."""
         if not any(queue.advice for queue in self._scheduler.queues.values()):
+            self._calls.update_requests(())
             return
         now = self._clock.monotonic()
         plan_time = queue_order.PlanTime(now, self._wall_ms())
-        for steps in self._scheduler.ready_steps(plan_time).values():
-            for step in steps:
-                step_key = (step.entry.job.job_id, step.occurrence, step.number)
-                tickets = self._scheduler.tickets_for(step, now)
-                if (
-                    tickets is None
-                    or tickets
-                    or step_key in self._requested_steps
-                ):
-                    continue
-                self._requested_steps.add(step_key)
-                gevent.spawn(self._request, step, step_key)
-
-    def _request(
-        self, step: job_tracker.OpenStep, step_key: tuple[str, int, int]
-    ) -> None:
+        self._calls.update_requests(self._scheduler.missing_tickets(plan_time))
+        if self._calls.has_requests:
+            self._wake.set()
+
+    def run(self) -> None:
+        """Sends calls until it is killed, and then drops the open ones."""
+        group = gevent.pool.Group()
         try:
-            self._request_once(step)
+            while True:
+                self._wake.clear()
+                now = self._clock.monotonic()
+                found = self._calls.next_call(now)
+                if isinstance(found, advice_calls.Call):
+                    group.spawn(self._make_call, found)
+                else:
+                    self._wake.wait(None if found is None else found - now)
         finally:
-            self._requested_steps.discard(step_key)
+            group.kill(block=False)
 
-    def _request_once(self, step: job_tracker.OpenStep) -> None:
-        """Requests tickets for a step and passes them to the scheduler."""
-        queue = self._scheduler.queues.get(step.entry.job.queue)
-        if queue is None or queue.advice is None:
-            return
-        requested_at = self._clock.monotonic()
-        names = [
-            instance.name
-            for instance in self._scheduler.pool_instances(queue.service)
-            if instance.is_schedulable(requested_at)
-        ]
-        if not names:
-            return
-        expected_ms = queue.advice.decision_ms
-        expected_ms += queue.advice.period_ms * len(names)
-        job_id = step.entry.job.job_id
-        path = f"{step.occurrence}.{step.number}"
-        open_calls = len(self._requested_steps) - 1
+    def _make_call(self, call: advice_calls.Call) -> None:
+        request = call.request
+        sent_at = self._clock.monotonic()
         outcome = self._advisor.request_tickets(
-            f"{job_id}.{path}",
-            names,
-            expected_ms / 1000 + TIMEOUT_MARGIN_S,
+            f"{request.step.entry.job.job_id}.{request.path}",
+            request.instances,
+            CALL_TIMEOUT_S,
+            call.new_connection,
         )
-        step_key = (job_id, step.occurrence, step.number)
-        calls_before = self._calls_by_step.get(step_key, 0)
-        self._calls_by_step[step_key] = calls_before + 1
+        now = self._clock.monotonic()
+        self._emit_call(call, outcome, now - sent_at)
+        if isinstance(outcome, fleet.Tickets):
+            self._calls.record_answer(call, now)
+            validity_s = outcome.validity_s or request.validity_s
+            self._scheduler.set_tickets(
+                request.step, outcome.by_instance, now + validity_s
+            )
+            self._wake_planner.set()
+        elif isinstance(outcome, fleet.AdvisorOverloaded):
+            self._calls.record_failure(call, now, request.expected_s)
+        else:
+            self._calls.record_failure(call, now)
+        self._wake.set()
+
+    def _emit_call(
+        self,
+        call: advice_calls.Call,
+        outcome: fleet.AdviceOutcome,
+        waited_s: float,
+    ) -> None:
+        request = call.request
         name, reason, good = _describe(outcome)
         self._emit(
             events.AdviceCall(
-                job_id,
-                queue.name,
-                path,
+                request.step.entry.job.job_id,
+                request.step.entry.job.queue,
+                request.path,
                 name,
                 reason,
-                len(names),
+                len(request.instances),
                 good,
-                int((self._clock.monotonic() - requested_at) * 1000),
-                open_calls,
-                calls_before,
+                int(waited_s * 1000),
+                call.open_before,
+                call.calls_before,
             )
         )
-        if not isinstance(outcome, fleet.Tickets):
-            self._clock.sleep(RETRY_PAUSE_S)
-            return
-        validity_s = outcome.validity_s or queue.advice.validity_ms / 1000
-        self._scheduler.set_tickets(
-            step, outcome.by_instance, requested_at + validity_s
-        )
-        self._wake_planner.set()
 
 
 def _describe(outcome: fleet.AdviceOutcome) -> tuple[str, str, int]:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -347,6 +347,7 @@
             for run in (
                 self._run_planning,
                 self._run_recording,
+                self._ticket_refresher.run,
                 self._watcher.run,
                 self._job_tables.follow_jobs,
                 self._job_tables.follow_cancels,
@@ -440,7 +441,7 @@
                 self._run_periodic_checks(now)
             if is_check_due or self._scheduler.needs_plan:
                 self._scheduler.plan(now, self._dependencies.time.wall_now_ms)
-                self._ticket_refresher.request_missing_tickets()
+                self._ticket_refresher.update_requests()
             self._send_stops()
             duration_s = self._clock.monotonic() - now
             self._clock.sleep(
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -24,6 +24,7 @@
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import ticket_requests
 from vanillaswitch.protocol import fleet
 
 LIMIT_REPORT_PAUSE_S = 5.0
@@ -653,6 +654,30 @@
             return {}
         return self.tickets.get(key, {})
 
+    def missing_tickets(
+        self, plan_time: queue_order.PlanTime
+    ) -> list[ticket_requests.TicketRequest]:
+        """Returns the tickets that waiting steps need, in queue order."""
+        pools = self.instances_by_pool()
+        by_pool = []
+        for pool_name, steps in self.ready_steps(plan_time).items():
+            names = [
+                instance.name
+                for instance in pools.get(pool_name, ())
+                if instance.is_schedulable(plan_time.now)
+            ]
+            requests = []
+            for step in steps if names else ():
+                queue = self.queues.get(step.entry.job.queue)
+                if queue is None or queue.advice is None:
+                    continue
+                if not self.tickets_for(step, plan_time.now):
+                    requests.append(
+                        ticket_requests.request_for(step, names, queue.advice)
+                    )
+            by_pool.append(requests)
+        return ticket_requests.interleave(by_pool)
+
     def _backlog(
         self,
         steps: Iterable[job_tracker.OpenStep],
--- a/src/vanillaswitch/platform/advice.py
+++ b/src/vanillaswitch/platform/advice.py
@@ -6,9 +6,6 @@
 from vanillaswitch.protocol import fleet
 from vanillaswitch.transport import plain_http
 
-MAX_INSTANCES = 100
-"""Largest number of instances in one call."""
-
 _OK = 200
 _TOO_MANY_REQUESTS = 429
 
@@ -21,17 +18,15 @@
         self._address = address
 
     def request_tickets(
-        self, step: str, instances: Sequence[str], timeout_s: float
+        self,
+        step: str,
+        instances: Sequence[str],
+        timeout_s: float,
+        new_connection: bool,
     ) -> fleet.AdviceOutcome:
-        """Requests the tickets of a step.
-
-        Args:
-            step: the step as "ID.OCCURRENCE.STEP".
-            instances: candidates; only the first ``MAX_INSTANCES`` are sent.
-            timeout_s: limit for the whole call.
-        """
+        """Requests tickets; see ``fleet.Advisor``."""
         # The platform calls instances "workers".
-        body = {"step": step, "workers": list(instances[:MAX_INSTANCES])}
+        body = {"step": step, "workers": list(instances)}
         response = http_calls.call(
             self._client,
             self._address,
@@ -39,6 +34,7 @@
             "/-/advise",
             body,
             timeout_s=timeout_s,
+            fresh=new_connection,
         )
         if isinstance(response, http_calls.NoResponse):
             return fleet.NoAnswer(response.sent, response.reason)
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -510,6 +510,17 @@
     """
 
     def request_tickets(
-        self, step: str, instances: Sequence[str], timeout_s: float
+        self,
+        step: str,
+        instances: Sequence[str],
+        timeout_s: float,
+        new_connection: bool,
     ) -> AdviceOutcome:
-        """Requests tickets for a step on some instances."""
+        """Requests tickets for a step on some instances.
+
+        Args:
+            step: the step as "ID.OCCURRENCE.STEP".
+            instances: names of at most 100 instances.
+            timeout_s: limit for the whole call.
+            new_connection: use a new connection instead of a pooled one.
+        """
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -4,6 +4,7 @@
 speaks just what the product's adapter uses.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -101,6 +102,14 @@
 
 _UNWATCHED = Observer()
 
+AcceptsTicket = Callable[[str, str, str], bool]
+"""Whether an instance accepts a ticket: step, instance and ticket."""
+
+
+def _accept_any(step: str, instance: str, ticket: str) -> bool:
+    del step, instance, ticket
+    return True
+
 
 def _now_ms() -> int:
     return int(time.time() * 1000)
@@ -112,6 +121,7 @@
     Attributes:
         task_s: how long it runs a task that ends by itself.
         room: what it can hold.
+        accepts_ticket: checks the ticket of a start.
     """
 
     def __init__(
@@ -126,6 +136,7 @@
         self._rows = rows
         self._observer = observer
         self.task_s = task_s
+        self.accepts_ticket: AcceptsTicket = _accept_any
         self._server = sockets.HttpServer(
             sockets.listen("127.0.0.1:0"), self._application
         )
@@ -238,6 +249,9 @@
             token,
             body["deadline_ms"],
         )
+        step = f"{task.job_id}.{task.occurrence}.{task.step}"
+        if not self.accepts_ticket(step, self._name, body.get("ticket", "")):
+            return self.model.refuse_ticket()
         before = len(self.model.started)
         outcome = self.model.start(order, self._observer.need(order))
         if len(self.model.started) > before:
--- a/standins/leased_instance.py
+++ b/standins/leased_instance.py
@@ -100,6 +100,10 @@
         self.started.append((order.task, order.run))
         return fleet.Accepted(self._clock_ms)
 
+    def refuse_ticket(self) -> fleet.Refused:
+        """Returns the refusal of a start whose ticket is not valid."""
+        return fleet.Refused(fleet.RefusalReason.INVALID_TICKET, self._clock_ms)
+
     def stop(
         self, task: jobs.TaskName, run: int, token: int
     ) -> fleet.OrderOutcome:
--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -73,6 +73,7 @@
     "machines/machine_releases.py",
     "machines/pool_allocation.py",
     "machines/waves.py",
+    "instances/advice_calls.py",
     "instances/completions.py",
     "instances/disruption_budget.py",
     "instances/incarnations.py",
