Keep tickets by instance, and expire only the one that was refused

A start whose ticket was refused sent its step back to the advice service.

Cause: the tickets of a step had one time of expiry. One refused ticket ended the use of those for all instances of the step, also where a newer one had arrived meanwhile, and cost a call that names them all.

Change: TicketBook keeps each ticket with its time, and what the service has said of an instance and a step, which never changes. A refused ticket expires alone, unless a newer one has replaced it; its task prefers other instances then. Two tests that wrote to the old mapping make the same checks through the new calls.

--- a/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
@@ -17,6 +17,7 @@
 import dataclasses
 
 from vanillaswitch.coordination.fleet.queue import ticket_requests
+from vanillaswitch.coordination.fleet.queue import tickets
 
 MAX_OPEN_CALLS = 8
 """Limit of calls that wait for an answer. The service queues 32."""
@@ -181,7 +182,7 @@
     def __init__(self) -> None:
         """Creates the state before the first call."""
         self._window = CallWindow()
-        self._steps: dict[ticket_requests.StepKey, _StepCalls] = {}
+        self._steps: dict[tickets.StepKey, _StepCalls] = {}
         self._requests: Sequence[ticket_requests.TicketRequest] = ()
 
     @property
@@ -198,7 +199,7 @@
             requests: the tickets that steps need, the most urgent first.
         """
         self._requests = requests
-        wanted = {request.step_key for request in requests}
+        wanted = {request.step.key for request in requests}
         self._steps = {
             key: calls
             for key, calls in self._steps.items()
@@ -216,7 +217,7 @@
         if request is None:
             return min(
                 (
-                    self._steps[request.step_key].retry_at
+                    self._steps[request.step.key].retry_at
                     for request in self._requests
                 ),
                 default=None,
@@ -224,7 +225,7 @@
         if now < self._window.next_call_at:
             return self._window.next_call_at
         open_before = self._window.open_count
-        calls = self._steps.setdefault(request.step_key, _StepCalls())
+        calls = self._steps.setdefault(request.step.key, _StepCalls())
         calls.last_number = self._window.open_call(request.expected_s, now)
         return Call(
             request,
@@ -243,7 +244,7 @@
         oldest: ticket_requests.TicketRequest | None = None
         oldest_number = 0
         for request in self._requests:
-            calls = self._steps.get(request.step_key)
+            calls = self._steps.get(request.step.key)
             if calls is None:
                 return request
             if now < calls.retry_at:
@@ -257,14 +258,14 @@
     def record_answer(self, call: Call, now: float) -> None:
         """Records the answer to a call; its request is done."""
         self._window.record_answer(call.number, now)
-        step_key = call.request.step_key
+        step_key = call.request.step.key
         calls = self._steps.setdefault(step_key, _StepCalls())
         calls.count += 1
         calls.failures, calls.retry_at = 0, now
         self._requests = [
             request
             for request in self._requests
-            if request.step_key != step_key
+            if request.step.key != step_key
         ]
 
     def record_failure(
@@ -280,7 +281,7 @@
         if not self._window.is_open(call.number):
             return
         self._window.record_failure(call.number, now, min_pause_s)
-        calls = self._steps.setdefault(call.request.step_key, _StepCalls())
+        calls = self._steps.setdefault(call.request.step.key, _StepCalls())
         calls.count += 1
         calls.failures += 1
         calls.retry_at = now + retry_pause_s(calls.failures)
--- a/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
@@ -87,8 +87,7 @@
                 instance.suspended_until, now + REFUSAL_BACKOFF_S
             )
         if reason is fleet.RefusalReason.INVALID_TICKET:
-            step_key = key[0].job_id, key[0].occurrence, key[0].step
-            self._tickets_valid_until.pop(step_key, None)
+            self._handle_refused_ticket(run, name)
         if reason is fleet.RefusalReason.STALE_RUN:
             run.cannot_start_since = now
         elif no_copy_pending:
@@ -98,6 +97,20 @@
             return not self._stop_unconfirmed(instance, run, now, why)
         return False
 
+    def _handle_refused_ticket(
+        self, run: instance_state.Run, name: str
+    ) -> None:
+        """Requests a new ticket for one instance, and prefers other instances.
+
+        The tickets for other instances stay valid.
+        """
+        step_key = instance_state.step_key(run.task)
+        was_usable = self.tickets.expire(step_key, name, run.decided_at)
+        entry = self.tracker.get(run.task.job_id)
+        task = entry.task(run.task) if entry else None
+        if was_usable and task is not None:
+            task.avoided_instances.add(name)
+
     def _stop_unconfirmed(
         self,
         instance: instance_state.Instance,
--- a/src/vanillaswitch/coordination/fleet/instances/restarts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/restarts.py
@@ -103,7 +103,7 @@
         self._pending_stops = [
             s for s in self._pending_stops if s.instance != instance.name
         ]
-        self._drop_tickets(instance.name)
+        self.tickets.forget_instance(instance.name)
         for run in runs:
             if run.key in reported_keys or run.awaits_first_report:
                 continue
@@ -149,16 +149,6 @@
             for task, run in instance.undelivered_starts(now)
         )
 
-    def _drop_tickets(self, name: str) -> None:
-        """Drops an instance's tickets, which only one incarnation accepts."""
-        for step, tickets in list(self.tickets.items()):
-            if name in tickets:
-                self.tickets[step] = {
-                    other: ticket
-                    for other, ticket in tickets.items()
-                    if other != name
-                }
-
 
 def _may_start_late(run: instance_state.Run) -> bool:
     """Whether a run may be on the new incarnation or may still start there.
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -13,6 +13,7 @@
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import tickets as ticket_book
 from vanillaswitch.protocol import accounts as account_lib
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -73,8 +74,8 @@
         account_usage: what the client accounts have running.
         unreadable_jobs: jobs of which only the progress is known, because their
             own rows are in a part of the store that is unavailable.
-        tickets: ticket for each instance, by step. The advice service issues
-            them, and an instance may refuse a start without a valid ticket.
+        tickets: tickets of the advice service. An instance refuses a start
+            without a valid ticket if the queue of its job has an advisor.
         jobs_without_spec: jobs that could start if their spec had been read.
         backlog_cpu: thousandths of a core that ready tasks wait for, by pool.
         backlog_cpu_by_group: the same by pool and by group of urgency. Set only
@@ -121,8 +122,7 @@
         self._limited_at: dict[str, float] = {}
         self._held_up_pools: set[str] = set()
         self.unreadable_jobs: Collection[str] = frozenset()
-        self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
-        self._tickets_valid_until: dict[tuple[str, int, int], float] = {}
+        self.tickets = ticket_book.TicketBook()
         self.jobs_without_spec: tuple[str, ...] = ()
         self.backlog_cpu: Mapping[str, int] = {}
         self.backlog_cpu_by_group: Mapping[
--- a/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
+++ b/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
@@ -95,8 +95,12 @@
         if isinstance(outcome, fleet.Tickets):
             self._calls.record_answer(call, now)
             validity_s = outcome.validity_s or request.validity_s
-            self._scheduler.set_tickets(
-                request.step, outcome.by_instance, now + validity_s
+            self._scheduler.record_advice(
+                request.step,
+                request.instances,
+                outcome.by_instance,
+                now,
+                validity_s,
             )
             self._wake_planner.set()
         elif isinstance(outcome, fleet.AdvisorOverloaded):
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -125,6 +125,11 @@
             for index in range(step.count)
         ]
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Job, occurrence and number of the step."""
+        return self.entry.job.job_id, self.occurrence, self.number
+
     @property
     def waiting_tasks(self) -> list[Task]:
         """Tasks without a current run."""
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -5,6 +5,7 @@
 only with a ticket, which the advisor issues for a step and an instance.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -649,10 +650,7 @@
         queue = self.queues.get(step.entry.job.queue)
         if queue is None or queue.advice is None:
             return None
-        key = (step.entry.job.job_id, step.occurrence, step.number)
-        if self._tickets_valid_until.get(key, 0.0) <= now:
-            return {}
-        return self.tickets.get(key, {})
+        return self.tickets.usable(step.key, now)
 
     def missing_tickets(
         self, plan_time: queue_order.PlanTime
@@ -726,20 +724,22 @@
             sums[group] = sums.get(group, 0) + cpu
         return sums
 
-    def set_tickets(
+    def record_advice(
         self,
         step: job_tracker.OpenStep,
+        named: Collection[str],
         tickets: Mapping[str, str],
-        until: float,
+        now: float,
+        validity_s: float,
     ) -> None:
-        """Stores the tickets of a step.
+        """Records an answer of the advice service; see ``TicketBook``.
 
         Args:
             step: the step.
-            tickets: tickets by instance.
-            until: monotonic seconds until which the tickets are valid.
+            named: the instances that the call named.
+            tickets: tickets of those that may run the step.
+            now: monotonic seconds.
+            validity_s: how long the tickets are valid.
         """
-        key = (step.entry.job.job_id, step.occurrence, step.number)
-        self.tickets[key] = tickets
-        self._tickets_valid_until[key] = until
+        self.tickets.record_answer(step.key, named, tickets, now, validity_s)
         self._needs_plan = True
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -8,9 +8,6 @@
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.protocol import fleet
 
-StepKey = tuple[str, int, int]
-"""Job, occurrence and number of a step."""
-
 MAX_INSTANCES = 100
 """Most instances that one call may name (a requirement)."""
 
@@ -31,22 +28,12 @@
     expected_s: float
     validity_s: float
 
-    @property
-    def step_key(self) -> StepKey:
-        """Identifies the step."""
-        return step_key(self.step)
-
     @property
     def path(self) -> str:
         """Occurrence and number of the step, as in "0.1"."""
         return f"{self.step.occurrence}.{self.step.number}"
 
 
-def step_key(step: job_tracker.OpenStep) -> StepKey:
-    """Returns the key of a step."""
-    return step.entry.job.job_id, step.occurrence, step.number
-
-
 def request_for(
     step: job_tracker.OpenStep,
     instances: Sequence[str],
--- a/tests/cover/test_advice_calls.py
+++ b/tests/cover/test_advice_calls.py
@@ -35,7 +35,7 @@
 
 
 def _job(call: advice_calls.Call) -> int:
-    return int(call.request.step_key[0], 16)
+    return int(call.request.step.key[0], 16)
 
 
 def test_one_call_is_open_while_the_service_answers_in_time():
@@ -170,7 +170,7 @@
             waiting = [
                 item
                 for item in waiting
-                if item.step_key != call.request.step_key
+                if item.step.key != call.request.step.key
             ]
         while arrivals and arrivals[0][0] <= now:
             waiting.append(_request(arrivals.pop(0)[1]))
--- a/tests/cover/test_owner_decisions.py
+++ b/tests/cover/test_owner_decisions.py
@@ -273,7 +273,9 @@
     scheduler.add_job(fleet_builders.job(steps=(jobs.Step(count=1),)), 0.0)
     assert not fleet_builders.plan_batch(scheduler).starts
     step = scheduler.ready_steps(fleet_builders.moment())["berthing"][0]
-    scheduler.set_tickets(step, {"i-2": "ticket"}, until=5.0)
+    scheduler.record_advice(
+        step, ("i-1", "i-2"), {"i-2": "ticket"}, now=0.0, validity_s=5.0
+    )
     start = fleet_builders.plan_batch(scheduler).starts[0]
     assert (start.instance, start.ticket) == ("i-2", "ticket")
 
--- a/tests/failures/test_restarted_instance.py
+++ b/tests/failures/test_restarted_instance.py
@@ -489,7 +489,8 @@
     )
     scheduler.mark_unresponsive("i-1", 2.5)
     step = (fleet_builders.job().job_id, 0, 0)
-    scheduler.tickets[step] = {"i-1": "ticket", "i-2": "ticket"}
+    tickets = {"i-1": "ticket", "i-2": "ticket"}
+    scheduler.tickets.record_answer(step, tuple(tickets), tickets, 2.5, 9.0)
     _report(scheduler, "i-1", 3.0, SECOND)
     assert instance.is_schedulable(3.0)
     assert (instance.suspension_count, instance.consecutive_failed_jobs) == (
@@ -505,7 +506,7 @@
         0,
         False,
     )
-    assert scheduler.tickets[step] == {"i-2": "ticket"}
+    assert scheduler.tickets.usable(step, 3.0) == {"i-2": "ticket"}
     assert instance.estimated_clock_ms(3.0) == 3000.0
     # Earlier calls may have given the new incarnation the longest lease.
     assert instance.lease_expires_at >= 3.0 + 10.0
