Ask the advice service about few instances, for steps that can start

What callers saw: with 100 instances and 40 jobs at once, jobs with nothing running 14 s after the end of the traffic, beside idle instances, though one call at a time is open. While a pool is full, each waiting step asked again whenever its tickets lapsed. With more than 100 instances always the same 100 were asked about, and one that joined had no ticket until the next call.

Cause: each call named all instances, and takes time for each of them: 0.44 s for 100, so two steps a second. Calls were made for all waiting steps, also those that could not start, and again about instances that may not run the step, which never changes.

Change: a request is made for a step if tickets let its tasks start now, or where runs are expected to end within three tenths of the validity. The capacity is promised in queue order. A call names instances with capacity, the preferred ones first: as many as take the time of the decision, twice as many after each answer without a ticket, at most 100, and none that was found unsuitable. Suitable instances come first in a renewal.

--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -196,6 +196,30 @@
     return chosen
 
 
+def preference(
+    step: job_tracker.OpenStep,
+    task: job_tracker.Task,
+    instance: instance_state.Instance,
+) -> tuple[bool, bool, bool, int, str]:
+    """Returns a key by which instances are sorted, the best one first.
+
+    Args:
+        step: the step of the task.
+        task: the task to place.
+        instance: an instance that the task fits on.
+    """
+    preferred_rack = step.step.affinity
+    return (
+        instance.name in task.avoided_instances or instance.is_straggler,
+        # A wave would soon evict a long-running task from it.
+        step.step.long_running and instance.is_maintenance_due,
+        bool(preferred_rack)
+        and preferred_rack not in instance.registration.labels,
+        instance.free_cpu,
+        instance.name,
+    )
+
+
 def _best_instance(
     step: job_tracker.OpenStep,
     task: job_tracker.Task,
@@ -203,7 +227,6 @@
 ) -> instance_state.Instance | None:
     need = step.demand
     max_per_instance = step.step.anti_affinity
-    preferred_rack = step.step.affinity
     best: instance_state.Instance | None = None
     best_rank: tuple[bool, bool, bool, int, str] | None = None
     for instance in candidates:
@@ -214,15 +237,7 @@
             and instance.count_step_runs(task.name) >= max_per_instance
         ):
             continue
-        rank = (
-            instance.name in task.avoided_instances or instance.is_straggler,
-            # A wave would soon evict a long-running task from it.
-            step.step.long_running and instance.is_maintenance_due,
-            bool(preferred_rack)
-            and preferred_rack not in instance.registration.labels,
-            instance.free_cpu,
-            instance.name,
-        )
+        rank = preference(step, task, instance)
         if best_rank is None or rank < best_rank:
             best, best_rank = instance, rank
     return best
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -263,10 +263,14 @@
         queue = self.queues.get(step.entry.job.queue)
         return queue_order.classify(step, queue, decided)
 
-    def reserved_instances(self) -> set[str]:
-        """Returns instances that are reserved for waiting tasks."""
+    def reserved_instances(self) -> dict[str, tuple[str, int, int]]:
+        """Returns instances that are reserved for waiting tasks.
+
+        Returns:
+            For each instance, the key of the step.
+        """
         return {
-            step.reserved_instance
+            step.reserved_instance: step.key
             for entry in self.tracker.unfinished.values()
             for step in entry.open_steps_by_key.values()
             if step.reserved_instance and step.has_waiting_task
@@ -655,27 +659,53 @@
     def missing_tickets(
         self, plan_time: queue_order.PlanTime
     ) -> list[ticket_requests.TicketRequest]:
-        """Returns the tickets that waiting steps need, in queue order."""
+        """Returns the tickets that waiting steps need, in queue order.
+
+        Call it after a plan, which starts the tasks that have tickets.
+        """
+        reserved = self.reserved_instances()
         pools = self.instances_by_pool()
         by_pool = []
-        for pool_name, steps in self.ready_steps(plan_time).items():
-            names = [
-                instance.name
-                for instance in pools.get(pool_name, ())
-                if instance.is_schedulable(plan_time.now)
+        for pool_name, steps in self._waiting_steps(plan_time).items():
+            advised = [
+                (step, advice)
+                for step in steps
+                if (advice := self._advice_for(step)) is not None
             ]
-            requests = []
-            for step in steps if names else ():
-                queue = self.queues.get(step.entry.job.queue)
-                if queue is None or queue.advice is None:
-                    continue
-                if not self.tickets_for(step, plan_time.now):
-                    requests.append(
-                        ticket_requests.request_for(step, names, queue.advice)
-                    )
-            by_pool.append(requests)
+            if not advised:
+                continue
+            settings = {step.key: advice for step, advice in advised}
+            validity_ms = min(advice.validity_ms for _, advice in advised)
+            found = ticket_requests.PoolRequests(
+                [
+                    instance
+                    for instance in pools.get(pool_name, ())
+                    if instance.is_schedulable(plan_time.now)
+                ],
+                reserved,
+                self.tickets,
+                plan_time.now,
+                ticket_requests.LEAD_SHARE * validity_ms / 1000,
+            )
+            for step in self._in_queue_order(
+                (step for step, _ in advised), plan_time
+            ):
+                if found.is_full:
+                    break
+                count = self._startable_count(step, step.waiting_count)
+                found.add(step, count, settings[step.key])
+            by_pool.append(found.requests)
         return ticket_requests.interleave(by_pool)
 
+    def _advice_for(
+        self, step: job_tracker.OpenStep
+    ) -> fleet.AdvisorConfig | None:
+        """Returns the advisor of a step whose tasks need only tickets."""
+        if step.entry.spec is None:
+            return None
+        queue = self.queues.get(step.entry.job.queue)
+        return queue.advice if queue else None
+
     def _backlog(
         self,
         steps: Iterable[job_tracker.OpenStep],
--- a/src/vanillaswitch/coordination/fleet/queue/tickets.py
+++ b/src/vanillaswitch/coordination/fleet/queue/tickets.py
@@ -97,12 +97,13 @@
             if now < ticket.usable_until
         }
 
-    def is_suitable(self, step: StepKey, instance: str) -> bool | None:
-        """Whether an instance may run a step; None if it is not known."""
-        advice = self._of(step)
-        if instance in advice.tickets:
-            return True
-        return False if instance in advice.unsuitable else None
+    def suitable(self, step: StepKey) -> Collection[str]:
+        """Returns the instances that are known to be able to run a step."""
+        return self._of(step).tickets.keys()
+
+    def unsuitable(self, step: StepKey) -> Collection[str]:
+        """Returns the instances that are known not to be able to run it."""
+        return self._of(step).unsuitable
 
     def fruitless_calls(self, step: StepKey) -> int:
         """Returns how many answers in a row contained no ticket."""
--- a/tests/cover/test_advice_calls.py
+++ b/tests/cover/test_advice_calls.py
@@ -1,31 +1,23 @@
 """Decisions on calls to the advice service, against a model of the service."""
 
-import collections
-import dataclasses
 import random
 
 import pytest
 
+from tests.common import advice_simulation
 from tests.common import advised_fleet
 from tests.common import fleet_builders
 from vanillaswitch.coordination.fleet.instances import advice_calls
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import ticket_requests
-from vanillaswitch.protocol import fleet
 
-_ADVICE = fleet.AdvisorConfig(
-    decision_ms=40.0, period_ms=4.0, validity_ms=3000.0
-)
-_NAMES = tuple(f"i-{number}" for number in range(30))
 _CALL_S = 0.16
-_TICK_S = 0.01
-_QUEUE_LIMIT = 32
 
 
 def _request(number: int) -> ticket_requests.TicketRequest:
     entry = job_tracker.JobEntry(fleet_builders.job(number), 0.0)
     (step,) = entry.open_due_steps(fleet_builders.WALL_MS)
-    return ticket_requests.request_for(step, _NAMES, _ADVICE)
+    return ticket_requests.TicketRequest(step, ("i-1",), _CALL_S, 3.0)
 
 
 def _calls(count: int) -> advice_calls.AdviceCalls:
@@ -107,43 +99,6 @@
     assert calls.next_call(0.4).calls_before == 0
 
 
-@dataclasses.dataclass
-class _Service:
-    """A service that handles one call at a time, also abandoned ones.
-
-    Attributes:
-        slowdown: factor on the duration of a call; 0 while it handles none.
-        loses_answers: calls are handled and not answered.
-        refused: calls beyond those that may wait.
-    """
-
-    slowdown: float = 1.0
-    loses_answers: bool = False
-    refused: int = 0
-
-    def __post_init__(self):
-        self._queue = collections.deque()
-        self._worked_s = 0.0
-
-    def receive(self, call: advice_calls.Call) -> bool:
-        if len(self._queue) > _QUEUE_LIMIT:
-            self.refused += 1
-            return False
-        self._queue.append(call)
-        return True
-
-    def advance(self, seconds: float) -> list[advice_calls.Call]:
-        """Works for a while; returns the calls that it answers."""
-        if not self._queue or not self.slowdown:
-            return []
-        self._worked_s += seconds / self.slowdown
-        if self._worked_s < self._queue[0].request.expected_s:
-            return []
-        self._worked_s = 0.0
-        call = self._queue.popleft()
-        return [] if self.loses_answers else [call]
-
-
 def _simulate(service, arrivals, faults, until):
     """Returns when each step got its tickets, by number of its job.
 
@@ -159,12 +114,12 @@
     now = 0.0
     while now < until:
         for begin, end, attribute, value in faults:
-            usual = getattr(_Service, attribute)
-            if begin <= now < begin + _TICK_S:
+            usual = getattr(advice_simulation.Service, attribute)
+            if begin <= now < begin + advice_simulation.TICK_S:
                 setattr(service, attribute, value)
-            elif end <= now < end + _TICK_S:
+            elif end <= now < end + advice_simulation.TICK_S:
                 setattr(service, attribute, usual)
-        for call in service.advance(_TICK_S):
+        for call in service.advance(advice_simulation.TICK_S):
             calls.record_answer(call, now)
             answered.setdefault(_job(call), now)
             waiting = [
@@ -178,7 +133,7 @@
         while isinstance(call := calls.next_call(now), advice_calls.Call):
             if not service.receive(call):
                 calls.record_failure(call, now, call.request.expected_s)
-        now += _TICK_S
+        now += advice_simulation.TICK_S
     return answered
 
 
@@ -203,7 +158,7 @@
     slowdown, loses_answers = _FAULTS[fault]
     began = rng.uniform(0.0, 6.0)
     ended = began + rng.uniform(1.0, 8.0)
-    service = _Service()
+    service = advice_simulation.Service()
     faults = [
         (began, ended, "slowdown", slowdown),
         (began, ended, "loses_answers", loses_answers),
--- a/tests/failures/test_advice_service.py
+++ b/tests/failures/test_advice_service.py
@@ -15,7 +15,7 @@
 
 @pytest.mark.parametrize(
     ("instances", "jobs", "slowdown"),
-    [(30, 20, 1.0), (30, 80, 1.0), (10, 40, 3.0)],
+    [(30, 20, 1.0), (30, 80, 1.0), (100, 40, 1.0), (10, 40, 3.0)],
 )
 def test_a_burst_on_an_advised_queue_runs(tmp_path, instances, jobs, slowdown):
     """No job of a burst started once calls for advice were given up in turn."""
