Reserve no instance that is unsuitable for a long-running task

An instance that is reserved for a long-running task on a queue with advice gets no other work.

Cause: the instance with the most unreserved capacity is reserved, also if the advice service has said that the task may not run there. Neither this task nor another one starts on it then.

Change: an instance that is known to be unsuitable is not reserved.

Figures: one instance that is unsuitable for a lasting task of its size: before, no other task is asked for and none starts; now it starts (tests/cover/test_ticket_requests.py fails on and passes now).

--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -492,6 +492,7 @@
         if not waiting:
             return None
         need = step.demand
+        unsuitable = self.tickets.unsuitable(step.key)
         reserved = max(
             (
                 instance
@@ -499,6 +500,7 @@
                 if instance.fits_beside_long_running_tasks(
                     step.step, waiting[0].name, need, now
                 )
+                and instance.name not in unsuitable
             ),
             # Keep the same instance unless another one has more free capacity.
             # If the reservation alternated between two, small tasks would fill
--- a/tests/cover/test_ticket_requests.py
+++ b/tests/cover/test_ticket_requests.py
@@ -143,6 +143,19 @@
     assert len(_answer(scheduler, request, request.instances)) == 3
 
 
+def test_no_unsuitable_instance_is_reserved_for_a_long_running_task():
+    """A reserved instance that the task may not run on stayed empty."""
+    scheduler, names = _scheduler(1, cpu=1000)
+    lasting = _add_step(scheduler, 1, cpu=1000, long_running=True)
+    (request,) = _requests(scheduler)
+    assert request.step is lasting
+    _answer(scheduler, request)
+    other = _add_step(scheduler, 2, cpu=1000)
+    (request,) = _requests(scheduler, 0.1)
+    assert request.step is other
+    assert len(_answer(scheduler, request, names, now=0.1)) == 1
+
+
 def test_a_suspect_task_gets_tickets_although_no_instance_has_capacity():
     """A task that may crash its instance has to reserve one first."""
     scheduler, names = _scheduler(1, cpu=1000)
