Forget what the advice service said of steps that have ended

Cause: tickets were kept by step until the end of the term, and each restart of an instance walked over all of them.

Change: every 5 s only open steps of unfinished jobs are kept.

Figures: tests/failures/test_tickets.py: of four steps of which three have ended, four are known before and one now.

--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -123,6 +123,7 @@
         self._held_up_pools: set[str] = set()
         self.unreadable_jobs: Collection[str] = frozenset()
         self.tickets = ticket_book.TicketBook()
+        self._forget_steps_at = float("-inf")
         self.jobs_without_spec: tuple[str, ...] = ()
         self.backlog_cpu: Mapping[str, int] = {}
         self.backlog_cpu_by_group: Mapping[
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -32,6 +32,9 @@
 """How long the limit of an account must have held nothing up before it is
 reported again."""
 
+FORGET_STEPS_INTERVAL_S = 5.0
+"""Interval at which the advice on ended steps is forgotten."""
+
 _Tie = tuple[int, str, int, int]
 _order_and_tie = operator.itemgetter(0, 1)
 
@@ -665,6 +668,7 @@
 
         Call it after a plan, which starts the tasks that have tickets.
         """
+        self._forget_ended_steps(plan_time.now)
         reserved = self.reserved_instances()
         pools = self.instances_by_pool()
         by_pool = []
@@ -708,6 +712,17 @@
         queue = self.queues.get(step.entry.job.queue)
         return queue.advice if queue else None
 
+    def _forget_ended_steps(self, now: float) -> None:
+        """Forgets from time to time what the service said of ended steps."""
+        if now < self._forget_steps_at:
+            return
+        self._forget_steps_at = now + FORGET_STEPS_INTERVAL_S
+        self.tickets.retain(
+            step.key
+            for entry in self.tracker.unfinished.values()
+            for step in entry.open_steps_by_key.values()
+        )
+
     def _backlog(
         self,
         steps: Iterable[job_tracker.OpenStep],
--- a/tests/failures/test_tickets.py
+++ b/tests/failures/test_tickets.py
@@ -69,3 +69,31 @@
     _answer(scheduler, step, ("i-1",), ("i-1",))
     assert not fleet_builders.plan_batch(scheduler, 2.9).starts
     assert scheduler.tickets_for(step, 2.0)
+
+
+def test_what_is_known_of_a_step_is_forgotten_when_it_has_ended():
+    """Tickets of ended steps stayed in memory for the rest of a term."""
+    scheduler = _scheduler("i-1")
+    for number in range(1, 4):
+        step = _add_step(scheduler, number)
+        _answer(scheduler, step, ("i-1",), ("i-1",))
+        fleet_builders.plan_batch(scheduler, 0.1)
+    scheduler.cancel_job(step.entry.job.job_id, 0.2)
+    _report_ends(scheduler, "i-1", 0.3)
+    waiting = _add_step(scheduler, 9)
+    _answer(scheduler, waiting, ("i-1",), ())
+    assert len(scheduler.tickets) == 4
+    scheduler.missing_tickets(fleet_builders.moment(60.0))
+    assert len(scheduler.tickets) == 1
+    assert "i-1" in scheduler.tickets.unsuitable(waiting.key)
+
+
+def _report_ends(scheduler, name, now):
+    ends = tuple(
+        fleet.RunEnd(number, run.task, run.run, fleet.RunOutcome.DONE, "")
+        for number, run in enumerate(
+            scheduler.instances[name].runs.values(), start=1
+        )
+    )
+    report = fleet_builders.status_report(ended=ends)
+    scheduler.handle_status_report(name, report, now, now)
