Wait for a call for advice that usually takes long

Cause: the longest time without an answer until another call is sent was 4 s whatever the calls take, so a service with long calls would always have several to handle.

Change: the limit is the usual duration of the open calls and a second, if that is more.

Figures: tests/cover/test_advice_calls.py fails before (a call of 9 s is followed by another one after 4 s) and passes now.

--- a/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
@@ -26,8 +26,8 @@
 """Time that an answer may take in addition to the duration of the call."""
 
 MAX_PATIENCE_S = 4.0
-"""Longest time without an answer until another call is sent. A lost answer
-delays the start of tasks for so long."""
+"""Longest time without an answer until another call is sent, unless the calls
+usually take longer. A lost answer delays the start of tasks for so long."""
 
 STALL_S = 15.0
 """Time without an answer after which the oldest of ``MAX_OPEN_CALLS`` calls is
@@ -79,14 +79,18 @@
         """When the next call may be sent; in the past if it may be now."""
         if not self._calls:
             return self._paused_until
-        if len(self._calls) >= MAX_OPEN_CALLS:
-            return max(self._paused_until, self._last_event_at + STALL_S)
+        return max(self._paused_until, self._last_event_at + self._patience_s)
+
+    @property
+    def _patience_s(self) -> float:
+        """How long the open calls may go without an answer."""
         expected_s = sum(call.expected_s for call in self._calls.values())
-        first_s = expected_s * self._slowness + ANSWER_MARGIN_S
-        patience_s = min(
-            first_s * 2.0 ** (len(self._calls) - 1), MAX_PATIENCE_S
-        )
-        return max(self._paused_until, self._last_event_at + patience_s)
+        usual_s = expected_s + ANSWER_MARGIN_S
+        if len(self._calls) >= MAX_OPEN_CALLS:
+            return max(STALL_S, usual_s)
+        observed_s = expected_s * self._slowness + ANSWER_MARGIN_S
+        growing_s = observed_s * 2.0 ** (len(self._calls) - 1)
+        return min(growing_s, max(MAX_PATIENCE_S, usual_s))
 
     def open_call(self, expected_s: float, now: float) -> int:
         """Records that a call is being sent.
--- a/tests/cover/test_advice_calls.py
+++ b/tests/cover/test_advice_calls.py
@@ -1,5 +1,6 @@
 """Decisions on calls to the advice service, against a model of the service."""
 
+import dataclasses
 import random
 
 import pytest
@@ -69,6 +70,14 @@
     assert isinstance(calls.next_call(1.5), advice_calls.Call)
 
 
+def test_a_long_call_is_not_taken_for_one_without_an_answer():
+    calls = advice_calls.AdviceCalls()
+    long_call = dataclasses.replace(_request(0), expected_s=9.0)
+    calls.update_requests([long_call, _request(1)])
+    calls.next_call(0.0)
+    assert calls.next_call(9.5) == pytest.approx(10.0)
+
+
 def test_failed_calls_are_repeated_after_growing_pauses():
     calls = _calls(1)
     now, pauses = 0.0, []
