Take a response without a list of instances for no answer

Cause: a response of the advice service whose body can't be read counted as an answer without any suitable instance. Since suitability never changes, the step would never be asked for there again. Without an address of the service the call raised an error.

Change: both are outcomes without an answer, and the call is repeated. The stand-in for the service gives queues their settings, ends tickets with an incarnation, and counts the calls that wait.

Figures: two tests of tests/cover/test_platform_adapters.py fail before and pass now; two more cover tickets and a service with too many calls, which the adapter had no test for.

--- a/src/vanillaswitch/platform/advice.py
+++ b/src/vanillaswitch/platform/advice.py
@@ -25,6 +25,8 @@
         new_connection: bool,
     ) -> fleet.AdviceOutcome:
         """Requests tickets; see ``fleet.Advisor``."""
+        if not self._address:
+            return fleet.NoAnswer(False, "the settings name no advice service")
         # The platform calls instances "workers".
         body = {"step": step, "workers": list(instances)}
         response = http_calls.call(
@@ -42,6 +44,8 @@
             return fleet.AdvisorOverloaded()
         if response.status != _OK:
             return fleet.NoAnswer(False, f"status {response.status}")
+        if "good" not in response.body:
+            return fleet.NoAnswer(False, "the response names no instances")
         # "good" lists pairs of an instance and its ticket.
         tickets = {
             str(pair[0]): str(pair[1]) for pair in response.body.get("good", ())
--- a/standins/advice_http.py
+++ b/standins/advice_http.py
@@ -4,8 +4,10 @@
 arrive, and those that were given up, too. Faults are switched on by tests.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 import hashlib
 import json
 import time
@@ -39,19 +41,27 @@
     Attributes:
         slowdown: factor on the time that it takes for a call.
         is_stuck: it takes calls and handles none.
+        is_away: it refuses connections.
         loses_answers: it handles calls and sends no answer.
         answered: calls that were answered.
         refused: calls that were refused because too many were waiting.
         named: instances that the answered calls named, in total.
     """
 
-    def __init__(self, config: fleet.AdvisorConfig, good_share: float = 0.5):
+    def __init__(
+        self,
+        config: fleet.AdvisorConfig,
+        good_share: float = 0.5,
+        always_good: Collection[str] = (),
+    ):
         """Listens on a free port.
 
         Args:
             config: the time that it takes, and the validity of its tickets.
             good_share: probability that an instance may run a step.
+            always_good: names of instances that may run all steps.
         """
+        self._always_good = always_good
         self._config = config
         self._good_share = good_share
         self._valid_until: dict[tuple[str, str], float] = {}
@@ -61,6 +71,7 @@
         self.address = self._server.bound
         self.slowdown = 1.0
         self.is_stuck = False
+        self.is_away = False
         self.loses_answers = False
         self.answered = 0
         self.refused = 0
@@ -87,21 +98,46 @@
     def away(self) -> Iterator[None]:
         """Refuses connections and drops the waiting calls during the block."""
         self._server.stop(timeout=0)
+        self.is_away = True
         try:
             yield
         finally:
+            self.is_away = False
             self._turns.clear()
             self._waiting.clear()
             self._server = self._listen(self.address)
             self._server.start()
 
+    def heal(self) -> None:
+        """Ends all faults but the absence of the service."""
+        self.slowdown = 1.0
+        self.is_stuck = self.loses_answers = False
+
+    def fill(self, config: dict[str, Any]) -> None:
+        """Gives all queues of the operators' configuration this advisor."""
+        for route in config["routes"]:
+            route["advice"] = dataclasses.asdict(self._config)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of calls that are waiting or being handled."""
+        return sum(self._waiting.values())
+
     def accepts(self, step: str, instance: str, ticket: str) -> bool:
         """Whether a start with a ticket is not to be rejected for it."""
         until = self._valid_until.get((step, instance), 0.0)
         return ticket == f"{step}/{instance}" and time.monotonic() < until
 
+    def end_incarnation(self, instance: str) -> None:
+        """Ends the validity of the tickets for an instance that restarts."""
+        for step, name in list(self._valid_until):
+            if name == instance:
+                del self._valid_until[step, name]
+
     def is_good(self, step: str, instance: str) -> bool:
         """Whether an instance may run a step; this never changes."""
+        if instance in self._always_good:
+            return True
         digest = hashlib.sha256(f"{step} {instance}".encode()).digest()
         return digest[0] < self._good_share * 256
 
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -4,7 +4,6 @@
 speaks just what the product's adapter uses.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -15,6 +14,7 @@
 
 import gevent
 
+from standins import advice_http
 from standins import leased_instance
 from standins import relays
 from standins import rows as rows_module
@@ -102,14 +102,6 @@
 
 _UNWATCHED = Observer()
 
-AcceptsTicket = Callable[[str, str, str], bool]
-"""Whether an instance accepts a ticket: step, instance and ticket."""
-
-
-def _accept_any(step: str, instance: str, ticket: str) -> bool:
-    del step, instance, ticket
-    return True
-
 
 def _now_ms() -> int:
     return int(time.time() * 1000)
@@ -121,7 +113,7 @@
     Attributes:
         task_s: how long it runs a task that ends by itself.
         room: what it can hold.
-        accepts_ticket: checks the ticket of a start.
+        advice: issues the tickets that starts need; None if they need none.
     """
 
     def __init__(
@@ -136,7 +128,7 @@
         self._rows = rows
         self._observer = observer
         self.task_s = task_s
-        self.accepts_ticket: AcceptsTicket = _accept_any
+        self.advice: advice_http.AdviceService | None = None
         self._server = sockets.HttpServer(
             sockets.listen("127.0.0.1:0"), self._application
         )
@@ -207,6 +199,8 @@
 
     def restart(self) -> None:
         """Crashes, and starts again at once under its id and address."""
+        if self.advice is not None:
+            self.advice.end_incarnation(self._name)
         self.model.restart(_now_ms())
 
     def stop(self) -> None:
@@ -249,8 +243,7 @@
             token,
             body["deadline_ms"],
         )
-        step = f"{task.job_id}.{task.occurrence}.{task.step}"
-        if not self.accepts_ticket(step, self._name, body.get("ticket", "")):
+        if not self._has_valid_ticket(task, body):
             return self.model.refuse_ticket()
         before = len(self.model.started)
         outcome = self.model.start(order, self._observer.need(order))
@@ -265,6 +258,14 @@
                 gevent.spawn_later(CRASH_AFTER_S, self._crash)
         return outcome
 
+    def _has_valid_ticket(
+        self, task: jobs.TaskName, body: dict[str, Any]
+    ) -> bool:
+        if self.advice is None:
+            return True
+        step = f"{task.job_id}.{task.occurrence}.{task.step}"
+        return self.advice.accepts(step, self._name, body.get("ticket", ""))
+
     def _crash(self) -> None:
         """Goes down with all it runs, and is back under its id later."""
         if self.model.up:
--- a/tests/common/advised_fleet.py
+++ b/tests/common/advised_fleet.py
@@ -111,9 +111,9 @@
     service = advice_http.AdviceService(advice, good_share)
     platform = edge_http.EdgePlatform(instances, _TASK_S)
     for instance in platform.instances:
-        instance.accepts_ticket = service.accepts
+        instance.advice = service
     config = edge_processes.config()
-    config["routes"][0]["advice"] = dataclasses.asdict(advice)
+    service.fill(config)
     platform.rows.write("op", "config", config)
     with contextlib.ExitStack() as stack:
         stack.enter_context(platform.serving())
--- a/tests/cover/test_platform_adapters.py
+++ b/tests/cover/test_platform_adapters.py
@@ -7,10 +7,12 @@
 import gevent
 import pytest
 
+from standins import advice_http
 from standins import edge_http
 from vanillaswitch import errors
 from vanillaswitch.coordination.fleet import table_follower
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.platform import advice
 from vanillaswitch.platform import http_table
 from vanillaswitch.platform import job_body
 from vanillaswitch.platform import machines
@@ -22,6 +24,7 @@
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import plain_http
+from vanillaswitch.transport import sockets
 
 _SOURCE = pathlib.Path(http_table.__file__).parent.parent
 
@@ -172,6 +175,68 @@
         assert [item.instance for item in found.list()] == ["i-0", "i-1"]
 
 
+_ADVICE = fleet.AdvisorConfig(
+    decision_ms=5.0, period_ms=1.0, validity_ms=3000.0
+)
+
+
+@contextlib.contextmanager
+def _advisor(service):
+    with (
+        service.serving(),
+        plain_http.open_client(clocks.SystemClock()) as client,
+    ):
+        yield advice.HttpAdvisor(client, service.address)
+
+
+def test_tickets_are_those_of_the_instances_that_may_run_the_step():
+    service = advice_http.AdviceService(_ADVICE, 0.0, ("i-2",))
+    with _advisor(service) as advisor:
+        found = advisor.request_tickets("a.0.0", ("i-1", "i-2"), 1.0, True)
+    assert found == fleet.Tickets({"i-2": "a.0.0/i-2"}, 3.0)
+    assert service.accepts("a.0.0", "i-2", found.by_instance["i-2"])
+
+
+def test_an_advisor_with_too_many_waiting_calls_is_overloaded():
+    service = advice_http.AdviceService(_ADVICE)
+    service.is_stuck = True
+    with _advisor(service) as advisor:
+        waiting = [
+            gevent.spawn(advisor.request_tickets, "a.0.0", ("i-1",), 9.0, True)
+            for _ in range(advice_http.MAX_WAITING + 1)
+        ]
+        while service.waiting_count <= advice_http.MAX_WAITING:
+            gevent.sleep(0.01)
+        found = advisor.request_tickets("b.0.0", ("i-1",), 1.0, True)
+        gevent.killall(waiting)
+    assert found == fleet.AdvisorOverloaded()
+
+
+def test_a_response_without_a_list_of_instances_is_no_answer():
+    """Every instance that the call named would count as unsuitable."""
+
+    def respond(environ, start_response):
+        del environ
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [b"{}"]
+
+    server = sockets.HttpServer(sockets.listen("127.0.0.1:0"), respond)
+    server.environ["SERVER_NAME"] = "advice"
+    server.start()
+    with plain_http.open_client(clocks.SystemClock()) as client:
+        advisor = advice.HttpAdvisor(client, server.bound)
+        found = advisor.request_tickets("a.0.0", ("i-1",), 1.0, True)
+    server.stop(timeout=0)
+    assert isinstance(found, fleet.NoAnswer)
+
+
+def test_an_advisor_without_an_address_gives_no_answer():
+    with plain_http.open_client(clocks.SystemClock()) as client:
+        advisor = advice.HttpAdvisor(client, "")
+        found = advisor.request_tickets("a.0.0", ("i-1",), 1.0, True)
+    assert found == fleet.NoAnswer(False, "the settings name no advice service")
+
+
 def test_a_configuration_is_decoded_into_queues_and_pools():
     config = operator_rows.decode_config(
         {
