Read through the requests for tickets

Cause: capacity was "promised", a call "fruitless", and a wait without an answer "patience": not the terms of the field.

Change: names and comments; capacity is set aside, an answer is empty, a limit is a wait for an answer. No behaviour.

--- a/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
@@ -25,7 +25,7 @@
 ANSWER_MARGIN_S = 1.0
 """Time that an answer may take in addition to the duration of the call."""
 
-MAX_PATIENCE_S = 4.0
+MAX_ANSWER_WAIT_S = 4.0
 """Longest time without an answer until another call is sent, unless the calls
 usually take longer. A lost answer delays the start of tasks for so long."""
 
@@ -79,10 +79,12 @@
         """When the next call may be sent; in the past if it may be now."""
         if not self._calls:
             return self._paused_until
-        return max(self._paused_until, self._last_event_at + self._patience_s)
+        return max(
+            self._paused_until, self._last_event_at + self._answer_wait_s
+        )
 
     @property
-    def _patience_s(self) -> float:
+    def _answer_wait_s(self) -> float:
         """How long the open calls may go without an answer."""
         expected_s = sum(call.expected_s for call in self._calls.values())
         usual_s = expected_s + ANSWER_MARGIN_S
@@ -90,7 +92,7 @@
             return max(STALL_S, usual_s)
         observed_s = expected_s * self._slowness + ANSWER_MARGIN_S
         growing_s = observed_s * 2.0 ** (len(self._calls) - 1)
-        return min(growing_s, max(MAX_PATIENCE_S, usual_s))
+        return min(growing_s, max(MAX_ANSWER_WAIT_S, usual_s))
 
     def open_call(self, expected_s: float, now: float) -> int:
         """Records that a call is being sent.
@@ -214,8 +216,8 @@
         """Returns the call to send now, and records it as sent.
 
         Returns:
-            If there is no such call, when there may be one, or None if it
-            takes other requests.
+            The call; if none may be sent now, the time at which one may be; or
+            None if there is nothing to request.
         """
         request = self._next_request(now)
         if request is None:
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -82,9 +82,10 @@
     """The requests for the steps of one pool after a plan.
 
     The plan has started all tasks that have tickets and fit. Capacity that is
-    free now or soon is promised to the steps in queue order, so that steps
-    behind them are not asked for in vain. Only capacity that becomes free later
-    is kept for steps that have tickets: what is free now, they can't use.
+    free now or soon is set aside for the steps in queue order, so that no
+    tickets are requested for steps behind them in vain. For steps that have
+    tickets, only capacity that becomes free later is set aside: what is free
+    now, they can't use.
     """
 
     def __init__(
@@ -140,7 +141,7 @@
         if step.step.gang and sum(slots.values()) < count:
             return
         usable = self._book.usable(step.key, self._now)
-        missing = count - self._promise_later_capacity(
+        missing = count - self._set_aside_later_capacity(
             step, [name for name in slots if name in usable], slots, count
         )
         candidates = [
@@ -149,7 +150,7 @@
         if missing <= 0 or not candidates:
             return
         chosen = self._choose(step, candidates, slots, missing, advice)
-        self._promise(step, {name: slots[name] for name in chosen}, missing)
+        self._set_aside(step, {name: slots[name] for name in chosen}, missing)
         expected_ms = advice.decision_ms + advice.period_ms * len(chosen)
         self.requests.append(
             TicketRequest(
@@ -206,7 +207,7 @@
                 placement.preference(step, task, instance),
             ),
         )
-        least = _least_instances(advice, self._book.fruitless_calls(step.key))
+        least = _least_instances(advice, self._book.empty_answers(step.key))
         chosen: list[str] = []
         expected = 0.0
         unknown = 0
@@ -222,14 +223,20 @@
                 unknown += 1
         return chosen
 
-    def _promise_later_capacity(
+    def _set_aside_later_capacity(
         self,
         step: job_tracker.OpenStep,
         names: Iterable[str],
         slots: Mapping[str, int],
         count: int,
     ) -> int:
-        """Promises capacity to a step on instances that it has tickets for.
+        """Sets capacity aside on instances that a step has tickets for.
+
+        Args:
+            step: the step.
+            names: the instances.
+            slots: how many tasks fit on each instance now or soon.
+            count: how many of its tasks may start.
 
         Returns:
             How many of its tasks fit on these instances now or soon.
@@ -240,26 +247,26 @@
             fitting += slots[name]
             free = self._instances[name].free
             later[name] = slots[name] - _fitting_tasks(free, step.demand)
-        self._promise(step, later, count)
+        self._set_aside(step, later, count)
         return fitting
 
-    def _promise(
+    def _set_aside(
         self,
         step: job_tracker.OpenStep,
         slots: Mapping[str, int],
         count: int,
     ) -> None:
-        """Promises capacity to at most so many tasks of a step."""
+        """Sets capacity aside for at most so many tasks of a step."""
         need = step.demand
         for name, fitting in slots.items():
-            promised = max(0, min(count, fitting))
+            taken = max(0, min(count, fitting))
             free = self._free[name]
             self._free[name] = fleet.Resources(
-                free.cpu - promised * need.cpu,
-                free.mem_mb - promised * need.mem_mb,
-                free.gpu - promised * need.gpu,
+                free.cpu - taken * need.cpu,
+                free.mem_mb - taken * need.mem_mb,
+                free.gpu - taken * need.gpu,
             )
-            count -= promised
+            count -= taken
         if slots:
             self._largest = _largest(self._free.values())
 
@@ -309,15 +316,15 @@
     return min(counts, default=MAX_INSTANCES)
 
 
-def _least_instances(advice: fleet.AdvisorConfig, fruitless_calls: int) -> int:
+def _least_instances(advice: fleet.AdvisorConfig, empty_answers: int) -> int:
     """Returns how many instances a call names at least.
 
-    Naming them takes a certain share of the time of the decision. Each call
-    that found no suitable instance doubles their number.
+    Naming them takes a certain share of the time of the decision. Each answer
+    without a suitable instance doubles their number.
     """
     if not advice.period_ms:
         return MAX_INSTANCES
     named = math.ceil(NAMING_SHARE * advice.decision_ms / advice.period_ms)
-    doublings = min(fruitless_calls, 10)
+    doublings = min(empty_answers, 10)
     least: int = max(MIN_INSTANCES, named) * 2**doublings
     return min(least, MAX_INSTANCES)
--- a/src/vanillaswitch/coordination/fleet/queue/tickets.py
+++ b/src/vanillaswitch/coordination/fleet/queue/tickets.py
@@ -34,12 +34,12 @@
     Attributes:
         tickets: newest ticket of each instance that may run the step.
         unsuitable: instances that may not run it.
-        fruitless_calls: answers in a row that contained no ticket.
+        empty_answers: answers in a row that contained no ticket.
     """
 
     tickets: dict[str, _Ticket] = dataclasses.field(default_factory=dict)
     unsuitable: set[str] = dataclasses.field(default_factory=set)
-    fruitless_calls: int = 0
+    empty_answers: int = 0
 
 
 _NOTHING = _Advice()
@@ -85,9 +85,9 @@
         advice.unsuitable.update(name for name in named if name not in tickets)
         advice.unsuitable.difference_update(tickets)
         if tickets:
-            advice.fruitless_calls = 0
+            advice.empty_answers = 0
         else:
-            advice.fruitless_calls += 1
+            advice.empty_answers += 1
 
     def usable(self, step: StepKey, now: float) -> Mapping[str, str]:
         """Returns the tickets of a step that may be used, by instance."""
@@ -105,9 +105,9 @@
         """Returns the instances that are known not to be able to run it."""
         return self._of(step).unsuitable
 
-    def fruitless_calls(self, step: StepKey) -> int:
+    def empty_answers(self, step: StepKey) -> int:
         """Returns how many answers in a row contained no ticket."""
-        return self._of(step).fruitless_calls
+        return self._of(step).empty_answers
 
     def expire(self, step: StepKey, instance: str, used_at: float) -> bool:
         """Ends the use of a ticket that its instance has refused.
--- a/tests/cover/test_ticket_requests.py
+++ b/tests/cover/test_ticket_requests.py
@@ -95,7 +95,7 @@
     assert not _requests(scheduler, 0.1)
 
 
-def test_capacity_that_is_left_is_promised_in_queue_order():
+def test_capacity_that_is_left_is_set_aside_in_queue_order():
     """Of many waiting steps only those that could start are asked for."""
     scheduler, _ = _scheduler(2, cpu=1000)
     for number in range(1, 30):
