Ask about an instance for the step that the plan has reserved it for

A suspect task keeps the name of the instance that it was to wait for, also when a later plan gives that instance to a lasting task. Of two steps with the same instance the last one counted, so the lasting task got no ticket, and the suspect one no instance.

Change: a plan records what it has reserved and for which step; requests go by that.

Figures: tests/cover/test_ticket_requests.py: without the change the lasting task is not asked for, with it it starts. Queues without advice are not concerned: reservations for them are as before.

--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -124,6 +124,7 @@
         self.unreadable_jobs: Collection[str] = frozenset()
         self.tickets = ticket_book.TicketBook()
         self._forget_steps_at = float("-inf")
+        self._reserved_in_plan: dict[str, tuple[str, int, int]] = {}
         self.jobs_without_spec: tuple[str, ...] = ()
         self.backlog_cpu: Mapping[str, int] = {}
         self.backlog_cpu_by_group: Mapping[
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -192,6 +192,7 @@
             wall_ms: time of day in milliseconds since 1970.
         """
         self._needs_plan = False
+        self._reserved_in_plan.clear()
         self.evaluate_pending_crashes(now)
         self._refresh_durations(now)
         plan_time = queue_order.PlanTime(now, wall_ms)
@@ -266,14 +267,10 @@
         queue = self.queues.get(step.entry.job.queue)
         return queue_order.classify(step, queue, decided)
 
-    def reserved_instances(self) -> dict[str, tuple[str, int, int]]:
-        """Returns instances that are reserved for waiting tasks.
-
-        Returns:
-            For each instance, the key of the step.
-        """
+    def reserved_instances(self) -> set[str]:
+        """Returns instances that are reserved for waiting tasks."""
         return {
-            step.reserved_instance: step.key
+            step.reserved_instance
             for entry in self.tracker.unfinished.values()
             for step in entry.open_steps_by_key.values()
             if step.reserved_instance and step.has_waiting_task
@@ -375,6 +372,7 @@
                     max_free.mark_unfit(step.demand)
             reserved = self._reserve_instance(step, instances, now)
             if reserved is not None:
+                self._reserved_in_plan[reserved.name] = step.key
                 instances = [item for item in instances if item is not reserved]
         self._limited_accounts |= held_up
         return bool(held_up)
@@ -449,6 +447,7 @@
                 # Reserved: nothing else starts there until its new runs are
                 # proven and the task fits.
                 step.reserved_instance = found.name
+                self._reserved_in_plan[found.name] = step.key
                 break
             ticket = tickets.get(found.name, "") if tickets else ""
             self._assign(
@@ -669,7 +668,6 @@
         Call it after a plan, which starts the tasks that have tickets.
         """
         self._forget_ended_steps(plan_time.now)
-        reserved = self.reserved_instances()
         pools = self.instances_by_pool()
         by_pool = []
         for pool_name, steps in self._waiting_steps(plan_time).items():
@@ -688,7 +686,7 @@
                     for instance in pools.get(pool_name, ())
                     if instance.is_schedulable(plan_time.now)
                 ],
-                reserved,
+                self._reserved_in_plan,
                 self.tickets,
                 plan_time.now,
                 ticket_requests.LEAD_SHARE * validity_ms / 1000,
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -100,7 +100,7 @@
 
         Args:
             instances: the instances of the pool that take new work.
-            reserved: instances that are reserved for a long-running step.
+            reserved: instances that the plan has reserved, and for which step.
             book: what is known of steps and instances.
             now: monotonic seconds.
             lead_s: how long in advance tickets are requested.
--- a/tests/cover/test_ticket_requests.py
+++ b/tests/cover/test_ticket_requests.py
@@ -156,6 +156,20 @@
     assert len(_answer(scheduler, request, names, now=0.1)) == 1
 
 
+def test_an_instance_is_asked_about_for_the_step_that_has_it_reserved():
+    """An old reservation for a suspect task kept a service from coming back."""
+    scheduler, names = _scheduler(1, cpu=1000)
+    lasting = _add_step(scheduler, 1, cpu=1000, long_running=True)
+    suspect = _add_step(scheduler, 2, cpu=500)
+    suspect.has_crashed = suspect.tasks[0].is_suspect = True
+    suspect.reserved_instance = names[0]
+    fleet_builders.plan_batch(scheduler, 0.0)
+    assert lasting.reserved_instance == names[0]
+    request = _requests(scheduler)[0]
+    assert request.step is lasting
+    assert len(_answer(scheduler, request, names)) == 1
+
+
 def test_a_suspect_task_gets_tickets_although_no_instance_has_capacity():
     """A task that may crash its instance has to reserve one first."""
     scheduler, names = _scheduler(1, cpu=1000)
