--- a/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
+++ b/src/vanillaswitch/coordination/fleet/instances/advice_calls.py
@@ -34,11 +34,16 @@
 taken for lost."""
 
 RETRY_PAUSE_S = 0.1
+"""Pause after a first failure; it doubles with each further one."""
+
 MAX_RETRY_PAUSE_S = 1.0
+"""Longest pause after a failure. A service that is back is used this soon."""
 
 
 @dataclasses.dataclass(frozen=True)
 class _OpenCall:
+    """A call that waits for its answer; see ``CallWindow.open_call``."""
+
     expected_s: float
     sent_at: float
 
--- a/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
@@ -105,10 +105,10 @@
         The tickets for other instances stay valid.
         """
         step_key = instance_state.step_key(run.task)
-        was_usable = self.tickets.expire(step_key, name, run.decided_at)
+        is_newest = self.tickets.expire(step_key, name, run.decided_at)
         entry = self.tracker.get(run.task.job_id)
         task = entry.task(run.task) if entry else None
-        if was_usable and task is not None:
+        if is_newest and task is not None:
             task.avoided_instances.add(name)
 
     def _stop_unconfirmed(
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -777,14 +777,6 @@
         now: float,
         validity_s: float,
     ) -> None:
-        """Records an answer of the advice service; see ``TicketBook``.
-
-        Args:
-            step: the step.
-            named: the instances that the call named.
-            tickets: tickets of those that may run the step.
-            now: monotonic seconds.
-            validity_s: how long the tickets are valid.
-        """
+        """Records an answer; see ``TicketBook.record_answer``."""
         self.tickets.record_answer(step.key, named, tickets, now, validity_s)
         self._needs_plan = True
--- a/src/vanillaswitch/coordination/fleet/queue/tickets.py
+++ b/src/vanillaswitch/coordination/fleet/queue/tickets.py
@@ -119,14 +119,14 @@
                 since then was not refused.
 
         Returns:
-            Whether the ticket would still have been used.
+            Whether it is the newest ticket for the instance.
         """
         tickets = self._of(step).tickets
         ticket = tickets.get(instance)
         if ticket is None or ticket.received_at > used_at:
             return False
         tickets[instance] = dataclasses.replace(ticket, usable_until=used_at)
-        return used_at < ticket.usable_until
+        return True
 
     def forget_instance(self, instance: str) -> None:
         """Forgets an instance that has restarted, maybe as another kind."""
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -484,7 +484,8 @@
 
     Attributes:
         by_instance: for each instance, the ticket to send with a start.
-        validity_s: how long the tickets are valid.
+        validity_s: how long the tickets are valid; 0 if the service does not
+            say, so that the settings of the queue apply.
     """
 
     by_instance: Mapping[str, str]
