Log the end of a run that is not its task's current one

The lines that exist fit four hypotheses: the end of the replaced run returns its task to the queue; the newer run is taken for lost; another owner starts the task from an older row; one start is carried out twice.

Ruled out: a line for each end as done (hundreds a second in a burst, of which 60 are written); the existing task-ended with one more field (operators' tools read it as the end of an attempt).

Change: event late-run-end: which run ended how and where, which run was the newest then and where, the state of the task before and after. Counters by outcome. No decision changes.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -114,6 +114,35 @@
     failed: int
 
 
+@dataclasses.dataclass(frozen=True)
+class LateRunEnd:
+    """An instance reported the end of a run that is not its task's current one.
+
+    The run had been considered to be over, for example because its lease had
+    expired while its instance was unreachable.
+
+    Attributes:
+        run: the run that ended.
+        instance: where it ended.
+        how: see ``fleet.RunOutcome``.
+        current_run: number of the task's newest run.
+        current_instance: where that run is; empty if it has ended.
+        before: state of the task before the end was applied: "waiting",
+            "assigned" or "done".
+        after: its state afterwards.
+    """
+
+    job: str
+    task: str
+    run: int
+    instance: str
+    how: str
+    current_run: int
+    current_instance: str
+    before: str
+    after: str
+
+
 @dataclasses.dataclass(frozen=True)
 class RunCrashed:
     """An instance was lost soon after a run of a task began on it.
--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -1,5 +1,7 @@
 """Handles the ends of runs and jobs, and suspends failing instances."""
 
+import dataclasses
+
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import stop_orders
 from vanillaswitch.coordination.fleet.queue import instance_state
@@ -50,6 +52,23 @@
         task = entry.task(end.task)
         if task is None:
             return
+        if task.is_current(end.run, instance.name):
+            self._apply_task_end(instance, entry, task, end, run, now)
+            return
+        before = dataclasses.replace(task)
+        self._apply_task_end(instance, entry, task, end, run, now)
+        self._emit_late_end(before, task, end, instance)
+
+    def _apply_task_end(
+        self,
+        instance: instance_state.Instance,
+        entry: job_tracker.JobEntry,
+        task: job_tracker.Task,
+        end: fleet.RunEnd,
+        run: instance_state.Run | None,
+        now: float,
+    ) -> None:
+        """Applies the end of a run to its task."""
         # The instance reports the end, so the run did not crash it.
         task.remove_crash(end.run)
         if end.run == task.run:
@@ -90,6 +109,27 @@
             )
         )
 
+    def _emit_late_end(
+        self,
+        before: job_tracker.Task,
+        task: job_tracker.Task,
+        end: fleet.RunEnd,
+        instance: instance_state.Instance,
+    ) -> None:
+        self._emit(
+            events.LateRunEnd(
+                task.name.job_id,
+                task.name.path_in_job,
+                end.run,
+                instance.name,
+                end.outcome.value,
+                before.run,
+                before.instance,
+                before.state.name.lower(),
+                task.state.name.lower(),
+            )
+        )
+
     def _emit_job_end(
         self, entry: job_tracker.JobEntry, cause: str, now: float
     ) -> None:
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -65,6 +65,19 @@
     not_before: float = 0.0
     born_ms: int | None = None
 
+    def is_current(self, run: int, instance: str) -> bool:
+        """Whether a run is the one that the task is assigned to.
+
+        Args:
+            run: number of the run.
+            instance: where it is.
+        """
+        return (
+            self.state is TaskState.ASSIGNED
+            and self.run == run
+            and self.instance == instance
+        )
+
     def record_crash(self, crash: crash_evidence.Crash) -> bool:
         """Records a crash, once per run.
 
--- a/src/vanillaswitch/coordination/fleet/telemetry.py
+++ b/src/vanillaswitch/coordination/fleet/telemetry.py
@@ -68,6 +68,8 @@
             return f".{outcome}"
         case events.TaskEnded(how=outcome):
             return f".{outcome}"
+        case events.LateRunEnd(how=outcome):
+            return f".{outcome}"
         case events.RunCrashed(queue=queue, apart=apart):
             return f".{queue}" + (".apart" if apart else "")
         case events.JobGivenUp(queue=outcome):
