Requeue a task only at the end of its current run

Cause: the lease of a run on an unreachable instance expires, and its task is started elsewhere. Behind the cut the run had ended done, and its instance lists that end when the cut heals. completions._complete_task requeued a long-running task at any end as done, whichever run had ended, so a third run started beside the second. No check compared the run that ended with the current one; the check for other outcomes stood elsewhere.

On related paths, shown by tests: the same without any cut, when an owner is killed between the row of the next run and the acknowledgement of the end, so that its successor is told of the end again; and an end that was kept until its job could be read.

Change: _requeue_after is the one way back to the queue. It takes the run that is over and does nothing unless that is the task's current run. An instance goes on listing the current run, so its end will come.

Ruled out: a check in _complete_task alone (three callers returned tasks to the queue, each with a check of its own or none).

--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -76,20 +76,15 @@
         if end.outcome is fleet.RunOutcome.DONE:
             if run is not None:
                 _record_duration(entry, task, run, instance, now)
-            self._complete_task(entry, task, instance, now)
+            self._complete_task(entry, task, end.run, instance, now)
             return
         self._emit_run_end(task, end.run, instance, end.outcome.value)
         if end.outcome is fleet.RunOutcome.FAILED:
             self._count_failure(entry, task, end, instance, now)
             if entry.ended is not None:
                 return
-        is_current = (
-            task.run == end.run and task.state is job_tracker.TaskState.ASSIGNED
-        )
-        if is_current and task.instance == instance.name:
-            self._requeue(
-                entry, task, end.checkpoint or (run.checkpoint if run else "")
-            )
+        checkpoint = end.checkpoint or (run.checkpoint if run else "")
+        self._requeue_after(entry, task, end.run, instance, checkpoint)
 
     def _emit_run_end(
         self,
@@ -147,6 +142,7 @@
         self,
         entry: job_tracker.JobEntry,
         task: job_tracker.Task,
+        run: int,
         instance: instance_state.Instance,
         now: float,
     ) -> None:
@@ -161,7 +157,7 @@
         if step.step.long_running:
             # It has to run until its job is cancelled, whatever the outcome of
             # a run.
-            self._requeue(entry, task, "")
+            self._requeue_after(entry, task, run, instance, "")
             return
         # The end of one member completes the whole gang.
         completed = step.tasks if step.step.gang else [task]
@@ -235,13 +231,28 @@
         )
         self._emit_instance_changed(instance, "suspended", why, now)
 
-    def _requeue(
+    def _requeue_after(
         self,
         entry: job_tracker.JobEntry,
         task: job_tracker.Task,
+        run: int,
+        instance: instance_state.Instance,
         checkpoint: str,
     ) -> None:
-        """Returns a task to the queue; stores its run's checkpoint, if any."""
+        """Returns a task to the queue because one of its runs is over.
+
+        Does nothing unless that was the task's current run. Another run of the
+        task may go on, and the task must not run twice.
+
+        Args:
+            entry: the job.
+            task: the task.
+            run: number of the run that is over.
+            instance: where that run was.
+            checkpoint: newest checkpoint of the run; empty for none.
+        """
+        if not task.is_current(run, instance.name):
+            return
         task.state = job_tracker.TaskState.WAITING
         task.instance = ""
         name = task.name
@@ -278,10 +289,9 @@
         task = entry.task(run.task) if entry else None
         if entry is None or task is None:
             return
-        is_current = task.run == run.run and task.instance == instance.name
-        if is_current and task.state is job_tracker.TaskState.ASSIGNED:
+        if task.is_current(run.run, instance.name):
             self._emit_run_end(task, run.run, instance, outcome)
-            self._requeue(entry, task, run.checkpoint)
+        self._requeue_after(entry, task, run.run, instance, run.checkpoint)
 
 
 def _record_duration(
--- a/tests/common/owner_histories.py
+++ b/tests/common/owner_histories.py
@@ -32,6 +32,12 @@
     (jobs.Step(count=2, cpu=2000, gang=True),),
     (jobs.Step(count=2, cpu=1000, anti_affinity=1),),
 )
+LONG_RUNNING_STEPS = (
+    (jobs.Step(count=2, cpu=1500, long_running=True),),
+    (jobs.Step(count=2, cpu=1000, long_running=True, anti_affinity=1),),
+    (jobs.Step(count=1, cpu=1000, long_running=True, checkpointable=True),),
+    (jobs.Step(count=2, cpu=900),),
+)
 CHOICE = st.integers(0, 1_000_000)
 
 CRASH_LIMIT = 3
@@ -58,7 +64,13 @@
 
 
 class OwnershipMachine(stateful.RuleBasedStateMachine):
-    """State machine of owner terms, instances and stored rows."""
+    """State machine of owner terms, instances and stored rows.
+
+    Attributes:
+        step_kinds: the steps of each kind of job that clients submit.
+    """
+
+    step_kinds = STEPS
 
     def __init__(self) -> None:
         super().__init__()
@@ -172,7 +184,7 @@
         """A client submits a job; only the newest owner receives it."""
         if len(self.jobs) >= 6:
             return
-        job = self._new_job(len(self.jobs) + 1, STEPS[kind])
+        job = self._new_job(len(self.jobs) + 1, self.step_kinds[kind])
         self.jobs[job.job_id] = job
         self.terms[-1].scheduler.add_job(job, self.now)
 
@@ -597,6 +609,12 @@
                     assert name in self.done, f"{name} is not done"
 
 
+class LongRunningTasks(OwnershipMachine):
+    """The state machine with jobs whose tasks have to run until cancelled."""
+
+    step_kinds = LONG_RUNNING_STEPS
+
+
 def busy_events(
     machine: OwnershipMachine, chooser: random.Random
 ) -> dict[Callable[[], None], float]:
