Count the end of a replaced run neither as a failure nor as a success

What an instance reports of a run that a newer one has replaced was taken for news of the task: a failure used up an attempt of the job and made the task avoid the instance (a job with two attempts failed at the first failure of its current run, since another run had failed behind a cut); a failure counted towards the suspension of the instance, and an end as done reset it; the evidence against a task was judged anew, so that a proven task became suspect again. How the failure of a run counted also depended on which of two ends came first.

Ruled out: to count it by the letter of "has failed max_attempts times". The users' rules leave out an end whose lease lapsed before it was taken note of, and that is how a run comes to be replaced; to the owner, that attempt was over when its lease expired.

Change: _apply_superseded_end decides what such an end may do: complete a task that does not last, and nothing else. Evidence of crashes is judged anew only where some is removed. A run whose task waits for its next one has not been replaced, and its end counts as before.

--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -52,14 +52,38 @@
         task = entry.task(end.task)
         if task is None:
             return
+        # The instance reports the end, so the run did not crash it.
+        task.remove_crash(end.run)
         if task.is_current(end.run, instance.name):
-            self._apply_task_end(instance, entry, task, end, run, now)
+            self._apply_newest_end(instance, entry, task, end, run, now)
             return
         before = dataclasses.replace(task)
-        self._apply_task_end(instance, entry, task, end, run, now)
+        if task.is_superseded(end.run):
+            self._apply_superseded_end(entry, task, end, now)
+        else:
+            self._apply_newest_end(instance, entry, task, end, run, now)
         self._emit_late_end(before, task, end, instance)
 
-    def _apply_task_end(
+    def _apply_superseded_end(
+        self,
+        entry: job_tracker.JobEntry,
+        task: job_tracker.Task,
+        end: fleet.RunEnd,
+        now: float,
+    ) -> None:
+        """Applies the end of a run that a newer run of its task has replaced.
+
+        The run had been considered to be over, for example because its lease
+        had expired. A task that is done is done whichever run did it. Any other
+        end changes nothing: it does not concern the newer run, it is no failed
+        attempt, since the attempt had been given up before, and it is too old
+        to tell how its instance works now.
+        """
+        step = entry.job.steps[task.name.step]
+        if end.outcome is fleet.RunOutcome.DONE and not step.long_running:
+            self._complete_task(entry, task, now)
+
+    def _apply_newest_end(
         self,
         instance: instance_state.Instance,
         entry: job_tracker.JobEntry,
@@ -68,15 +92,12 @@
         run: instance_state.Run | None,
         now: float,
     ) -> None:
-        """Applies the end of a run to its task."""
-        # The instance reports the end, so the run did not crash it.
-        task.remove_crash(end.run)
-        if end.run == task.run:
-            task.is_suspect = False
+        """Applies the end of a task's newest run."""
+        task.is_suspect = False
         if end.outcome is fleet.RunOutcome.DONE:
             if run is not None:
                 _record_duration(entry, task, run, instance, now)
-            self._complete_task(entry, task, end.run, instance, now)
+            self._apply_success(entry, task, end.run, instance, now)
             return
         self._emit_run_end(task, end.run, instance, end.outcome.value)
         if end.outcome is fleet.RunOutcome.FAILED:
@@ -138,7 +159,7 @@
             )
         )
 
-    def _complete_task(
+    def _apply_success(
         self,
         entry: job_tracker.JobEntry,
         task: job_tracker.Task,
@@ -146,7 +167,10 @@
         instance: instance_state.Instance,
         now: float,
     ) -> None:
-        """Marks a task as done; requeues it if it is long-running."""
+        """Applies the end of a task's newest run as done.
+
+        Completes the task, or requeues it if it is long-running.
+        """
         if task.state is job_tracker.TaskState.DONE:
             return
         instance.consecutive_failed_jobs.clear()
@@ -158,7 +182,21 @@
             # It has to run until its job is cancelled, whatever the outcome of
             # a run.
             self._requeue_after(entry, task, run, instance, "")
+        else:
+            self._complete_task(entry, task, now)
+
+    def _complete_task(
+        self,
+        entry: job_tracker.JobEntry,
+        task: job_tracker.Task,
+        now: float,
+    ) -> None:
+        """Marks a task as done, and with it the other members of its gang."""
+        if task.state is job_tracker.TaskState.DONE:
             return
+        name = task.name
+        step = entry.open_steps_by_key[name.occurrence, name.step]
+        step.has_proven_task = True
         # The end of one member completes the whole gang.
         completed = step.tasks if step.step.gang else [task]
         for member in completed:
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -78,6 +78,14 @@
             and self.instance == instance
         )
 
+    def is_superseded(self, run: int) -> bool:
+        """Whether a newer run of the task was assigned after a run.
+
+        Args:
+            run: number of the run.
+        """
+        return run < self.run
+
     def record_crash(self, crash: crash_evidence.Crash) -> bool:
         """Records a crash, once per run.
 
@@ -92,8 +100,10 @@
 
     def remove_crash(self, run: int) -> None:
         """Removes the crash of a run that its instance reports after all."""
-        self.crashes = [known for known in self.crashes if known.run != run]
-        self.is_suspect = crash_evidence.is_suspect(self.crashes)
+        remaining = [known for known in self.crashes if known.run != run]
+        if len(remaining) < len(self.crashes):
+            self.crashes = remaining
+            self.is_suspect = crash_evidence.is_suspect(remaining)
 
 
 class OpenStep:
--- a/tests/failures/test_late_ends.py
+++ b/tests/failures/test_late_ends.py
@@ -7,6 +7,7 @@
 
 from tests.common import fleet_builders
 from tests.common import owner_histories
+from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -156,3 +157,57 @@
     for _ in range(300):
         chooser.choices(list(events), list(events.values()))[0]()
         machine.capacity_is_kept()
+
+
+def test_a_late_failure_does_not_use_up_an_attempt_of_the_job():
+    """Guards against a job that fails early because an instance was cut off.
+
+    The owner had given up on run 1 and replaced it before the failure of run 1
+    arrived. Only run 2 failed while it was the task's current run.
+    """
+    scheduler = _replaced(steps=(_SHORT,), attempts=2)
+    task = _task_of(scheduler)
+    failed = fleet.RunOutcome.FAILED
+    _report(scheduler, "i-1", 31.0, ended=(_end(task, failed),))
+    _report(scheduler, "i-2", 31.0, ended=(_end(task, failed, run=2),))
+    (entry,) = scheduler.tracker
+    assert entry.ended is None
+    assert task.failed_runs == 1
+    assert not task.avoided_instances - {"i-2"}
+
+
+@pytest.mark.parametrize("outcome", ["done", "failed"])
+def test_a_late_end_says_nothing_about_how_its_instance_works_now(outcome):
+    """Guards against suspensions that depend on ends from before a cut."""
+    scheduler = _replaced()
+    instance = scheduler.instances["i-1"]
+    instance.consecutive_failed_jobs |= {"job-1", "job-2"}
+    instance.suspension_count = 2
+    end = _end(_task_of(scheduler), fleet.RunOutcome(outcome))
+    _report(scheduler, "i-1", 31.0, ended=(end,))
+    assert instance.consecutive_failed_jobs == {"job-1", "job-2"}
+    assert instance.suspension_count == 2
+    assert instance.suspended_until == 0.0
+
+
+def test_a_late_end_does_not_make_a_proven_task_suspect_again():
+    """Guards against a task whose siblings wait beside its proven run."""
+    scheduler = _replaced()
+    task = _task_of(scheduler)
+    kind = crash_evidence.CrashKind.NEW_RUN
+    task.crashes = [crash_evidence.Crash(0, "i-0", kind, 0.0)] * 2
+    assert crash_evidence.is_suspect(task.crashes)
+    task.is_suspect = False
+    end = _end(task, fleet.RunOutcome.STOPPED)
+    _report(scheduler, "i-1", 31.0, ended=(end,))
+    assert not task.is_suspect
+
+
+def test_a_late_end_as_done_completes_a_short_task_and_stops_its_newer_run():
+    scheduler = _replaced(steps=(_SHORT,))
+    task = _task_of(scheduler)
+    _report(scheduler, "i-1", 31.0, ended=(_end(task, fleet.RunOutcome.DONE),))
+    (entry,) = scheduler.tracker
+    assert entry.ended is jobs.JobState.COMPLETED
+    (stop,) = scheduler.take_stops()
+    assert (stop.instance, stop.run) == ("i-2", 2)
