Stop all members of a gang that an earlier run of it has completed

Cause: the end of one member as done completes its gang, also where a newer run of the gang has begun since (its lease had expired behind a cut). Only the newer run of that one member was stopped. The others worked on for a job that had ended, or waited for the missing one until they ended alone.

Change: _complete_task takes the run that completed the task, and stops the current run of each member for which that is a newer one. Members of the completed run are not stopped: they end by themselves, at the same time.

Figures: of three members on their second run one was stopped, now all three are (tests/failures/test_late_ends.py, failed before). The end of the current run still stops no member.

--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -81,7 +81,7 @@
         """
         step = entry.job.steps[task.name.step]
         if end.outcome is fleet.RunOutcome.DONE and not step.long_running:
-            self._complete_task(entry, task, now)
+            self._complete_task(entry, task, end.run, now)
 
     def _apply_newest_end(
         self,
@@ -183,28 +183,28 @@
             # a run.
             self._requeue_after(entry, task, run, instance, "")
         else:
-            self._complete_task(entry, task, now)
+            self._complete_task(entry, task, run, now)
 
     def _complete_task(
         self,
         entry: job_tracker.JobEntry,
         task: job_tracker.Task,
+        run: int,
         now: float,
     ) -> None:
-        """Marks a task as done, and with it the other members of its gang."""
+        """Marks a task as done by one of its runs.
+
+        The end of one member completes the whole gang. Runs that have replaced
+        the completed one are stopped.
+        """
         if task.state is job_tracker.TaskState.DONE:
             return
         name = task.name
         step = entry.open_steps_by_key[name.occurrence, name.step]
         step.has_proven_task = True
-        # The end of one member completes the whole gang.
-        completed = step.tasks if step.step.gang else [task]
-        for member in completed:
-            if member is not task:
-                member.state = job_tracker.TaskState.DONE
-                continue
-            if task.state is job_tracker.TaskState.ASSIGNED:
-                self._stop_current_run(task, now)
+        for member in step.tasks if step.step.gang else [task]:
+            if member.is_superseded(run):
+                self._stop_current_run(member, now)
             member.state = job_tracker.TaskState.DONE
         if step.is_done:
             entry.close_step(step)
@@ -213,7 +213,7 @@
         self.tracker.mark_dirty(entry)
 
     def _stop_current_run(self, task: job_tracker.Task, now: float) -> None:
-        """Stops the newest run of a task that an earlier run has completed."""
+        """Stops the current run of a task that an earlier run has completed."""
         instance = self.instances.get(task.instance)
         if instance is None:
             return
--- a/tests/failures/test_late_ends.py
+++ b/tests/failures/test_late_ends.py
@@ -211,3 +211,29 @@
     assert entry.ended is jobs.JobState.COMPLETED
     (stop,) = scheduler.take_stops()
     assert (stop.instance, stop.run) == ("i-2", 2)
+
+
+def test_a_late_end_of_a_gang_stops_all_members_of_its_newer_run():
+    """Guards against members that work on, or wait for the others in vain."""
+    step = jobs.Step(count=3, cpu=1000, gang=True)
+    scheduler = _replaced(steps=(step,))
+    end = _end(_task_of(scheduler, 1), fleet.RunOutcome.DONE)
+    _report(scheduler, "i-1", 31.0, ended=(end,))
+    (entry,) = scheduler.tracker
+    assert entry.ended is jobs.JobState.COMPLETED
+    stops = scheduler.take_stops()
+    assert {stop.task.index for stop in stops} == {0, 1, 2}
+    assert {(stop.instance, stop.run) for stop in stops} == {("i-2", 2)}
+
+
+def test_an_end_of_the_current_run_of_a_gang_stops_no_member():
+    scheduler = _replaced(steps=(jobs.Step(count=3, cpu=1000, gang=True),))
+    task = _task_of(scheduler, 1)
+    end = _end(task, fleet.RunOutcome.DONE, run=2)
+    others = tuple(
+        row for row in _rows_of(scheduler, "i-2") if row.task != task.name
+    )
+    _report(scheduler, "i-2", 31.0, ended=(end,), running=others)
+    (entry,) = scheduler.tracker
+    assert entry.ended is jobs.JobState.COMPLETED
+    assert not scheduler.take_stops()
