Stop a run that is listed although a newer one has replaced it

Each was in the records of its instance, so its lease was renewed with every report, and nothing compared the two.

Change: each listed run is compared with the newest of its task, and stopped if that is a newer one.

Ruled out: to look through all runs in a pass of its own (a report lists them anyway).

No order of events that leads there is known.

--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -123,6 +123,7 @@
             run = self._process_unknown_run(instance, run_status, now)
             if run is None:
                 return
+        self._stop_if_superseded(instance, run, now)
         run.mark_started(now)
         run.started_before_term = (
             run.started_before_term or run.awaits_first_report
@@ -140,6 +141,26 @@
             self._clear_if_proven(instance, run)
         run.checkpoint = run_status.checkpoint or run.checkpoint
 
+    def _stop_if_superseded(
+        self,
+        instance: instance_state.Instance,
+        run: instance_state.Run,
+        now: float,
+    ) -> None:
+        """Stops a listed run if a newer run of its task was assigned.
+
+        Its lease would otherwise be renewed for as long as its instance
+        answers, and the task would run twice.
+        """
+        entry = self.tracker.get(run.task.job_id)
+        task = entry.task(run.task) if entry else None
+        if (
+            task is not None
+            and task.is_superseded(run.run)
+            and run.stop_requested_at is None
+        ):
+            self.stop_run(instance, run, now, "a newer run has replaced it")
+
     def _process_unknown_run(
         self,
         instance: instance_state.Instance,
--- a/tests/failures/test_late_ends.py
+++ b/tests/failures/test_late_ends.py
@@ -8,6 +8,7 @@
 from tests.common import fleet_builders
 from tests.common import owner_histories
 from vanillaswitch.coordination.fleet.queue import crash_evidence
+from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -237,3 +238,19 @@
     (entry,) = scheduler.tracker
     assert entry.ended is jobs.JobState.COMPLETED
     assert not scheduler.take_stops()
+
+
+def test_a_run_that_goes_on_beside_a_newer_one_is_stopped():
+    """Guards against two runs of a task whose leases are renewed for good."""
+    scheduler = _replaced()
+    task = _task_of(scheduler)
+    older = instance_state.Run(
+        task.name, 1, _LONG_RUNNING, fleet.Resources(1000, 0), 31.0
+    )
+    scheduler.instances["i-1"].add_run(older)
+    for now in (32.0, 32.1):
+        for name in ("i-1", "i-2"):
+            _report(scheduler, name, now, running=_rows_of(scheduler, name))
+    (stop,) = scheduler.take_stops()
+    assert (stop.instance, stop.run) == ("i-1", 1)
+    assert task.is_current(2, "i-2")
