Soak long-running tasks that end by themselves, also behind a cut

Its long-running tasks ended by orders, crashes and lost leases alone. And its links never refuse a connection: on one that accepts it and carries nothing, a renewal may have arrived, so the owner takes no lease for expired.

A relay can refuse connections.

Check changed: a start after a run of the task has ended done breaks "once" only where the task ends by itself. The users' PROTOCOL.md says that long-running tasks "must be restarted however they end"; none had ended done in a soak before, so no past finding is passed over. Two runs at once are found as before (a test).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,11 +13,13 @@
 from soak import clients
 from soak import promises as promise_lib
 from soak import world as worlds
+from standins import edge_http
 from standins import edge_processes
 from standins import relays
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
 from vanillaswitch.transport import plain_http
 
 Fault = Callable[[worlds.World, float], None]
@@ -30,6 +32,11 @@
 )
 """Kept apart, so that the seeds of other soaks draw the same faults."""
 
+ENDING_FAULTS: registry.Registry[Fault] = registry.Registry(
+    "fault of a soak whose long-running tasks end by themselves"
+)
+"""Kept apart for the same reason."""
+
 RESTART_S = 0.3
 """Pause before a process that ended is started again."""
 
@@ -45,11 +52,16 @@
 SERIES = 3
 """Signals of one kind that come in a row."""
 
+LEASE_S = 9.0
+"""Time in which the lease of a run on an unreachable instance has expired, and
+its task has started elsewhere."""
+
 
 def find(name: str) -> Fault:
-    """Returns a fault of either registry by its name."""
-    if name in ADVICE_FAULTS.names:
-        return ADVICE_FAULTS.get(name)
+    """Returns a fault of any registry by its name."""
+    for special in (ADVICE_FAULTS, ENDING_FAULTS):
+        if name in special.names:
+            return special.get(name)
     return FAULTS.get(name)
 
 
@@ -209,6 +221,60 @@
         gevent.sleep(seconds / SERIES)
 
 
+@ENDING_FAULTS.register("long-running-tasks-end")
+def long_running_tasks_end(world: worlds.World, seconds: float) -> None:
+    """The long-running tasks of an instance end done, again and again."""
+    for _ in range(SERIES):
+        _end_long_running(world, _busy_instance(world))
+        gevent.sleep(seconds / SERIES)
+
+
+@ENDING_FAULTS.register("long-running-tasks-end-behind-a-cut")
+def long_running_tasks_end_behind_a_cut(
+    world: worlds.World, seconds: float
+) -> None:
+    """An instance is cut off until its lease has expired.
+
+    Its long-running tasks end done meanwhile. One instance at a time, since the
+    others have to do all the work.
+    """
+    if any(link.is_refusing for link in world.instance_links.values()):
+        return
+    instance = _busy_instance(world)
+    link = world.instance_links[instance.model.registration.instance]
+    with link.refusing():
+        gevent.sleep(min(1.0, seconds))
+        _end_long_running(world, instance)
+        gevent.sleep(LEASE_S)
+
+
+def _busy_instance(world: worlds.World) -> edge_http.Instance:
+    """Returns an instance that runs long-running tasks, if one does."""
+    busy = [
+        instance
+        for instance in world.platform.instances
+        if _long_running_tasks(world, instance)
+    ]
+    return world.random.choice(busy or world.platform.instances)
+
+
+def _long_running_tasks(
+    world: worlds.World, instance: edge_http.Instance
+) -> list[jobs.TaskName]:
+    return [
+        task
+        for task in instance.model.running
+        if world.promises.is_long_running(task)
+    ]
+
+
+def _end_long_running(
+    world: worlds.World, instance: edge_http.Instance
+) -> None:
+    for task in _long_running_tasks(world, instance):
+        instance.model.end(task, fleet.RunOutcome.DONE)
+
+
 @FAULTS.register("tasks-crash-instances")
 def tasks_crash_instances(world: worlds.World, seconds: float) -> None:
     """Jobs come whose tasks crash each instance that starts them."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -164,7 +164,11 @@
 
     def lasts(self, order: fleet.StartRequest) -> bool:
         """Whether a task runs until it is stopped."""
-        record = self.records.get(order.task.job_id)
+        return self.is_long_running(order.task)
+
+    def is_long_running(self, task: jobs.TaskName) -> bool:
+        """Whether a task has to run until its job is cancelled."""
+        record = self.records.get(task.job_id)
         return record is not None and _lasts(record.job)
 
     def ends_by_order(self, instance: str, task: jobs.TaskName) -> None:
@@ -272,7 +276,8 @@
         for name, model in self._instances.items():
             if name != instance and model.up and task in model.running:
                 self.breach("once", f"{task} on {instance} and {name}")
-        if self._is_done(task):
+        # A long-running task has to start again however it ends.
+        if self._is_done(task) and not self.is_long_running(task):
             self.breach("once", f"{task} on {instance} after it was done")
 
     def _judge_order(self, record: JobRecord, task: jobs.TaskName) -> None:
--- a/standins/relays.py
+++ b/standins/relays.py
@@ -68,6 +68,7 @@
         answer_bytes_per_s: rate at which the answers on all connections pass
             together; None for no limit.
         answer_bytes: bytes of answers passed on so far, on all connections.
+        is_refusing: it accepts no connections; see ``refusing``.
     """
 
     def __init__(
@@ -90,18 +91,20 @@
         self._held: list[Block] = []
         self._open: set[socket.socket] = set()
         self._harm = Harm.NONE
+        self.is_refusing = False
         self.answer_bytes_per_s: float | None = None
         self.answer_bytes = 0
         self._free_at = 0.0
         self._server = gevent.server.StreamServer(
             sockets.listen("127.0.0.1:0"), self._serve
         )
+        host, port = self._server.socket.getsockname()
+        self._address = f"{host}:{port}"
 
     @property
     def address(self) -> str:
         """The "ip:port" that it listens on."""
-        host, port = self._server.socket.getsockname()
-        return f"{host}:{port}"
+        return self._address
 
     @property
     def held(self) -> tuple[Block, ...]:
@@ -134,6 +137,24 @@
         """Closes all connections; new ones are closed at once."""
         self.harm(Harm.CUT)
 
+    @contextlib.contextmanager
+    def refusing(self) -> Iterator[None]:
+        """Refuses connections while the block lasts, and closes open ones.
+
+        A caller then knows that nothing of its call was sent.
+        """
+        self.is_refusing = True
+        self._server.stop(timeout=0)
+        self._close(reset=False)
+        try:
+            yield
+        finally:
+            self.is_refusing = False
+            self._server = gevent.server.StreamServer(
+                sockets.listen(self._address), self._serve
+            )
+            self._server.start()
+
     def stop(self) -> None:
         """Closes all, the port too."""
         self.cut()
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -61,6 +61,12 @@
 ADVICE = (*advice.SERVICE_FAULTS, "kill-owner")
 """No job started any more once calls for advice had been given up in turn."""
 
+ENDS_SEED = 5
+ENDS_S = 20.0
+ENDS = ("long-running-tasks-end-behind-a-cut", "long-running-tasks-end")
+"""A task ran twice for good once an end was reported that its next run had
+overtaken."""
+
 OVERLOAD_SEED = 1
 OVERLOAD_S = 6.0
 
@@ -126,6 +132,12 @@
     assert not result.broken
 
 
+def test_a_soak_with_long_running_tasks_that_end_breaks_no_promise(tmp_path):
+    result = run.soak(ENDS_SEED, ENDS_S, tmp_path, ENDS)
+    assert ENDS[0] in result.faults
+    assert not result.broken
+
+
 def test_a_soak_with_overload_breaks_no_promise(tmp_path):
     """Refused jobs run, accepted ones are refused, or nothing is refused."""
     load = overload.Overload(OVERLOAD_SEED)
@@ -399,3 +411,13 @@
     world.promises.ends_by_order("i-0", second)
     assert world.promises.broken
     assert first.path_in_job in world.promises.broken[0]
+
+
+def test_a_soak_lets_a_long_running_task_start_again_but_not_twice():
+    world = _World()
+    first, *_ = _service(world)
+    world.end("i-1", first)
+    world.start("i-1", first, run_number=2)
+    assert not world.promises.broken
+    world.start("i-0", first, run_number=3)
+    assert world.kinds() == ["once"]
