Keep the progress of a job within a row, however many tasks it has

Cause: the progress row has some 45 bytes for each started task and exceeds platform.row_bytes. The store rejects the transaction, which also renews the ownership; it is repeated until the process steps down, and the next owner writes the same. The list of done occurrences of a scheduled job, and 45 rows of middle size in one call of 1 MB, led there as well.

Change: rows of jobs with over 256 started tasks are compact (one bit for a done task, numbers for instances, ranges of done occurrences). Planning starts as many tasks of a wide job at once as its row holds, restarts first. A transaction takes 600 KB of documents. Steps of over 32 KB and gangs of over 500 tasks are refused (400).

Ruled out: several rows for one job (sets that are half written), a lower limit on tasks.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -177,6 +177,21 @@
     beginning: int
 
 
+@dataclasses.dataclass(frozen=True)
+class RowTooLarge:
+    """The progress of a job does not fit into a row, so the job fails.
+
+    Attributes:
+        size: of the row's document, in bytes.
+        limit: the largest that the store takes.
+    """
+
+    job: str
+    queue: str
+    size: int
+    limit: int
+
+
 @dataclasses.dataclass(frozen=True)
 class JobGivenUp:
     """A job failed because one of its tasks crashes the instances that run it.
--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -19,12 +19,14 @@
 """
 
 from collections.abc import Mapping
+import json
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import duration_estimates
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import planning
+from vanillaswitch.coordination.fleet.queue import wide_progress
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import unusable
 
@@ -184,6 +186,40 @@
         self._needs_plan = True
         return None
 
+    def fail_if_too_large(
+        self,
+        entry: job_tracker.JobEntry,
+        document: Mapping[str, object],
+        now: float,
+    ) -> bool:
+        """Fails a job whose document does not fit into a row.
+
+        The store would reject the row with the renewal of the ownership, and
+        no job would start any more. Planning keeps documents within the limit;
+        this catches those that grow afterwards, by long checkpoints or by
+        crashes.
+
+        Returns:
+            Whether the job failed. Its document is small then.
+        """
+        limit = self._max_document_bytes
+        if entry.max_document_bytes <= limit // 2:
+            return False
+        size = len(json.dumps(document, separators=(",", ":")))
+        if size <= limit - wide_progress.PLAIN_FIXED_BYTES:
+            return False
+        self._emit(
+            events.RowTooLarge(
+                entry.job.job_id,
+                entry.job.queue,
+                size,
+                limit,
+            )
+        )
+        cause = f"its progress takes {size} bytes, and a row {limit}"
+        self._finish_job(entry, jobs.JobState.FAILED, cause, now)
+        return True
+
     def cancel_job(self, job_id: str, now: float) -> None:
         """Cancels a job, or remembers the cancellation until the job arrives.
 
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -20,6 +20,11 @@
 from vanillaswitch.state import deployment as deployments
 
 DEFAULT_BOUNDS = deployments.Bounds()
+
+MAX_BATCH_DOCUMENT_BYTES = 600_000
+"""Limit on the documents of one transaction, in bytes of JSON. The store takes
+calls of 1 MB, and base64 and addresses add two fifths."""
+
 NO_OVERLOAD_CONTROLS = deployments.OverloadControls()
 
 
@@ -144,6 +149,14 @@
         """Decisions in force while callers compete for capacity."""
         return self._overload
 
+    @property
+    def _max_document_bytes(self) -> int:
+        """Limit on the document of a job, in bytes of JSON.
+
+        The store takes rows in base64, which adds a third.
+        """
+        return self._bounds.max_row_bytes * 3 // 4
+
     @property
     def unavailability_grace_s(self) -> float:
         """Seconds for which an unavailable long-running task uses no budget."""
@@ -341,7 +354,9 @@
 
     def take_batch(self, limit: int) -> WriteBatch:
         """Removes and returns the next rows to write and their starts."""
-        entries = tuple(self.tracker.take_dirty(limit))
+        entries = tuple(
+            self.tracker.take_dirty(limit, MAX_BATCH_DOCUMENT_BYTES)
+        )
         ids = {entry.job.job_id for entry in entries}
         starts = [s for s in self._pending_starts if s.task.job_id in ids]
         self._pending_starts = [
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -524,16 +524,8 @@
         Starts are sent to instances only after they are stored, and instances
         may forget the ends of their tasks only after these are stored.
         """
+        puts = [self._progress_put(entry) for entry in batch.entries]
         states = [entry.state for entry in batch.entries]
-        store_ms = self._dependencies.time.store_now_ms or 0.0
-        puts = [
-            platform.Put(
-                f"{fenced_writer.PROGRESS_TABLE}/{entry.job.job_id}",
-                entry.version,
-                entry.to_document(store_ms),
-            )
-            for entry in batch.entries
-        ]
         removed = (
             self._progress_to_remove + self._job_tables.take_orphan_entries()
         )
@@ -554,3 +546,16 @@
             client = self._instance_clients.get(start.instance)
             if client is not None:
                 client.send_start(start)
+
+    def _progress_put(self, entry: job_tracker.JobEntry) -> platform.Put:
+        """Returns the write of a job's progress row."""
+        store_ms = self._dependencies.time.store_now_ms or 0.0
+        document = entry.to_document(store_ms)
+        now = self._clock.monotonic()
+        if self._scheduler.fail_if_too_large(entry, document, now):
+            document = entry.to_document(store_ms)
+        return platform.Put(
+            f"{fenced_writer.PROGRESS_TABLE}/{entry.job.job_id}",
+            entry.version,
+            document,
+        )
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -16,6 +16,7 @@
 
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import duration_estimates
+from vanillaswitch.coordination.fleet.queue import wide_progress
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import unusable
@@ -180,11 +181,22 @@
         isolation as a whole.
         """
         if not self.has_crashed:
-            return self.waiting_tasks
+            return self._restarts_first(self.waiting_tasks)
         suspected = any(task.is_suspect for task in self.tasks)
         if suspected and (self.step.gang or not self.has_proven_task):
             return []
-        return [task for task in self.waiting_tasks if not task.is_suspect]
+        return self._restarts_first(
+            [task for task in self.waiting_tasks if not task.is_suspect]
+        )
+
+    def _restarts_first(self, tasks: list[Task]) -> list[Task]:
+        """Returns tasks of a wide job with those that were started first.
+
+        Starting these again does not make the job's document larger.
+        """
+        if not self.entry.is_wide:
+            return tasks
+        return sorted(tasks, key=lambda task: task.run == 0)
 
     @property
     def has_waiting_task(self) -> bool:
@@ -230,6 +242,7 @@
         is_over_share: its client account had submitted more than its share.
         durations: learned durations of its tasks; None to use the declared
             ones.
+        is_wide: it has more tasks than a plain document holds.
     """
 
     def __init__(self, job: jobs.Job, now: float, age_s: float = 0.0):
@@ -257,6 +270,10 @@
         self.fatal_crashes: tuple[crash_evidence.Crash, ...] = ()
         self.is_over_share = False
         self.durations: duration_estimates.JobDurations | None = None
+        self.is_wide = (
+            job.occurrence_count * sum(step.count for step in job.steps)
+            > wide_progress.MAX_PLAIN_TASKS
+        )
         self._paths_revision = 0
         self._may_open_steps = True
         self._done: set[tuple[int, int]] = set()
@@ -271,6 +288,41 @@
             jobs.JobState.RUNNING if self.was_assigned else jobs.JobState.QUEUED
         )
 
+    @property
+    def max_document_bytes(self) -> int:
+        """Largest usual size of its document, in bytes of JSON."""
+        return wide_progress.max_bytes(self._document_load)
+
+    def fresh_start_count(self, max_bytes: int) -> int:
+        """Returns how many tasks its document has room for, besides its own.
+
+        Tasks that were started before are in the document already.
+
+        Args:
+            max_bytes: limit on the document, in bytes of JSON.
+        """
+        return wide_progress.free_tasks(self._document_load, max_bytes)
+
+    @property
+    def _document_load(self) -> wide_progress.DocumentLoad:
+        tasks = started = unfinished = longest = 0
+        for step in self.open_steps_by_key.values():
+            tasks += len(step.tasks)
+            for task in step.tasks:
+                if not task.run:
+                    continue
+                started += 1
+                if task.state is not TaskState.DONE:
+                    unfinished += 1
+                    longest = max(longest, len(task.checkpoint))
+        return wide_progress.DocumentLoad(tasks, started, unfinished, longest)
+
+    def _started_tasks(self) -> Iterator[tuple[OpenStep, Task]]:
+        for step in self.open_steps_by_key.values():
+            for task in step.tasks:
+                if task.run:
+                    yield step, task
+
     def expected_ms(self, number: int) -> float:
         """Returns the estimated duration of a step's tasks in milliseconds.
 
@@ -367,25 +419,31 @@
         """
         if self.ended is not None and not self.ended_store_ms:
             self.ended_store_ms = store_ms
-        tasks = [
-            _encode_task(step, task)
-            for step in self.open_steps_by_key.values()
-            for task in step.tasks
-            if task.run
-        ]
+        started = list(self._started_tasks())
+        is_compact = len(started) > wide_progress.MAX_PLAIN_TASKS
         document: dict[str, Any] = {
             "ended": self.ended.value if self.ended else "",
             "ended_store_ms": self.ended_store_ms,
             "started": self.was_assigned,
-            "done": [list(key) for key in sorted(self._done)],
-            "tasks": tasks,
         }
+        if len(self._done) > wide_progress.MAX_PLAIN_OCCURRENCES:
+            document["done_ranges"] = wide_progress.encode_ranges(self._done)
+        else:
+            document["done"] = [list(key) for key in sorted(self._done)]
+        if is_compact:
+            document["wide"] = wide_progress.encode(
+                _to_started_task(step, task) for step, task in started
+            )
+        else:
+            document["tasks"] = [
+                _encode_task(step, task) for step, task in started
+            ]
         # Earlier versions of this program read ``tasks`` too and expect rows of
         # this length, so crashes are stored separately.
         evidence = [
             row
             for step in self.open_steps_by_key.values()
-            for row in _encode_evidence(step)
+            for row in ([] if is_compact else _encode_evidence(step))
         ]
         if evidence:
             document["evidence"] = evidence
@@ -412,7 +470,9 @@
 
     def _load(self, document: Mapping[str, Any]) -> None:
         self.was_assigned = bool(document.get("started"))
-        self._done = {(row[0], row[1]) for row in document.get("done", ())}
+        self._done = {
+            (row[0], row[1]) for row in document.get("done", ())
+        } | wide_progress.decode_ranges(document.get("done_ranges", ()))
         self.has_started = bool(self._done)
         self._opened = set(self._done)
         ended = document.get("ended")
@@ -428,6 +488,8 @@
             self._restore_task(*row)
         for row in document.get("evidence", ()):
             self._restore_evidence(*row)
+        if "wide" in document:
+            self._restore_wide(document["wide"])
         for step in self.open_steps_by_key.values():
             step.has_proven_task = any(
                 task.state is TaskState.DONE for task in step.tasks
@@ -461,6 +523,19 @@
         )
         task.checkpoint = checkpoint
 
+    def _restore_wide(self, document: Mapping[str, Any]) -> None:
+        for found in wide_progress.decode(document):
+            key = (found.occurrence, found.step, found.index)
+            self._restore_task(
+                *key,
+                found.state,
+                found.run,
+                found.instance,
+                found.failed_runs,
+                found.checkpoint,
+            )
+            self._restore_evidence(*key, found.born_ms, found.crashes)
+
     def _restore_evidence(
         self,
         occurrence: int,
@@ -498,6 +573,22 @@
     ]
 
 
+def _to_started_task(step: OpenStep, task: Task) -> wide_progress.StartedTask:
+    """Returns what a later owner needs to know of a task."""
+    return wide_progress.StartedTask(
+        step.occurrence,
+        step.number,
+        task.name.index,
+        task.state.value,
+        task.run,
+        task.instance,
+        task.failed_runs,
+        task.checkpoint,
+        task.born_ms,
+        crash_evidence.encode_crashes(task.crashes),
+    )
+
+
 def _encode_evidence(step: OpenStep) -> list[list[Any]]:
     """Returns rows with the crashes and boot times of a step's tasks.
 
@@ -571,16 +662,23 @@
             # The entry is kept for status queries, which need no estimates.
             entry.durations = None
 
-    def take_dirty(self, limit: int) -> list[JobEntry]:
+    def take_dirty(self, limit: int, max_bytes: int) -> list[JobEntry]:
         """Removes the marks of up to ``limit`` jobs, oldest marks first.
 
         Args:
             limit: maximum number of jobs.
+            max_bytes: limit on the size of their documents together, in bytes
+                of JSON; the first one is taken in any case.
 
         Returns:
             The jobs whose rows the caller has to write.
         """
-        taken = list(self._dirty.values())[:limit]
+        taken: list[JobEntry] = []
+        for entry in itertools.islice(self._dirty.values(), limit):
+            max_bytes -= entry.max_document_bytes
+            if max_bytes < 0 and taken:
+                break
+            taken.append(entry)
         for entry in taken:
             del self._dirty[entry.job.job_id]
         return taken
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -547,6 +547,8 @@
             if isolated
             else placement.choose_instances(step, candidates, max_tasks)
         )
+        if step.entry.is_wide and not step.step.gang:
+            chosen = self._within_document(step, chosen)
         if not chosen:
             return False
         highest = max(task.run for task, _ in chosen)
@@ -560,11 +562,27 @@
         self.tracker.mark_dirty(step.entry)
         return True
 
+    def _within_document(
+        self, step: job_tracker.OpenStep, chosen: placement.Assignments
+    ) -> placement.Assignments:
+        """Leaves out tasks for which the document of their job has no room."""
+        room = step.entry.fresh_start_count(self._max_document_bytes)
+        fresh = [task.name for task, _ in chosen if not task.run]
+        left_out = set(fresh[room:])
+        return [pair for pair in chosen if pair[0].name not in left_out]
+
     def _startable_count(self, step: job_tracker.OpenStep, wanted: int) -> int:
-        """Returns how many tasks of a step its account's limit lets start.
+        """Returns how many tasks of a step may start.
 
-        All tasks of a gang or none of them.
+        The limit of its account and the size of its job's row limit them. All
+        tasks of a gang or none of them.
         """
+        if step.entry.is_wide:
+            room = step.entry.fresh_start_count(self._max_document_bytes)
+            room += sum(1 for task in step.waiting_tasks if task.run)
+            if step.step.gang and room < wanted:
+                return 0
+            wanted = min(wanted, room)
         account = step.entry.job.account
         limit = self.account_limit(account)
         if limit == limits.NO_LIMIT:
--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -9,6 +9,11 @@
 MAX_SPEC_BYTES = 4000
 MAX_STEPS = 100
 MAX_TASKS = 10_000
+MAX_GANG_TASKS = 500
+"""A gang starts as a whole, so a row of the store has to hold all its tasks."""
+
+MAX_STEPS_BYTES = 32_768
+"""Limit on the steps in JSON, which a row of the store has to hold."""
 
 JSON_TYPE = (("Content-Type", "application/json"),)
 
@@ -85,6 +90,8 @@
         _parse_step(raw_step, number)
         for number, raw_step in enumerate(raw_steps)
     )
+    if len(body) > MAX_STEPS_BYTES:
+        _check_size(raw_steps)
     if sum(step.count for step in steps) > MAX_TASKS:
         raise BadJobError(f"steps: give at most {MAX_TASKS} tasks in all")
     return jobs.Job(
@@ -102,6 +109,14 @@
     )
 
 
+def _check_size(raw_steps: list[Any]) -> None:
+    size = len(json.dumps(raw_steps, separators=(",", ":")))
+    if size > MAX_STEPS_BYTES:
+        raise BadJobError(
+            f"steps: give at most {MAX_STEPS_BYTES} bytes of JSON, not {size}"
+        )
+
+
 def _is_valid_spec(spec: str) -> bool:
     """Returns whether a spec fits into ``MAX_SPEC_BYTES`` of UTF-8.
 
@@ -138,6 +153,10 @@
     count = _get_count(raw, "count", location)
     if not count:
         raise BadJobError(f"{location}: count: give a number of at least 1")
+    if values["gang"] and count > MAX_GANG_TASKS:
+        raise BadJobError(
+            f"{location}: count: give a gang at most {MAX_GANG_TASKS} tasks"
+        )
     return jobs.Step(count=count, after=_parse_after(raw, number), **values)
 
 
--- a/src/vanillaswitch/platform/settings.py
+++ b/src/vanillaswitch/platform/settings.py
@@ -169,6 +169,9 @@
 
 def _build_bounds(fields: _Fields) -> deployment.Bounds:
     return deployment.Bounds(
+        max_row_bytes=int(
+            fields.number("platform.row_bytes", _DEFAULT_BOUNDS.max_row_bytes)
+        ),
         contact_s=fields.seconds(
             "bounds.contact_ms", _DEFAULT_BOUNDS.contact_s
         ),
--- a/src/vanillaswitch/state/deployment.py
+++ b/src/vanillaswitch/state/deployment.py
@@ -32,6 +32,7 @@
             configuration must not work on any machine.
         share_window_s: time over which the jobs of a client account are
             compared with its weight.
+        max_row_bytes: largest value of a row that the platform's store takes.
     """
 
     contact_s: float = 3.0
@@ -55,6 +56,7 @@
     pacing_s: float = 0.1
     revocation_s: float = 5.0
     share_window_s: float = 5.0
+    max_row_bytes: int = 65_536
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/cover/test_platform_adapters.py
+++ b/tests/cover/test_platform_adapters.py
@@ -297,6 +297,8 @@
         (b'{"spec":1,"steps":[{"count":1}]}', "spec"),
         (b'{"spec":"\\ud800","steps":[{"count":1}]}', "spec"),
         (b'{"steps":[{"count":20000}]}', "tasks"),
+        (b'{"steps":[{"count":501,"gang":true}]}', "gang"),
+        (b'{"steps":[{"count":1,"image":"' + b"a" * 40_000 + b'"}]}', "bytes"),
     ],
 )
 def test_invalid_job_is_rejected_with_the_name_of_the_field(body, named):
@@ -312,12 +314,14 @@
         "platform.address=10.0.0.9:1\ncontracts=base,sched\n"
         "limits.cpu_share=0.5\nlimits.cpu_cores=3\nlimits.link_mbps=5\n"
         "bounds.drain_ms=2500\nbounds.enforce_fencing=false\nnew.field=1\n"
+        "platform.row_bytes=32768\n"
     )
     read = settings.load(file)
     assert read.internal_address == "10.0.0.1:7060"
     assert read.contracts == ("base", "sched")
     assert (read.cores, read.link_mbps) == (1.5, 5.0)
     assert read.bounds.drain_s == 2.5
+    assert read.bounds.max_row_bytes == 32_768
     assert not read.bounds.fenced
 
 
