Let a job keep the attempts of a queue that is dropped

Cause: the queue of a job is looked up in the newest configuration, and a missing one counted as one attempt.

Change: a job's row holds max_attempts as its queue said when it was accepted; it decides while the queue is not configured. Queues that are removed are kept for their jobs during the term: order, objective, advice, pool. On a related path, steps of a removed queue with advice were started without a ticket and refused.

Ruled out: to keep removed queues in the owner's memory alone (a new owner doesn't know them).

--- a/src/vanillaswitch/coordination/fleet/admission/backlog.py
+++ b/src/vanillaswitch/coordination/fleet/admission/backlog.py
@@ -178,7 +178,7 @@
                 step.long_running or step.fills for step in entry.job.steps
             ):
                 continue
-            queue = self._state.queues.get(entry.job.queue)
+            queue = self._state.queue_of(entry)
             group = queue_order.classify(first, queue, plan_time)
             priority = queue.priority if queue else 0
             work, open_cpu = _undone(entry)
--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -241,8 +241,7 @@
         name = task.name
         step = entry.open_steps_by_key[name.occurrence, name.step]
         self._suspend_if_failing(instance, entry.job.job_id, now)
-        queue = self.queues.get(entry.job.queue)
-        max_failures = queue.max_attempts if queue else 1
+        max_failures = self.max_attempts_of(entry)
         if not step.step.long_running and step.failure_count >= max_failures:
             cause = (
                 f"a task {end.outcome} {step.failure_count} times, "
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -113,6 +113,7 @@
         self.tracker = job_tracker.JobTracker()
         self.instances: dict[str, instance_state.Instance] = {}
         self.queues: Mapping[str, fleet.Queue] = {}
+        self._removed_queues: dict[str, fleet.Queue] = {}
         self.pools: Mapping[str, fleet.Pool] = {}
         self.accounts = account_lib.AccountDirectory()
         self.account_usage = limits.AccountUsage()
@@ -164,7 +165,13 @@
 
     def apply_config(self, config: fleet.FleetConfig) -> None:
         """Applies a configuration."""
+        former = self._removed_queues | dict(self.queues)
         self.queues = {queue.name: queue for queue in config.queues}
+        self._removed_queues = {
+            name: queue
+            for name, queue in former.items()
+            if name not in self.queues
+        }
         self.pools = config.pools
         self.accounts = config.accounts
         self._needs_plan = True
@@ -313,9 +320,26 @@
             )
         )
 
+    def queue_of(self, entry: job_tracker.JobEntry) -> fleet.Queue | None:
+        """Returns the queue of a job, also if it was removed in this term.
+
+        An accepted job ends under the terms of its queue, whatever is removed
+        meanwhile. None if this owner never knew the queue.
+        """
+        name = entry.job.queue
+        return self.queues.get(name) or self._removed_queues.get(name)
+
+    def max_attempts_of(self, entry: job_tracker.JobEntry) -> int:
+        """Returns how many failed runs of one task fail a job."""
+        configured = self.queues.get(entry.job.queue)
+        if configured is None and entry.job.max_attempts:
+            return entry.job.max_attempts
+        queue = self.queue_of(entry)
+        return queue.max_attempts if queue else 1
+
     def pool_name_of(self, entry: job_tracker.JobEntry) -> str:
         """Returns the name of the pool that a job's tasks run in."""
-        queue = self.queues.get(entry.job.queue)
+        queue = self.queue_of(entry)
         return queue.service if queue else entry.job.service
 
     def pool_instances(self, service: str) -> list[instance_state.Instance]:
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
@@ -25,6 +25,7 @@
 _SPEC = "spec"
 _DIGEST = "spec_digest"
 _ACCOUNT = "account"
+_MAX_ATTEMPTS = "max_attempts"
 
 
 @functools.cache
@@ -52,6 +53,8 @@
         del document[_DIGEST]
     if not job.account:
         del document[_ACCOUNT]
+    if not job.max_attempts:
+        del document[_MAX_ATTEMPTS]
     defaults = _step_defaults()
     document["steps"] = [
         {
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -93,7 +93,7 @@
         def key(
             step: job_tracker.OpenStep,
         ) -> tuple[queue_order.Key, float]:
-            queue = self.queues.get(step.entry.job.queue)
+            queue = self.queue_of(step.entry)
             return (
                 self._queue_order(step, queue, plan_time),
                 step.entry.received_at,
@@ -264,7 +264,7 @@
         decided = queue_order.PlanTime(
             latest.now - elapsed_s, latest.wall_ms - elapsed_s * 1000
         )
-        queue = self.queues.get(step.entry.job.queue)
+        queue = self.queue_of(step.entry)
         return queue_order.classify(step, queue, decided)
 
     def reserved_instances(self) -> set[str]:
@@ -673,7 +673,7 @@
 
         No ticket is valid if the result is empty.
         """
-        queue = self.queues.get(step.entry.job.queue)
+        queue = self.queue_of(step.entry)
         if queue is None or queue.advice is None:
             return None
         return self.tickets.usable(step.key, now)
@@ -725,7 +725,7 @@
         """Returns the advisor of a step whose tasks need only tickets."""
         if step.entry.spec is None:
             return None
-        queue = self.queues.get(step.entry.job.queue)
+        queue = self.queue_of(step.entry)
         return queue.advice if queue else None
 
     def _forget_ended_steps(self, now: float) -> None:
@@ -782,7 +782,7 @@
         """Sums up what steps need, by group of urgency."""
         sums: dict[queue_order.Group, int] = {}
         for step, cpu in needs:
-            queue = self.queues.get(step.entry.job.queue)
+            queue = self.queue_of(step.entry)
             group = queue_order.classify(step, queue, plan_time)
             sums[group] = sums.get(group, 0) + cpu
         return sums
--- a/src/vanillaswitch/platform/job_request_handler.py
+++ b/src/vanillaswitch/platform/job_request_handler.py
@@ -166,6 +166,7 @@
                 self._submitted_ms(incoming),
                 int(self._clock.wall() * 1000),
                 account,
+                queue.max_attempts,
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
