Reserve room in a wide job's row for the names of its instances

Cause, found when the change was read again: the room of a started task in a compact row did not hold the name of its instance where each task is alone on one. On a fleet of hundreds of instances such a row would have outgrown its limit, and its job would have failed.

Change: 64 instead of 48 bytes a task, so some 560 tasks of one job are under way at once. A job that has ended is not failed again for its row. The reset of a proven task stands where it is needed; a constant stands with its like.

--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -177,8 +177,8 @@
         instance.suspension_count = 0
         name = task.name
         step = entry.open_steps_by_key[name.occurrence, name.step]
-        step.has_proven_task = True
         if step.step.long_running:
+            step.has_proven_task = True
             # It has to run until its job is cancelled, whatever the outcome of
             # a run.
             self._requeue_after(entry, task, run, instance, "")
--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -203,7 +203,7 @@
             Whether the job failed. Its document is small then.
         """
         limit = self._max_document_bytes
-        if entry.max_document_bytes <= limit // 2:
+        if entry.ended is not None or entry.max_document_bytes <= limit // 2:
             return False
         size = len(json.dumps(document, separators=(",", ":")))
         if size <= limit - wide_progress.PLAIN_FIXED_BYTES:
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -20,13 +20,12 @@
 from vanillaswitch.state import deployment as deployments
 
 DEFAULT_BOUNDS = deployments.Bounds()
+NO_OVERLOAD_CONTROLS = deployments.OverloadControls()
 
 MAX_BATCH_DOCUMENT_BYTES = 600_000
 """Limit on the documents of one transaction, in bytes of JSON. The store takes
 calls of 1 MB, and base64 and addresses add two fifths."""
 
-NO_OVERLOAD_CONTROLS = deployments.OverloadControls()
-
 
 @dataclasses.dataclass(frozen=True)
 class StartOrder:
--- a/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
+++ b/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
@@ -25,12 +25,13 @@
 """State of a task that is done, as in ``job_tracker.TaskState``."""
 
 FIXED_BYTES = 2048
-"""What a compact document holds besides its tasks: the instances that it names
-and the token of its transaction."""
+"""What a compact document holds besides its tasks, and the token of its
+transaction."""
 
-TASK_BYTES = 48
+TASK_BYTES = 64
 """Largest usual size of a started task in a compact document, without its
-checkpoint."""
+checkpoint: its row, and the name of its instance if it is the only task
+there."""
 
 PLAIN_FIXED_BYTES = 256
 PLAIN_TASK_BYTES = 128
--- a/tests/failures/test_wide_jobs.py
+++ b/tests/failures/test_wide_jobs.py
@@ -103,6 +103,19 @@
         )
 
 
+def test_the_progress_fits_where_each_task_is_alone_on_its_instance():
+    """Guards against rows that are too large on fleets of many instances."""
+    entry = job_tracker.JobEntry(_wide_job(), 0.0)
+    (step,) = entry.open_due_steps(0.0)
+    count = entry.fresh_start_count(_ROW_BYTES * 3 // 4)
+    for task in step.tasks[-count:]:
+        task.run, task.checkpoint = 12, _CHECKPOINT
+        task.state = job_tracker.TaskState.ASSIGNED
+        task.instance = f"i-{task.name.index:010x}"
+        task.born_ms = 1_782_052_189_646
+    _assert_fits(entry)
+
+
 def test_the_crashes_of_a_wide_job_are_read_back():
     entry = job_tracker.JobEntry(_wide_job(count=400), 0.0)
     (step,) = entry.open_due_steps(0.0)
