--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -331,8 +331,8 @@
     def max_attempts_of(self, entry: job_tracker.JobEntry) -> int:
         """Returns how many failed runs of one task fail a job."""
         configured = self.queues.get(entry.job.queue)
-        if configured is None and entry.job.max_attempts:
-            return entry.job.max_attempts
+        if configured is None and entry.job.attempt_limit:
+            return entry.job.attempt_limit
         queue = self.queue_of(entry)
         return queue.max_attempts if queue else 1
 
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
@@ -25,7 +25,7 @@
 _SPEC = "spec"
 _DIGEST = "spec_digest"
 _ACCOUNT = "account"
-_MAX_ATTEMPTS = "max_attempts"
+_ATTEMPT_LIMIT = "attempt_limit"
 
 
 @functools.cache
@@ -53,8 +53,8 @@
         del document[_DIGEST]
     if not job.account:
         del document[_ACCOUNT]
-    if not job.max_attempts:
-        del document[_MAX_ATTEMPTS]
+    if not job.attempt_limit:
+        del document[_ATTEMPT_LIMIT]
     defaults = _step_defaults()
     document["steps"] = [
         {
--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -58,7 +58,7 @@
     submitted_ms: int,
     submitted_wall_ms: float = 0,
     account: str = "",
-    max_attempts: int = 0,
+    attempt_limit: int = 0,
 ) -> jobs.Job:
     """Decodes a job that a client submits.
 
@@ -70,7 +70,7 @@
         submitted_ms: see ``jobs.Job``.
         submitted_wall_ms: see ``jobs.Job``.
         account: see ``jobs.Job``.
-        max_attempts: see ``jobs.Job``.
+        attempt_limit: see ``jobs.Job``.
 
     Raises:
         BadJobError: a field is unknown, missing or out of range.
@@ -108,7 +108,7 @@
         interval_ms=_get_number(raw, "interval_ms", "the job"),
         submitted_wall_ms=submitted_wall_ms,
         account=account,
-        max_attempts=max_attempts,
+        attempt_limit=attempt_limit,
     )
 
 
--- a/src/vanillaswitch/protocol/jobs.py
+++ b/src/vanillaswitch/protocol/jobs.py
@@ -101,7 +101,7 @@
         spec_digest: digest of a spec that is stored in a separate row and is
             not in ``spec``; empty if ``spec`` holds it.
         account: client account that submitted it; empty for a public queue.
-        max_attempts: number of failed runs of one task that fails the job, as
+        attempt_limit: number of failed runs of one task that fails the job, as
             its queue said when it was submitted; 0 if unknown. Used if the
             queue is removed.
     """
@@ -118,7 +118,7 @@
     submitted_wall_ms: float = 0
     spec_digest: str = ""
     account: str = ""
-    max_attempts: int = 0
+    attempt_limit: int = 0
 
     def is_visible_to(self, account: str) -> bool:
         """Whether a client account may see and cancel the job."""
--- a/tests/failures/test_dropped_queues.py
+++ b/tests/failures/test_dropped_queues.py
@@ -52,7 +52,7 @@
     """Guards against the same where the owner never knew the queue."""
     body = b'{"steps":[{"count":1,"cpu":1000}]}'
     job = job_body.parse_job(
-        body, "ab" * 8, "quotes", "berthing", 0, max_attempts=_ATTEMPTS
+        body, "ab" * 8, "quotes", "berthing", 0, attempt_limit=_ATTEMPTS
     )
     read = job_rows.row_to_job(job_rows.job_to_row(job))
     assert read == job
@@ -64,7 +64,7 @@
 
 
 def test_a_queue_that_is_back_decides_again():
-    scheduler = _running(max_attempts=_ATTEMPTS)
+    scheduler = _running(attempt_limit=_ATTEMPTS)
     scheduler.apply_config(_without_queues())
     scheduler.apply_config(fleet_builders.config(attempts=2))
     assert _fail_runs(scheduler, _ATTEMPTS) == 2
@@ -72,7 +72,7 @@
 
 def test_the_row_of_a_job_without_known_attempts_reads_as_before():
     job = fleet_builders.job()
-    assert "max_attempts" not in job_rows.job_to_row(job)
+    assert "attempt_limit" not in job_rows.job_to_row(job)
     assert job_rows.row_to_job(job_rows.job_to_row(job)) == job
 
 
