--- a/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
+++ b/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
@@ -67,7 +67,12 @@
 def encode(tasks: Iterable[StartedTask]) -> dict[str, Any]:
     """Returns started tasks in the compact form.
 
-    Of a task that is done only that is kept.
+    Returns:
+        "done": rows of occurrence, step and a hexadecimal number with a bit for
+        each index that is done; nothing else of these tasks is kept. "places":
+        rows of an instance and its boot time. "tasks": rows of occurrence,
+        step, index, state, run and number of the place, and, where one of them
+        is not empty, failed runs, checkpoint and crashes.
     """
     places: dict[tuple[str, int | None], int] = {}
     done: dict[tuple[int, int], int] = {}
@@ -95,6 +100,7 @@
         bits = int(digits, 16)
         for index in range(bits.bit_length()):
             if bits >> index & 1:
+                # Which of its runs did it is not kept: it never starts again.
                 yield StartedTask(occurrence, step, index, DONE, 1)
     places = document["places"]
     for occurrence, step, index, state, run, place, *rest in document["tasks"]:
