--- a/review/platform2/platform2.py
+++ b/review/platform2/platform2.py
@@ -980,10 +980,13 @@
         play: plays it; returns in what the rule was broken.
     """
     record = Record(folder / "record.txt")
+    # A script that is told to stop still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         breaks = play(record)
-    except CannotRunError as error:
-        record.write(f"the case could not run: {error}")
+    except Exception as error:
+        # Whatever fails in the script itself shows nothing about the rule.
+        record.write(f"the case could not run: {error!r}")
         sys.exit(2)
     for one in breaks:
         record.write(f"broken: {one}")
