Measure for how long a process blocks its event loop, and report slow plans

A slow restore, a slow plan, a slow write of a large row and a slow processor look alike: late timers.

Change: each process traces the switches of its greenlets and reports the longest time without one (`event-loop-blocked`: function, time by the clock and on the processor), and an owner reports a plan that takes a quarter of the renewal interval, with the job that has the most open steps (`slow-plan`).

Ruled out by the lines: restoring, writing, and a processor that others use.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -621,6 +621,42 @@
     received_kb: int
 
 
+@dataclasses.dataclass(frozen=True)
+class EventLoopBlocked:
+    """A greenlet ran for long without letting others run.
+
+    Meanwhile the process answered no request and renewed no lease.
+
+    Attributes:
+        function: name of the function that the greenlet runs.
+        blocked_ms: time in which nothing else ran.
+        processor_ms: processor time that it used of that.
+    """
+
+    function: str
+    blocked_ms: int
+    processor_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SlowPlan:
+    """The owner took long to plan which tasks start where.
+
+    Attributes:
+        took_ms: duration of the plan.
+        jobs: number of jobs that have not ended.
+        open_steps: number of their steps whose tasks may run.
+        largest_job: the job with the most of these steps.
+        largest_job_steps: how many it has.
+    """
+
+    took_ms: int
+    jobs: int
+    open_steps: int
+    largest_job: str
+    largest_job_steps: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Process:
     """The process started, reloaded its settings, or is stopping."""
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -62,6 +62,9 @@
 more than 100 ms on 0.12 of a core. Without pauses, planning left no time for
 starts and lease renewals, and the owner lost the fleet."""
 
+SLOW_PLAN_S = owner_monitor.RENEW_INTERVAL_S / 4
+"""A plan that takes longer is reported."""
+
 MEASUREMENT_PAUSE_FACTOR = 9.0
 """Pause after a measurement of the load, as a multiple of its duration, so that
 it takes at most a tenth of the owner's time. A measurement visits all
@@ -444,10 +447,28 @@
                 self._ticket_refresher.update_requests()
             self._send_stops()
             duration_s = self._clock.monotonic() - now
+            if duration_s >= SLOW_PLAN_S:
+                self._emit_slow_plan(duration_s)
             self._clock.sleep(
                 max(BATCH_WINDOW_S, PLAN_PAUSE_FACTOR * duration_s)
             )
 
+    def _emit_slow_plan(self, duration_s: float) -> None:
+        counts = {
+            job_id: len(entry.open_steps_by_key)
+            for job_id, entry in self._scheduler.tracker.unfinished.items()
+        }
+        largest = max(counts, key=counts.__getitem__, default="")
+        self._emit(
+            events.SlowPlan(
+                int(duration_s * 1000),
+                len(counts),
+                sum(counts.values()),
+                largest,
+                counts.get(largest, 0),
+            )
+        )
+
     def _run_periodic_checks(self, now: float) -> None:
         """Runs the checks for conditions that come about by time alone."""
         self._refresh_config()
--- a/src/vanillaswitch/wiring/edge.py
+++ b/src/vanillaswitch/wiring/edge.py
@@ -28,10 +28,12 @@
 from vanillaswitch.coordination.fleet.ownership import (
     owner_candidate as candidates,
 )
+from vanillaswitch.coordination.fleet.ownership import owner_monitor
 from vanillaswitch.coordination.fleet.ownership import owner_rpc
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.internal import ids
 from vanillaswitch.internal import logs
+from vanillaswitch.internal import loop_blocking
 from vanillaswitch.internal import metrics
 from vanillaswitch.internal import supervision
 from vanillaswitch.internal import usage
@@ -78,6 +80,10 @@
 BUSY_BYTES_PER_S = 50_000
 """As is one that moves so much: a fifth of a link of 2 Mbit/s."""
 
+REPORT_BLOCKING_S = owner_monitor.RENEW_INTERVAL_S / 8
+"""A greenlet that blocks the event loop for so long is reported. A lease is
+renewed several times as seldom, so none is late because of one such time."""
+
 _KB = 1000
 _MS = 1000
 
@@ -239,6 +245,8 @@
     state = _State()
     with contextlib.ExitStack() as stack:
         meter = usage.Meter(clock.monotonic())
+        blocking = loop_blocking.BlockingMonitor()
+        stack.enter_context(blocking.running())
         client = stack.enter_context(plain_http.open_client(clock, meter))
         shared = reference_clock.ReferenceClock(clock)
         store = http_table.HttpTable(
@@ -323,7 +331,7 @@
             supervision.running(
                 follower.run,
                 member.run,
-                functools.partial(_flush, clock, meter, told.emit),
+                functools.partial(_flush, clock, meter, blocking, told.emit),
             )
         )
         ready = functools.partial(_ready, state, view, member, clock)
@@ -380,7 +388,10 @@
 
 
 def _flush(
-    clock: clocks.Clock, meter: usage.Meter, emit: Callable[[object], None]
+    clock: clocks.Clock,
+    meter: usage.Meter,
+    blocking: loop_blocking.BlockingMonitor,
+    emit: Callable[[object], None],
 ) -> None:
     """Writes gathered lines for good, and tells what a busy process uses."""
     while True:
@@ -388,11 +399,26 @@
         clock.sleep(FLUSH_S)
         now = clock.monotonic()
         meter.woken(now - due)
+        _tell_blocking(blocking.take(), emit)
         if meter.seconds(now) >= USAGE_S:
             _tell_usage(meter.take(now), emit)
         logs.flush()
 
 
+def _tell_blocking(
+    longest: loop_blocking.Blocking | None, emit: Callable[[object], None]
+) -> None:
+    if longest is None or longest.wall_s < REPORT_BLOCKING_S:
+        return
+    emit(
+        events.EventLoopBlocked(
+            longest.function,
+            int(longest.wall_s * _MS),
+            int(longest.processor_s * _MS),
+        )
+    )
+
+
 def _tell_usage(period: usage.Period, emit: Callable[[object], None]) -> None:
     moved = period.sent_bytes + period.received_bytes
     late = period.late_s >= BUSY_LATE_S
