Place tasks beside a job whose row is full

Callers saw: jobs that wait for seconds although instances are free, while one wide job runs that comes before them in the queue's order.

Cause: once a task of a step fits on no instance, a plan skips all steps that need as much. A step whose job has no room left in its row was taken for such a step: the attempt to place it says only that nothing was placed. So the demand of a wide job of tiny tasks hid nearly all other steps from the plan.

Change: an attempt says whether capacity was missing or something else, and only missing capacity hides other steps.

The test has 5,000 tasks of 0.01 cores whose row is full and one job behind them; without the change nothing starts.

--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import enum
 import itertools
 import math
 import operator
@@ -39,6 +40,21 @@
 _order_and_tie = operator.itemgetter(0, 1)
 
 
+class _Attempt(enum.Enum):
+    """What came of an attempt to place tasks of a step.
+
+    Attributes:
+        PLACED: some were assigned.
+        NO_CAPACITY: none fits on any instance.
+        HELD_BACK: something else than capacity is missing, such as a ticket or
+            room in the job's row.
+    """
+
+    PLACED = enum.auto()
+    NO_CAPACITY = enum.auto()
+    HELD_BACK = enum.auto()
+
+
 class Planning(order_outcomes.OrderOutcomes):
     """Decides which tasks start on which instances."""
 
@@ -362,10 +378,12 @@
                 if step.step.gang:
                     suspect_limit = suspect_placement.SuspectLimit(pool)
             if max_free.may_fit(step.demand) and step.startable_tasks:
-                if self._place(step, instances, now):
+                attempt = self._place(step, instances, now)
+                if attempt is _Attempt.PLACED:
                     max_free.update(instances)
                 elif (
-                    placement.is_unrestricted(step.step)
+                    attempt is _Attempt.NO_CAPACITY
+                    and placement.is_unrestricted(step.step)
                     and account not in held_up
                     and self.tickets_for(step, now) is None
                 ):
@@ -523,7 +541,7 @@
         now: float,
         *,
         isolated: bool = False,
-    ) -> bool:
+    ) -> _Attempt:
         """Assigns tasks of a step.
 
         Args:
@@ -531,26 +549,27 @@
             instances: the instances to choose from.
             now: monotonic seconds.
             isolated: whether to start a gang in isolation.
-
-        Returns:
-            Whether any task was assigned.
         """
         tickets = self.tickets_for(step, now)
         if tickets is not None and not tickets:
-            return False
+            return _Attempt.HELD_BACK
         candidates = placement.eligible_instances(step, instances, tickets)
         max_tasks = self._startable_count(step, step.step.count)
-        if not candidates or not max_tasks:
-            return False
+        if not max_tasks:
+            return _Attempt.HELD_BACK
+        if not candidates:
+            return _Attempt.NO_CAPACITY
         chosen = (
             placement.place_gang(step, candidates)
             if isolated
             else placement.choose_instances(step, candidates, max_tasks)
         )
+        if not chosen:
+            return _Attempt.NO_CAPACITY
         if step.entry.is_wide and not step.step.gang:
             chosen = self._within_document(step, chosen)
         if not chosen:
-            return False
+            return _Attempt.HELD_BACK
         highest = max(task.run for task, _ in chosen)
         for task, instance in chosen:
             run = highest + 1 if step.step.gang else task.run + 1
@@ -560,7 +579,7 @@
             )
         step.entry.was_assigned = True
         self.tracker.mark_dirty(step.entry)
-        return True
+        return _Attempt.PLACED
 
     def _within_document(
         self, step: job_tracker.OpenStep, chosen: placement.Assignments
--- a/tests/failures/test_wide_jobs.py
+++ b/tests/failures/test_wide_jobs.py
@@ -265,3 +265,17 @@
     tracker.mark_dirty(entry)
     assert tracker.take_dirty(45, max_bytes=1) == [entry]
     assert term_state.MAX_BATCH_DOCUMENT_BYTES < _CALL_BYTES
+
+
+def test_a_job_whose_row_is_full_does_not_hold_up_others():
+    """Guards against one wide job behind which no other job starts."""
+    scheduler = _scheduler()
+    fleet_builders.add_instances(scheduler, *_NAMES)
+    slow = jobs.Step(count=5_000, cpu=10, estimate_ms=10_000)
+    scheduler.add_job(fleet_builders.job(1, (slow,)), 0.0)
+    while fleet_builders.plan_batch(scheduler).starts:
+        pass
+    small = fleet_builders.job(2, (jobs.Step(count=2, cpu=100),))
+    scheduler.add_job(small, 0.9)
+    starts = fleet_builders.plan_batch(scheduler).starts
+    assert {start.task.job_id for start in starts} == {small.job_id}
