--- a/soak/clients.py
+++ b/soak/clients.py
@@ -62,8 +62,11 @@
 )
 """Steps of jobs that recur every second and have not run for a day."""
 
-FIRST_RECURRING = 0xA000_0000_0000_0000
-"""Ids of these jobs count from here."""
+WIDE = {"spec": "w", "steps": [{"count": 10_000, "cpu": 2000}]}
+"""A job with as many tasks as a job may have."""
+
+FIRST_LONG = 0xA000_0000_0000_0000
+"""Ids of recurring and wide jobs count from here."""
 
 
 Submit = Callable[
@@ -168,18 +171,22 @@
     hand_in(client, world, record, CRASHING)
 
 
-def hand_in_recurring(
-    client: plain_http.PlainClient, world: worlds.World
-) -> promise_lib.JobRecord:
-    """Hands in a job of which many times are due, until it is answered."""
-    job_id = f"{FIRST_RECURRING + len(world.promises.records):016x}"
-    body = {
+def recurring_body(world: worlds.World) -> dict[str, object]:
+    """Returns a job of which many times are due."""
+    return {
         "spec": "r",
         "steps": world.random.choice(RECURRING),
         "repeat_count": DUE_TIMES,
         "first_run_ms": time.time() * 1000 - DUE_TIMES * INTERVAL_MS,
         "interval_ms": INTERVAL_MS,
     }
+
+
+def hand_in_long(
+    client: plain_http.PlainClient, world: worlds.World, body: object
+) -> promise_lib.JobRecord:
+    """Hands in a job that does not end in time, until it is answered."""
+    job_id = f"{FIRST_LONG + len(world.promises.records):016x}"
     account = world.account_of(job_id)
     record = promise_lib.JobRecord(parse(body, job_id, account))
     world.promises.records[job_id] = record
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import signal
 from typing import Any
 
@@ -45,6 +46,9 @@
 CANCEL_PAUSE_S = 0.5
 """Pause before a cancel that was not confirmed is sent again."""
 
+WIDE_JOBS = 12
+"""Jobs with thousands of tasks that come together."""
+
 RESTART_S = 0.3
 """Pause before a process that ended is started again."""
 
@@ -294,14 +298,26 @@
 
 @BACKLOG_FAULTS.register("recurring-jobs")
 def recurring_jobs(world: worlds.World, seconds: float) -> None:
-    """Jobs come that have been due for long; they are cancelled afterwards."""
+    """Jobs come that have been due for long."""
+    bodies = [clients.recurring_body(world) for _ in range(SERIES)]
+    _submit_and_cancel(world, bodies, seconds)
+
+
+@BACKLOG_FAULTS.register("wide-jobs")
+def wide_jobs(world: worlds.World, seconds: float) -> None:
+    """Jobs with thousands of tasks come together."""
+    _submit_and_cancel(world, [clients.WIDE] * WIDE_JOBS, seconds)
+
+
+def _submit_and_cancel(
+    world: worlds.World, bodies: Sequence[object], seconds: float
+) -> None:
+    """Submits jobs that do not end in time, and cancels them afterwards."""
     with plain_http.open_client(clocks.SystemClock()) as client:
-        records = [
-            clients.hand_in_recurring(client, world) for _ in range(SERIES)
-        ]
+        records = [clients.hand_in_long(client, world, body) for body in bodies]
         gevent.sleep(seconds)
         for record in records:
-            if record.accepted_at is None:
+            if record.accepted_at is None and not record.unknown:
                 continue
             record.cancel_sent = True
             until = world.promises.now + LEASE_S
--- a/src/vanillaswitch/coordination/fleet/admission/backlog.py
+++ b/src/vanillaswitch/coordination/fleet/admission/backlog.py
@@ -17,6 +17,7 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import peers
@@ -121,15 +122,22 @@
         """Monotonic seconds of the last measurement; None before it."""
         return self._measured_at
 
-    def measure(self, now: float, wall_ms: float) -> None:
+    def measure(
+        self,
+        now: float,
+        wall_ms: float,
+        pause: planning.Pause = planning.no_pause,
+    ) -> None:
         """Measures ``pools`` and ``accounts`` anew.
 
         Args:
             now: monotonic seconds.
             wall_ms: time of day in milliseconds since 1970.
+            pause: called between two jobs; see ``Planning.plan``.
         """
         uses = self._measure_instances()
-        left = self._measure_jobs(uses, queue_order.PlanTime(now, wall_ms))
+        plan_time = queue_order.PlanTime(now, wall_ms)
+        left = self._measure_jobs(uses, plan_time, pause)
         self._record_progress(uses, left, now)
         found = []
         machines = self._machines()
@@ -163,11 +171,15 @@
         return uses
 
     def _measure_jobs(
-        self, uses: Mapping[str, _PoolUse], plan_time: queue_order.PlanTime
+        self,
+        uses: Mapping[str, _PoolUse],
+        plan_time: queue_order.PlanTime,
+        pause: planning.Pause,
     ) -> dict[str, tuple[str, float]]:
         """Adds the work of the unfinished jobs; returns it by job."""
         left: dict[str, tuple[str, float]] = {}
-        for entry in self._state.tracker.unfinished.values():
+        for entry in list(self._state.tracker.unfinished.values()):
+            pause()
             pool = self._state.pool_name_of(entry)
             use = uses.get(pool)
             if use is None or entry.job.repeat_count:
@@ -319,15 +331,8 @@
             if open_step is not None:
                 open_cpu += step.count * step.cpu
             continue
-        tasks = 0.0
-        undone = 0
-        for task in open_step.tasks:
-            if task.state is job_tracker.TaskState.WAITING:
-                tasks += 1.0
-                undone += 1
-            elif task.state is job_tracker.TaskState.ASSIGNED:
-                tasks += 0.5
-                undone += 1
+        undone = step.count - open_step.counts.done
+        tasks = (undone + open_step.waiting_count) / 2
         work += tasks * step.cpu * entry.expected_ms(number)
         open_cpu += undone * step.cpu
     return work, open_cpu
--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -230,7 +230,7 @@
             if step.has_crashed
         ]
         for step in crashed:
-            for task in step.tasks:
+            for task in step.opened_tasks:
                 if entry.ended is None:
                     self._fail_if_crashing(entry, task, now)
 
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -29,7 +29,7 @@
         unregistered = []
         for entry in self.tracker.unfinished.values():
             for step in entry.open_steps_by_key.values():
-                for task in step.tasks:
+                for task in step.opened_tasks:
                     if task.state is job_tracker.TaskState.ASSIGNED:
                         name = task.instance
                         if name not in self.instances:
@@ -53,7 +53,7 @@
         orders with a lower fencing token than this owner's.
         """
         for step in entry.open_steps_by_key.values():
-            for task in step.tasks:
+            for task in step.opened_tasks:
                 if task.state is job_tracker.TaskState.ASSIGNED:
                     self._recover_late_task(step, task, now, lease_expires_at)
         for instance in self.instances.values():
--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -74,7 +74,12 @@
         else:
             self._judge_share_now(entry)
 
-    def plan(self, now: float, wall_ms: float) -> None:
+    def plan(
+        self,
+        now: float,
+        wall_ms: float,
+        pause: planning.Pause = planning.no_pause,
+    ) -> None:
         """Assigns waiting tasks; see ``Planning.plan``."""
         for entry in sorted(
             self._unjudged,
@@ -82,7 +87,7 @@
         ):
             self._judge_share_now(entry)
         self._unjudged.clear()
-        super().plan(now, wall_ms)
+        super().plan(now, wall_ms, pause)
 
     def _judge_share_now(self, entry: job_tracker.JobEntry) -> None:
         account = self.accounts.by_name.get(entry.job.account)
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -226,7 +226,7 @@
         open_step = entry.open_steps_by_key[
             run_status.task.occurrence, run_status.task.step
         ]
-        step, task = open_step.step, open_step.tasks[run_status.task.index]
+        step, task = open_step.step, open_step.task(run_status.task.index)
         task.state = job_tracker.TaskState.ASSIGNED
         task.instance = instance.name
         task.remove_crash(run_status.run)
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -360,7 +360,7 @@
         """Marks a job as started: one of its tasks runs or has run."""
         entry = self.tracker.get(job_id)
         if entry is not None:
-            entry.has_started = True
+            self.tracker.mark_started(entry)
 
     def _find_run(
         self, instance: str, key: instance_state.RunKey
--- a/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
+++ b/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
@@ -15,6 +15,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import advice_calls
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
+from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.protocol import fleet
@@ -55,14 +56,20 @@
         self._calls = advice_calls.AdviceCalls()
         self._wake = gevent.event.Event()
 
-    def update_requests(self) -> None:
-        """Finds out which tickets the waiting steps need after a plan."""
+    def update_requests(self, pause: planning.Pause) -> None:
+        """Finds out which tickets the waiting steps need after a plan.
+
+        Args:
+            pause: see ``Planning.plan``.
+        """
         if not any(queue.advice for queue in self._scheduler.queues.values()):
             self._calls.update_requests(())
             return
         now = self._clock.monotonic()
         plan_time = queue_order.PlanTime(now, self._wall_ms())
-        self._calls.update_requests(self._scheduler.missing_tickets(plan_time))
+        self._calls.update_requests(
+            self._scheduler.missing_tickets(plan_time, pause)
+        )
         if self._calls.has_requests:
             self._wake.set()
 
--- a/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -17,14 +17,11 @@
 from vanillaswitch.coordination.fleet.ownership import spec_table
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import time_slices
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import unusable
 
-RESTORE_BATCH = 50
-"""Jobs restored before other greenlets may run. They take some 10 ms on half a
-core, during which the lease can't be renewed."""
-
 
 class JobTables:
     """Adds jobs and cancellations to the scheduler during one term."""
@@ -98,10 +95,11 @@
             for row in progress_snapshot.rows
             if row.value is not None or row.read_error
         }
-        for number, row in enumerate(job_snapshot.rows, 1):
+        slices = time_slices.TimeSlices(self._clock)
+        for row in job_snapshot.rows:
             self._restore(row, rows.pop(row.key, None), now)
-            if number % RESTORE_BATCH == 0:
-                self._clock.sleep(0)
+            # The lease is renewed meanwhile.
+            slices.pause()
         self._progress_without_job = rows
         self._jobs.resume_from(job_snapshot)
         self._specs.resume_from(job_snapshot.version)
@@ -222,8 +220,10 @@
         }
 
     def _on_jobs(self, changes: Iterable[change_feeds.RowChange]) -> None:
-        now = self._clock.monotonic()
+        slices = time_slices.TimeSlices(self._clock)
         for change in changes:
+            slices.pause()
+            now = self._clock.monotonic()
             if change.value is None and not change.read_error:
                 continue
             job = self._decode_job(change)
@@ -261,8 +261,10 @@
             self._quarantine_unusable_progress(progress, problem.reason)
 
     def _on_cancels(self, changes: Iterable[change_feeds.RowChange]) -> None:
-        now = self._clock.monotonic()
+        slices = time_slices.TimeSlices(self._clock)
         for change in changes:
+            slices.pause()
+            now = self._clock.monotonic()
             # The content is not needed. Even if it was overwritten, the
             # cancellation was confirmed to the client.
             if change.value is not None or change.read_error:
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -37,6 +37,7 @@
 from vanillaswitch.coordination.fleet.queue import pacing
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import clock as clocks
+from vanillaswitch.internal import time_slices
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -407,9 +408,11 @@
     def _run_load_measurement(self, meter: backlog.BacklogMeter) -> None:
         """Measures the load of the pools until the term ends."""
         while not self._writer.is_term_over and not self._is_finishing:
+            slices = time_slices.TimeSlices(self._clock)
             now = self._clock.monotonic()
-            meter.measure(now, self._dependencies.time.wall_now_ms)
-            duration_s = self._clock.monotonic() - now
+            wall_ms = self._dependencies.time.wall_now_ms
+            meter.measure(now, wall_ms, slices.pause)
+            duration_s = slices.busy_s
             self._clock.sleep(
                 max(
                     load_reports.REFRESH_AFTER_S,
@@ -437,18 +440,20 @@
         while not self._writer.is_term_over and not self._is_finishing:
             self._replan_event.wait(TICK_S)
             self._replan_event.clear()
+            slices = time_slices.TimeSlices(self._clock)
             now = self._clock.monotonic()
             is_check_due = now - checked_at >= TICK_S
             if is_check_due:
                 checked_at = now
                 self._run_periodic_checks(now)
             if is_check_due or self._scheduler.needs_plan:
-                self._scheduler.plan(now, self._dependencies.time.wall_now_ms)
-                self._ticket_refresher.update_requests()
+                wall_ms = self._dependencies.time.wall_now_ms
+                self._scheduler.plan(now, wall_ms, slices.pause)
+                self._ticket_refresher.update_requests(slices.pause)
                 if self._scheduler.has_more_due:
                     self._replan_event.set()
             self._send_stops()
-            duration_s = self._clock.monotonic() - now
+            duration_s = slices.busy_s
             if duration_s >= SLOW_PLAN_S:
                 self._emit_slow_plan(duration_s)
             self._clock.sleep(
--- a/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
+++ b/src/vanillaswitch/coordination/fleet/queue/job_tracker.py
@@ -32,8 +32,8 @@
 """Limit on the steps of a job's open occurrences, done ones included. A row of
 the store holds the progress of so many."""
 
-MAX_OPEN_TASKS = 40_000
-"""The same for their tasks: four occurrences of the largest job that is
+MAX_OPEN_TASKS = 20_000
+"""The same for their tasks: two occurrences of the largest job that is
 accepted."""
 
 
@@ -218,8 +218,8 @@
         "number",
         "occurrence",
         "step",
-        "tasks",
         "has_proven_task",
+        "_opened",
     )
 
     def __init__(
@@ -233,18 +233,55 @@
         self.reserved_instance = ""
         self.has_crashed = False
         self.has_proven_task = False
-        job_id = entry.job.job_id
         self.counts = task_counts.TaskCounts(step.count, entry.counts)
-        self.tasks = [
-            Task(jobs.TaskName(job_id, occurrence, number, index), self.counts)
-            for index in range(step.count)
-        ]
+        self._opened: list[Task] = []
 
     @property
     def key(self) -> tuple[str, int, int]:
         """Job, occurrence and number of the step."""
         return self.entry.job.job_id, self.occurrence, self.number
 
+    @property
+    def is_open(self) -> bool:
+        """Whether its job has not ended and not all of its tasks are done."""
+        key = (self.occurrence, self.number)
+        return self.entry.open_steps_by_key.get(key) is self
+
+    @property
+    def tasks(self) -> Sequence[Task]:
+        """All tasks, in order of their index."""
+        self._open_to(self.step.count)
+        return self._opened
+
+    @property
+    def opened_tasks(self) -> Sequence[Task]:
+        """The first tasks, in order; the others have never been started.
+
+        A step may have thousands of tasks, of which few start at a time. So a
+        task is created when it is first needed.
+        """
+        return self._opened
+
+    def task(self, index: int) -> Task:
+        """Returns a task by its index."""
+        self._open_to(index + 1)
+        return self._opened[index]
+
+    def _open_to(self, stop: int) -> None:
+        """Creates the tasks below an index."""
+        job_id = self.entry.job.job_id
+        for index in range(len(self._opened), stop):
+            name = jobs.TaskName(job_id, self.occurrence, self.number, index)
+            self._opened.append(Task(name, self.counts))
+
+    @property
+    def first_waiting_task(self) -> Task:
+        """The first task without a current run, which must exist."""
+        for task in self._opened:
+            if task.state is TaskState.WAITING:
+                return task
+        return self.task(len(self._opened))
+
     @property
     def waiting_tasks(self) -> list[Task]:
         """Tasks without a current run."""
@@ -260,26 +297,42 @@
         """Waiting tasks to start in isolation, most crashes first."""
         if not self.has_crashed or not self.has_waiting_task:
             return []
-        found = [task for task in self.waiting_tasks if task.is_suspect]
+        found = [
+            task
+            for task in self._opened
+            if task.is_suspect and task.state is TaskState.WAITING
+        ]
         return sorted(found, key=lambda task: -len(task.crashes))
 
-    @property
-    def startable_tasks(self) -> list[Task]:
-        """Waiting tasks that may start without isolation.
+    def startable_tasks(self, limit: int) -> list[Task]:
+        """Returns waiting tasks that may start without isolation.
 
         Tasks of a step behave alike. Until one of them is proven, suspect tasks
         run in isolation one at a time and the others wait. A gang runs in
         isolation as a whole.
+
+        Args:
+            limit: how many the caller needs; there may be more.
         """
         if not self.has_crashed:
-            return self._restarts_first(self.waiting_tasks)
-        suspected = any(task.is_suspect for task in self.tasks)
+            return self._restarts_first(self._open_waiting(limit))
+        suspected = any(task.is_suspect for task in self._opened)
         if suspected and (self.step.gang or not self.has_proven_task):
             return []
         return self._restarts_first(
             [task for task in self.waiting_tasks if not task.is_suspect]
         )
 
+    def _open_waiting(self, limit: int) -> list[Task]:
+        """Returns up to ``limit`` waiting tasks at least, creating some."""
+        unopened = self.step.count - len(self._opened)
+        missing = limit - (self.counts.waiting - unopened)
+        if missing > 0:
+            self._open_to(len(self._opened) + min(missing, unopened))
+        return [
+            task for task in self._opened if task.state is TaskState.WAITING
+        ]
+
     def _restarts_first(self, tasks: list[Task]) -> list[Task]:
         """Returns tasks of a wide job with those that were started first.
 
@@ -299,18 +352,18 @@
         """Whether any waiting task may start without isolation."""
         if not self.has_crashed:
             return self.has_waiting_task
-        return bool(self.startable_tasks)
+        return bool(self.startable_tasks(1))
 
     @property
     def is_done(self) -> bool:
         """Whether every task is done."""
-        return self.counts.done == len(self.tasks)
+        return self.counts.done == self.step.count
 
     @property
     def failure_count(self) -> int:
         """Failed runs of a gang in total, else of the task with the most."""
-        counts = [task.failed_runs for task in self.tasks]
-        return sum(counts) if self.step.gang else max(counts)
+        counts = [task.failed_runs for task in self._opened]
+        return sum(counts) if self.step.gang else max(counts, default=0)
 
 
 class JobEntry:
@@ -325,6 +378,8 @@
         ended_store_ms: when its end was written, on the store's steady clock; 0
             if unknown.
         was_assigned: whether a task of it was assigned to an instance.
+        last_assigned_at: monotonic seconds at which this owner last assigned
+            one; negative infinity before.
         has_started: whether an instance confirmed that a task of it has
             started. While an owner can't send its start orders, jobs are
             assigned but not started.
@@ -358,6 +413,7 @@
         self.submitted_at = now - age_s
         self.ended: jobs.JobState | None = None
         self.was_assigned = False
+        self.last_assigned_at = float("-inf")
         self.has_started = False
         self.recorded_state = jobs.JobState.QUEUED
         self.version = 0
@@ -425,7 +481,7 @@
 
     def _started_tasks(self) -> Iterator[tuple[OpenStep, Task]]:
         for step in self.open_steps_by_key.values():
-            for task in step.tasks:
+            for task in step.opened_tasks:
                 if task.run:
                     yield step, task
 
@@ -531,9 +587,9 @@
     def task(self, name: jobs.TaskName) -> Task | None:
         """Returns a task of an open step, None if there is no such task."""
         step = self.open_steps_by_key.get((name.occurrence, name.step))
-        if step is None or not 0 <= name.index < len(step.tasks):
+        if step is None or not 0 <= name.index < step.step.count:
             return None
-        return step.tasks[name.index]
+        return step.task(name.index)
 
     def is_step_done(self, occurrence: int, number: int) -> bool:
         """Whether all tasks of a step are done."""
@@ -665,9 +721,7 @@
         if "wide" in document:
             self._restore_wide(document["wide"])
         for step in self.open_steps_by_key.values():
-            step.has_proven_task = any(
-                task.state is TaskState.DONE for task in step.tasks
-            )
+            step.has_proven_task = step.counts.done > 0
 
     def _restore_task(
         self,
@@ -688,7 +742,7 @@
             self.open_steps_by_key[key] = OpenStep(
                 self, occurrence, number, step
             )
-        task = self.open_steps_by_key[key].tasks[index]
+        task = self._task_at(self.open_steps_by_key[key], index)
         task.state = TaskState(state)
         task.run = run
         task.instance = instance
@@ -698,6 +752,17 @@
         )
         task.checkpoint = checkpoint
 
+    @staticmethod
+    def _task_at(step: OpenStep, index: int) -> Task:
+        """Returns the task that a row of a document names.
+
+        Raises:
+            LookupError: there is no such task.
+        """
+        if not 0 <= index < step.step.count:
+            raise LookupError(f"no task {index} of step {step.number}")
+        return step.task(index)
+
     def _restore_wide(self, document: Mapping[str, Any]) -> None:
         for found in wide_progress.decode(document):
             key = (found.occurrence, found.step, found.index)
@@ -720,7 +785,7 @@
         crashes: Iterable[Sequence[Any]],
     ) -> None:
         step = self.open_steps_by_key[occurrence, number]
-        task = step.tasks[index]
+        task = self._task_at(step, index)
         task.born_ms = born_ms
         for crash in crash_evidence.decode_crashes(crashes):
             task.record_crash(crash)
@@ -772,14 +837,14 @@
     """
     tasks = [
         task
-        for task in step.tasks
+        for task in step.opened_tasks
         if task.crashes
         or (task.born_ms is not None and task.state is not TaskState.DONE)
     ]
     if not tasks:
         done = (
             task
-            for task in step.tasks
+            for task in step.opened_tasks
             if task.run and task.state is TaskState.DONE
         )
         tasks = list(itertools.islice(done, 1))
@@ -802,6 +867,8 @@
         self._entries: dict[str, JobEntry] = {}
         self._unfinished: dict[str, JobEntry] = {}
         self._dirty: dict[str, JobEntry] = {}
+        # Ids of jobs without a schedule that wait to start, by queue.
+        self._pending: dict[str, set[str]] = {}
 
     @property
     def unfinished(self) -> Mapping[str, JobEntry]:
@@ -823,17 +890,32 @@
         self._entries[entry.job.job_id] = entry
         if entry.ended is None:
             self._unfinished[entry.job.job_id] = entry
+            if not entry.has_started and not entry.job.repeat_count:
+                pending = self._pending.setdefault(entry.job.queue, set())
+                pending.add(entry.job.job_id)
+
+    def mark_started(self, entry: JobEntry) -> None:
+        """Marks a job as started: one of its tasks runs or has run."""
+        entry.has_started = True
+        self._drop_pending(entry)
+
+    def _drop_pending(self, entry: JobEntry) -> None:
+        pending = self._pending.get(entry.job.queue, set())
+        pending.discard(entry.job.job_id)
 
     def remove(self, job_id: str) -> None:
         """Removes an ended job whose rows were deleted."""
-        self._entries.pop(job_id, None)
+        entry = self._entries.pop(job_id, None)
         self._unfinished.pop(job_id, None)
+        if entry is not None:
+            self._drop_pending(entry)
 
     def mark_dirty(self, entry: JobEntry) -> None:
         """Marks a job whose row has to be written, because it changed."""
         self._dirty[entry.job.job_id] = entry
         if entry.ended is not None:
             self._unfinished.pop(entry.job.job_id, None)
+            self._drop_pending(entry)
             # The entry is kept for status queries, which need no estimates.
             entry.durations = None
 
@@ -871,13 +953,7 @@
         its owner can't write or send the start orders. That would mislead
         clients that check the queue before they submit.
         """
-        return sum(
-            1
-            for entry in self._unfinished.values()
-            if entry.job.queue == queue
-            and not entry.has_started
-            and not entry.job.repeat_count
-        )
+        return len(self._pending.get(queue, ()))
 
 
 def has_ended(document: Mapping[str, Any]) -> bool:
--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
@@ -111,13 +112,14 @@
         max_tasks: how many of its tasks may start.
     """
     if step.step.gang:
-        return place_gang(step, candidates) if step.startable_tasks else []
+        return place_gang(step, candidates) if step.has_startable_task else []
     chosen: Assignments = []
     reservations = _TentativeReservations()
-    for task in step.startable_tasks:
+    best_fit = _BestFit(step, candidates)
+    for task in step.startable_tasks(max_tasks):
         if len(chosen) >= max_tasks:
             break
-        instance = _best_instance(step, task, candidates)
+        instance = best_fit.choose(task)
         if instance is None:
             if not task.avoided_instances:
                 break
@@ -162,9 +164,7 @@
     If only some tasks of a gang were placed, they would block capacity while
     they wait for the others.
     """
-    if any(
-        task.state is not job_tracker.TaskState.WAITING for task in step.tasks
-    ):
+    if step.waiting_count < step.step.count:
         return []
     groups: list[Sequence[instance_state.Instance]] = [candidates]
     if step.step.same_rack:
@@ -185,8 +185,9 @@
 ) -> Assignments:
     chosen: Assignments = []
     reservations = _TentativeReservations()
+    best_fit = _BestFit(step, candidates)
     for task in step.tasks:
-        instance = _best_instance(step, task, candidates)
+        instance = best_fit.choose(task)
         if instance is None:
             reservations.undo()
             return []
@@ -220,24 +221,48 @@
     )
 
 
-def _best_instance(
-    step: job_tracker.OpenStep,
-    task: job_tracker.Task,
-    candidates: Sequence[instance_state.Instance],
-) -> instance_state.Instance | None:
-    need = step.demand
-    max_per_instance = step.step.anti_affinity
-    best: instance_state.Instance | None = None
-    best_rank: tuple[bool, bool, bool, int, str] | None = None
-    for instance in candidates:
-        if not instance.has_capacity_for(need):
-            continue
+class _BestFit:
+    """Chooses instances for the tasks of one step, one task after the other."""
+
+    def __init__(
+        self,
+        step: job_tracker.OpenStep,
+        candidates: Sequence[instance_state.Instance],
+    ):
+        """Begins with the first task.
+
+        Args:
+            step: the step.
+            candidates: the instances to choose from.
+        """
+        self._step = step
+        self._candidates = candidates
+        self._last: instance_state.Instance | None = None
+        self._avoided: Set[str] = frozenset()
+
+    def choose(self, task: job_tracker.Task) -> instance_state.Instance | None:
+        """Returns the best instance that a task fits on, None for none.
+
+        The caller reserves the resources on it before it chooses for the next
+        task. As fuller instances are better, the last one stays the best while
+        another task fits on it. So most tasks of a wide step look at a single
+        instance.
+        """
         if (
-            max_per_instance
-            and instance.count_step_runs(task.name) >= max_per_instance
+            self._last is None
+            or task.avoided_instances != self._avoided
+            or not self._fits(self._last)
         ):
-            continue
-        rank = preference(step, task, instance)
-        if best_rank is None or rank < best_rank:
-            best, best_rank = instance, rank
-    return best
+            self._avoided = set(task.avoided_instances)
+            self._last = min(
+                filter(self._fits, self._candidates),
+                key=lambda instance: preference(self._step, task, instance),
+                default=None,
+            )
+        return self._last
+
+    def _fits(self, instance: instance_state.Instance) -> bool:
+        limit = self._step.step.anti_affinity
+        return instance.has_capacity_for(self._step.demand) and not (
+            limit and instance.count_step_runs(self._step.task(0).name) >= limit
+        )
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -5,6 +5,7 @@
 only with a ticket, which the advisor issues for a step and an instance.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -36,10 +37,23 @@
 FORGET_STEPS_INTERVAL_S = 5.0
 """Interval at which the advice on ended steps is forgotten."""
 
-_Tie = tuple[int, str, int, int]
+MAX_TASKS_AT_ONCE = 64
+"""Tasks of a step that are placed between two pauses of a plan. A gang is
+placed as a whole."""
+
+Pause = Callable[[], bool]
+"""Called between two steps of a plan. Returns whether it let others run, which
+may have reported events meanwhile."""
+
+_Tie = tuple[float] | tuple[int, str, int, int]
 _order_and_tie = operator.itemgetter(0, 1)
 
 
+def no_pause() -> bool:
+    """Lets nobody run, so that nothing changes during a plan."""
+    return False
+
+
 class _Attempt(enum.Enum):
     """What came of an attempt to place tasks of a step.
 
@@ -85,11 +99,12 @@
         }
 
     def _waiting_steps(
-        self, plan_time: queue_order.PlanTime
+        self, plan_time: queue_order.PlanTime, pause: Pause = no_pause
     ) -> dict[str, list[job_tracker.OpenStep]]:
         """Returns open steps with waiting tasks, by pool."""
         waiting: dict[str, list[job_tracker.OpenStep]] = {}
-        for entry in self.tracker.unfinished.values():
+        for entry in list(self.tracker.unfinished.values()):
+            pause()
             found = [
                 step
                 for step in entry.open_due_steps(plan_time.wall_ms)
@@ -103,36 +118,33 @@
         self,
         steps: Iterable[job_tracker.OpenStep],
         plan_time: queue_order.PlanTime,
+        pause: Pause = no_pause,
     ) -> list[job_tracker.OpenStep]:
         """Returns steps in the order in which they get capacity."""
-
-        def key(
-            step: job_tracker.OpenStep,
-        ) -> tuple[queue_order.Key, float]:
-            queue = self.queue_of(step.entry)
-            return (
-                self._queue_order(step, queue, plan_time),
-                step.entry.received_at,
+        keyed = []
+        for step in steps:
+            pause()
+            order = self._queue_order(
+                step, self.queue_of(step.entry), plan_time
             )
-
+            keyed.append((order, self._tie(step), step))
+        keyed.sort(key=_order_and_tie)
+        if self._overload.fair_order:
+            return self._by_fair_share(keyed)
+        return [step for _, _, step in keyed]
+
+    def _tie(self, step: job_tracker.OpenStep) -> _Tie:
+        """Returns what decides between steps of the same order."""
         if not self._overload.fair_order:
-            return sorted(steps, key=key)
+            return (step.entry.received_at,)
         # A new owner receives all jobs at once and in any order, so ties are
         # resolved by what is stored with a job.
-        keyed = [
-            (
-                key(step)[0],
-                (
-                    step.entry.job.submitted_ms,
-                    step.entry.job.job_id,
-                    step.occurrence,
-                    step.number,
-                ),
-                step,
-            )
-            for step in steps
-        ]
-        return self._by_fair_share(sorted(keyed, key=_order_and_tie))
+        return (
+            step.entry.job.submitted_ms,
+            step.entry.job.job_id,
+            step.occurrence,
+            step.number,
+        )
 
     def _by_fair_share(
         self,
@@ -200,21 +212,23 @@
             shares.add(run.account, run.demand, 1)
         return shares
 
-    def plan(self, now: float, wall_ms: float) -> None:
+    def plan(self, now: float, wall_ms: float, pause: Pause = no_pause) -> None:
         """Assigns waiting tasks to instances with enough unreserved capacity.
 
         Args:
             now: monotonic seconds.
             wall_ms: time of day in milliseconds since 1970.
+            pause: called between two steps. Any event may be reported
+                meanwhile, but no other plan may begin.
         """
         self._needs_plan = False
         self._reserved_in_plan.clear()
         self.evaluate_pending_crashes(now)
         self._refresh_durations(now)
         plan_time = queue_order.PlanTime(now, wall_ms)
-        waiting = self._waiting_steps(plan_time)
+        waiting = self._waiting_steps(plan_time, pause)
         self.jobs_without_spec = self._find_jobs_without_spec(
-            waiting, plan_time
+            waiting, plan_time, pause
         )
         pools = self.instances_by_pool()
         # A pool whose tasks a limit held up goes first. Otherwise tasks of the
@@ -222,20 +236,16 @@
         held_up, self._held_up_pools = self._held_up_pools, set()
         for pool_name in sorted(waiting, key=lambda name: name not in held_up):
             if self._plan_pool(
-                pools.get(pool_name, []), waiting[pool_name], plan_time
+                pools.get(pool_name, []), waiting[pool_name], plan_time, pause
             ):
                 self._held_up_pools.add(pool_name)
         usage = self.account_usage.copy()
         backlog = {
-            pool_name: self._backlog(steps, usage, plan_time)
+            pool_name: self._backlog(steps, usage, plan_time, pause)
             for pool_name, steps in waiting.items()
         }
         self._report_limited_accounts(now)
-        self.has_more_due = any(
-            entry.has_more_due(wall_ms)
-            for entry in self.tracker.unfinished.values()
-            if entry.job.repeat_count
-        )
+        self.has_more_due = self._has_more_due(wall_ms, pause)
         self._needs_plan |= self.has_more_due
         self.backlog_cpu = {
             name: sum(cpu for _, cpu in steps)
@@ -244,11 +254,19 @@
         self.backlog_load = {name: load for name, (_, load) in backlog.items()}
         if self._overload.pool_allocation:
             self.backlog_cpu_by_group = {
-                name: self._sum_by_group(steps, plan_time)
+                name: self._sum_by_group(steps, plan_time, pause)
                 for name, (steps, _) in backlog.items()
             }
             self._last_plan_time = plan_time
 
+    def _has_more_due(self, wall_ms: float, pause: Pause) -> bool:
+        for entry in list(self.tracker.unfinished.values()):
+            if entry.job.repeat_count:
+                pause()
+                if entry.ended is None and entry.has_more_due(wall_ms):
+                    return True
+        return False
+
     def running_cpu_by_group(
         self,
     ) -> dict[str, dict[queue_order.Group, int]]:
@@ -320,12 +338,13 @@
         self,
         waiting: Mapping[str, Iterable[job_tracker.OpenStep]],
         plan_time: queue_order.PlanTime,
+        pause: Pause,
     ) -> tuple[str, ...]:
         """Returns ids of jobs without a spec, one of each pool at a time."""
         by_pool = []
         for steps in waiting.values():
             without = [step for step in steps if step.entry.spec is None]
-            ordered = self._in_queue_order(without, plan_time)
+            ordered = self._in_queue_order(without, plan_time, pause)
             by_pool.append([step.entry.job.job_id for step in ordered])
         interleaved = itertools.chain.from_iterable(
             itertools.zip_longest(*by_pool)
@@ -337,6 +356,7 @@
         pool: Sequence[instance_state.Instance],
         steps: Iterable[job_tracker.OpenStep],
         plan_time: queue_order.PlanTime,
+        pause: Pause,
     ) -> bool:
         """Assigns waiting tasks to the instances of one pool.
 
@@ -352,6 +372,7 @@
             pool: all instances of the pool.
             steps: its steps with waiting tasks.
             plan_time: the time of the plan.
+            pause: see ``plan``.
 
         Returns:
             Whether the limit of an account held tasks up.
@@ -361,19 +382,24 @@
         instances = [item for item in pool if item.is_schedulable(now)]
         max_free = placement.MaxFreeCapacity(instances)
         suspect_limit = suspect_placement.SuspectLimit(pool)
-        ready = [step for step in steps if step.entry.spec is not None]
-        for step in ready:
+        relevant = []
+        for step in steps:
+            pause()
+            if step.entry.spec is None:
+                continue
             self._mark_if_image_suspect(step, now)
-        relevant = [
-            step
-            for step in ready
-            if step.step.long_running
-            or step.has_crashed
-            or max_free.may_fit(step.demand)
-        ]
-        for step in self._in_queue_order(relevant, plan_time):
+            if (
+                step.step.long_running
+                or step.has_crashed
+                or max_free.may_fit(step.demand)
+            ):
+                relevant.append(step)
+        for step in self._in_queue_order(relevant, plan_time, pause):
+            if pause():
+                instances = self._still_schedulable(instances, now)
+                max_free.update(instances)
             account = step.entry.job.account
-            if account in held_up:
+            if account in held_up or not step.is_open:
                 continue
             if self._is_held_up(step):
                 held_up.add(account)
@@ -384,8 +410,9 @@
                 if step.step.gang:
                     suspect_limit = suspect_placement.SuspectLimit(pool)
             if max_free.may_fit(step.demand) and step.has_startable_task:
-                attempt = self._place(step, instances, now)
+                attempt = self._place_all(step, instances, now, pause)
                 if attempt is _Attempt.PLACED:
+                    instances = self._still_schedulable(instances, now)
                     max_free.update(instances)
                 elif (
                     attempt is _Attempt.NO_CAPACITY
@@ -401,6 +428,39 @@
         self._limited_accounts |= held_up
         return bool(held_up)
 
+    def _still_schedulable(
+        self, instances: Iterable[instance_state.Instance], now: float
+    ) -> list[instance_state.Instance]:
+        """Returns those of some instances that may still get work."""
+        return [
+            instance
+            for instance in instances
+            if instance.is_schedulable(now)
+            and self.instances.get(instance.name) is instance
+        ]
+
+    def _place_all(
+        self,
+        step: job_tracker.OpenStep,
+        instances: Sequence[instance_state.Instance],
+        now: float,
+        pause: Pause,
+    ) -> _Attempt:
+        """Assigns as many tasks of a step as fit; see ``_place``."""
+        result = _Attempt.HELD_BACK
+        while True:
+            before = step.waiting_count
+            attempt = self._place(step, instances, now)
+            if attempt is not _Attempt.PLACED and result is _Attempt.PLACED:
+                return result
+            result = attempt
+            if before - step.waiting_count < MAX_TASKS_AT_ONCE:
+                return result
+            if pause():
+                instances = self._still_schedulable(instances, now)
+            if not step.is_open or not step.has_startable_task:
+                return result
+
     def _is_held_up(self, step: job_tracker.OpenStep) -> bool:
         """Whether the limit of its account lets not all waiting tasks start."""
         if self.account_limit(step.entry.job.account) == limits.NO_LIMIT:
@@ -419,7 +479,7 @@
             return
         if now < self._suspect_images_until.get(step.step.image, 0.0):
             step.has_crashed = True
-            step.tasks[0].is_suspect = True
+            step.task(0).is_suspect = True
 
     def _place_in_isolation(
         self,
@@ -491,7 +551,7 @@
         """
         suspect_runs = [
             self._find_run(task.instance, (task.name, task.run))
-            for task in step.tasks
+            for task in step.opened_tasks
             if task.is_suspect and task.state is job_tracker.TaskState.ASSIGNED
         ]
         return any(
@@ -514,9 +574,9 @@
         """
         if not step.step.long_running:
             return None
-        waiting = step.waiting_tasks
-        if not waiting:
+        if not step.has_waiting_task:
             return None
+        task = step.first_waiting_task
         need = step.demand
         unsuitable = self.tickets.unsuitable(step.key)
         reserved = max(
@@ -524,7 +584,7 @@
                 instance
                 for instance in instances
                 if instance.fits_beside_long_running_tasks(
-                    step.step, waiting[0].name, need, now
+                    step.step, task.name, need, now
                 )
                 and instance.name not in unsuitable
             ),
@@ -560,7 +620,10 @@
         if tickets is not None and not tickets:
             return _Attempt.HELD_BACK
         candidates = placement.eligible_instances(step, instances, tickets)
-        max_tasks = self._startable_count(step, step.step.count)
+        wanted = step.step.count
+        if not step.step.gang:
+            wanted = min(wanted, MAX_TASKS_AT_ONCE)
+        max_tasks = self._startable_count(step, wanted)
         if not max_tasks:
             return _Attempt.HELD_BACK
         if not candidates:
@@ -652,6 +715,7 @@
                 "a task was assigned before its spec was read"
             )
         task.assign(number, instance.name, instance.incarnations.current_ms)
+        step.entry.last_assigned_at = now
         run = instance_state.Run(
             task.name,
             number,
@@ -701,16 +765,20 @@
         return self.tickets.usable(step.key, now)
 
     def missing_tickets(
-        self, plan_time: queue_order.PlanTime
+        self, plan_time: queue_order.PlanTime, pause: Pause = no_pause
     ) -> list[ticket_requests.TicketRequest]:
         """Returns the tickets that waiting steps need, in queue order.
 
         Call it after a plan, which starts the tasks that have tickets.
+
+        Args:
+            plan_time: the time of that plan.
+            pause: see ``plan``.
         """
         self._forget_ended_steps(plan_time.now)
         pools = self.instances_by_pool()
         by_pool = []
-        for pool_name, steps in self._waiting_steps(plan_time).items():
+        for pool_name, steps in self._waiting_steps(plan_time, pause).items():
             advised = [
                 (step, advice)
                 for step in steps
@@ -732,10 +800,12 @@
                 ticket_requests.LEAD_SHARE * validity_ms / 1000,
             )
             for step in self._in_queue_order(
-                (step for step, _ in advised), plan_time
+                (step for step, _ in advised), plan_time, pause
             ):
                 if found.is_full:
                     break
+                if not step.has_waiting_task or not step.is_open:
+                    continue
                 count = self._startable_count(step, step.waiting_count)
                 found.add(step, count, settings[step.key])
             by_pool.append(found.requests)
@@ -766,6 +836,7 @@
         steps: Iterable[job_tracker.OpenStep],
         usage: limits.AccountUsage,
         plan_time: queue_order.PlanTime,
+        pause: Pause,
     ) -> tuple[list[tuple[job_tracker.OpenStep, int]], fleet.Load]:
         """Returns what the waiting tasks of some steps and their jobs need.
 
@@ -777,6 +848,7 @@
             steps: the steps, those of a job in the order of its occurrences.
             usage: what the accounts use; the counted tasks are added.
             plan_time: the time of the plan.
+            pause: see ``plan``.
 
         Returns:
             Thousandths of a core that the tasks of steps need, and the load of
@@ -803,9 +875,14 @@
                 )
 
         for step in steps:
-            last_steps[step.entry.job.job_id] = step
+            pause()
+            if not step.is_open:
+                continue
+            if step.entry.job.repeat_count:
+                last_steps[step.entry.job.job_id] = step
             add(step, step.number, step.waiting_count)
         for step in last_steps.values():
+            pause()
             for number, count in step.entry.unopened_tasks(plan_time.wall_ms):
                 add(step, number, count)
         return needs, load
@@ -814,10 +891,12 @@
         self,
         needs: Iterable[tuple[job_tracker.OpenStep, int]],
         plan_time: queue_order.PlanTime,
+        pause: Pause,
     ) -> dict[queue_order.Group, int]:
         """Sums up what steps need, by group of urgency."""
         sums: dict[queue_order.Group, int] = {}
         for step, cpu in needs:
+            pause()
             queue = self.queue_of(step.entry)
             group = queue_order.classify(step, queue, plan_time)
             sums[group] = sums.get(group, 0) + cpu
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -179,14 +179,16 @@
         remaining_ms: remaining critical path.
         slack_ms: time that it can lose and still meet its objective; negative
             if it can't meet it any more.
-        age_ms: time since it was submitted or due.
+        waited_ms: time since it was submitted or due. If it was due before its
+            job was submitted, or before the last start of the job, the time
+            since then.
     """
 
     group: Group
     priority: int
     remaining_ms: float
     slack_ms: float
-    age_ms: float
+    waited_ms: float
 
 
 def _urgency(
@@ -208,8 +210,12 @@
         group = Group.IN_TIME
     else:
         group = Group.LATE
+    waited = age
+    if entry.job.repeat_count:
+        since = max(entry.submitted_at, entry.last_assigned_at)
+        waited = min(age, (plan_time.now - since) * 1000)
     return _Urgency(
-        group, queue.priority if queue else 0, remaining, slack_ms, age
+        group, queue.priority if queue else 0, remaining, slack_ms, waited
     )
 
 
@@ -309,7 +315,7 @@
 
 def _has_started(step: job_tracker.OpenStep) -> bool:
     """Whether a task of this occurrence of the job was ever assigned."""
-    return step.number > 0 or any(task.run for task in step.tasks)
+    return step.number > 0 or step.counts.started > 0
 
 
 def _by_group(urgency: _Urgency) -> Key:
@@ -317,8 +323,9 @@
         return (Group.LONG_RUNNING, 0.0)
     if urgency.group == Group.NO_VALUE:
         # The client of the oldest job has waited longest. With the youngest
-        # first, it would not run while younger jobs lose their value.
-        return (Group.NO_VALUE, urgency.priority, -urgency.age_ms)
+        # first, it would not run while younger jobs lose their value. A job
+        # with a long backlog of occurrences takes turns with the others.
+        return (Group.NO_VALUE, urgency.priority, -urgency.waited_ms)
     return (urgency.group, urgency.priority, urgency.slack_ms)
 
 
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -179,7 +179,7 @@
                 # A suspect task may reserve an instance until it fits.
                 fitting = max(1, fitting)
             if limit:
-                present = instance.count_step_runs(step.tasks[0].name)
+                present = instance.count_step_runs(step.task(0).name)
                 fitting = min(fitting, limit - present)
             if fitting > 0:
                 slots[name] = fitting
@@ -199,7 +199,7 @@
         are expected to be suitable.
         """
         suitable = self._book.suitable(step.key)
-        task = step.waiting_tasks[0]
+        task = step.first_waiting_task
         ordered = sorted(
             candidates,
             key=lambda instance: (
--- a/src/vanillaswitch/coordination/fleet/status_summaries.py
+++ b/src/vanillaswitch/coordination/fleet/status_summaries.py
@@ -218,10 +218,11 @@
     tasks: list[TaskSummary] = []
     for step in entry.open_steps_by_key.values():
         key = f"{step.occurrence}.{step.number}"
-        counts = collections.Counter(
-            _TASK_STATE_NAMES[item.state] for item in step.tasks
+        steps[key] = ", ".join(
+            f"{count} {_TASK_STATE_NAMES[state]}"
+            for state, count in _counts_by_state(step).items()
+            if count
         )
-        steps[key] = ", ".join(f"{n} {state}" for state, n in counts.items())
         tasks.extend(
             _summarize_task(task) for task in step.tasks if _needs_summary(task)
         )
@@ -253,10 +254,7 @@
     usage = limits.AccountUsage()
     for entry in own:
         for step in entry.open_steps_by_key.values():
-            count = sum(
-                task.state is job_tracker.TaskState.ASSIGNED
-                for task in step.tasks
-            )
+            count = _counts_by_state(step)[job_tracker.TaskState.ASSIGNED]
             usage.add_tasks(account.name, step.step, count)
     used = usage.used(account.name)
     return AccountSummary(
@@ -340,9 +338,7 @@
         },
     )
     for step in steps:
-        count = sum(
-            task.state is job_tracker.TaskState.ASSIGNED for task in step.tasks
-        )
+        count = _counts_by_state(step)[job_tracker.TaskState.ASSIGNED]
         shares.add(step.entry.job.account, step.demand, count)
     return shares
 
@@ -390,6 +386,19 @@
     )
 
 
+def _counts_by_state(
+    step: job_tracker.OpenStep,
+) -> Mapping[job_tracker.TaskState, int]:
+    counts = step.counts
+    return {
+        job_tracker.TaskState.WAITING: counts.waiting,
+        job_tracker.TaskState.ASSIGNED: (
+            step.step.count - counts.waiting - counts.done
+        ),
+        job_tracker.TaskState.DONE: counts.done,
+    }
+
+
 def _needs_summary(task: job_tracker.Task) -> bool:
     done = task.state is job_tracker.TaskState.DONE
     return not done or bool(task.failed_runs or task.crashes)
@@ -441,7 +450,7 @@
 ) -> Iterable[str]:
     for entry in entries:
         for step in entry.open_steps_by_key.values():
-            for task in step.tasks:
+            for task in step.opened_tasks:
                 is_on_instance = task.instance == name
                 if (
                     is_on_instance
--- a/tests/common/owner_histories.py
+++ b/tests/common/owner_histories.py
@@ -22,6 +22,7 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.coordination.fleet.queue import task_counts
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -80,6 +81,7 @@
         self.token = 0
         self.boots = 0
         self.terms: list[Term] = []
+        self.pause: planning.Pause = planning.no_pause
         self.jobs: dict[str, jobs.Job] = {}
         self.cancelled: set[str] = set()
         self.rows: dict[str, dict[str, object]] = {}
@@ -221,10 +223,19 @@
     def plan_and_write(self, choice: int) -> None:
         """A process plans and writes; a former owner can't write and ends."""
         term = self._pick(self.terms, choice)
-        term.scheduler.plan(self.now, fleet_builders.WALL_MS + self.now * 1000)
+        wall_ms = fleet_builders.WALL_MS + self.now * 1000
+        term.scheduler.plan(self.now, wall_ms, self.pause)
+        self._write(term)
+
+    def write(self, choice: int) -> None:
+        """A process writes, possibly while it plans."""
+        self._write(self._pick(self.terms, choice))
+
+    def _write(self, term: Term) -> None:
         batch = term.scheduler.take_batch(2)
         if term is not self.terms[-1]:
-            self.terms.remove(term)
+            if term in self.terms:
+                self.terms.remove(term)
             return
         for entry in batch.entries:
             self.rows[entry.job.job_id] = entry.to_document()
@@ -647,9 +658,35 @@
     step_kinds = LONG_RUNNING_STEPS
 
 
-def busy_events(
+Events = dict[Callable[[], None], float]
+"""Events of a random history with their weights."""
+
+
+def events_beside_plans(
     machine: OwnershipMachine, chooser: random.Random
-) -> dict[Callable[[], None], float]:
+) -> Events:
+    """Returns what may happen while an owner plans, with weights."""
+
+    def number() -> int:
+        return chooser.randrange(1_000_000)
+
+    return {
+        lambda: machine.submit(chooser.randrange(len(STEPS))): 3,
+        lambda: machine.write(number()): 3,
+        lambda: machine.send_start(number(), chooser.randrange(4)): 6,
+        lambda: machine.send_stops(number()): 2,
+        lambda: machine.renew_lease(number(), number()): 6,
+        lambda: machine.task_ends(
+            number(), chooser.choice(["done", "done", "failed"])
+        ): 4,
+        lambda: machine.execute_late_start(number()): 2,
+        lambda: machine.cancel(number()): 0.1,
+        lambda: machine.crash(number()): 0.3,
+        lambda: machine.toggle_reachability(number()): 0.6,
+    }
+
+
+def busy_events(machine: OwnershipMachine, chooser: random.Random) -> Events:
     """Returns events with weights like their frequency in a busy fleet."""
 
     def number() -> int:
--- a/tests/cover/test_fleet_owners.py
+++ b/tests/cover/test_fleet_owners.py
@@ -71,6 +71,25 @@
     _play(machine, events, chooser)
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_a_history_with_events_during_plans_keeps_the_safety_properties(seed):
+    """Guards against a plan that acts on what has changed while it paused."""
+    chooser = random.Random(seed)
+    machine = owner_histories.OwnershipMachine()
+    events = owner_histories.busy_events(machine, chooser)
+    beside = owner_histories.events_beside_plans(machine, chooser)
+
+    def pause():
+        if chooser.random() < 0.5:
+            return False
+        chooser.choices(list(beside), list(beside.values()))[0]()
+        machine.record_done_tasks()
+        return True
+
+    machine.pause = pause
+    _play(machine, events, chooser)
+
+
 _FAILED_WITH_RESTARTS = (1050, 1090, 1171, 1605, 1624, 1783, 2038, 2369, 2791)
 """Seeds of histories in which a task ran twice, or after it was done: a gang
 whose start the new incarnation had accepted, and late copies of starts."""
--- a/tests/failures/test_recurring_jobs.py
+++ b/tests/failures/test_recurring_jobs.py
@@ -197,6 +197,27 @@
     assert load.cpu_time == 10_000 * _TINY.cpu * _TINY.estimate_ms
 
 
+def test_jobs_without_value_take_turns_with_a_long_backlog():
+    """Guards against late jobs that wait for all due times of another job."""
+    scheduler = fleet_builders.new_scheduler()
+    fleet_builders.add_instances(scheduler, "i-0", cpu=1000)
+    whole = jobs.Step(count=1, cpu=1000, estimate_ms=500)
+    scheduler.add_job(_job(10_000, (whole,)), 0.0)
+    for number in range(2, 5):
+        scheduler.add_job(fleet_builders.job(number, (whole,)), 0.0, 3600.0)
+    started = []
+    for turn in range(8):
+        (start,) = fleet_builders.plan_batch(scheduler, 100.0 + turn).starts
+        started.append(int(start.task.job_id, 16))
+        ended = fleet.RunEnd(
+            turn + 1, start.task, start.run, fleet.RunOutcome.DONE, ""
+        )
+        report = fleet_builders.status_report(ended=(ended,))
+        scheduler.handle_status_report("i-0", report, 100.5, 100.5 + turn)
+    assert {2, 3, 4} <= set(started[:4])
+    assert started[4:] == [1, 1, 1, 1]
+
+
 def test_a_new_owner_goes_on_where_the_last_one_was():
     """Guards against occurrences that a change of owner skips or repeats."""
     steps = _SHAPES["two steps"]
--- a/tests/failures/test_slow_processor.py
+++ b/tests/failures/test_slow_processor.py
@@ -33,8 +33,8 @@
     owner = ownership_terms.begin_term(tables.MemoryTable(), _Feed(), clock)
     planned = []
 
-    def plan(now, wall_ms):
-        del now, wall_ms
+    def plan(now, wall_ms, pause):
+        del now, wall_ms, pause
         clock.advance(_PLAN_S)
         planned.append(clock.monotonic())
         owner.scheduler._needs_plan = True
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -70,7 +70,7 @@
 
 BACKLOG_SEED = 1
 BACKLOG_S = 8.0
-BACKLOG = ("recurring-jobs", "kill-owner")
+BACKLOG = ("recurring-jobs", "wide-jobs", "kill-owner")
 """No job started any more beside a job of which thousands of times were due."""
 
 OVERLOAD_SEED = 1
@@ -100,7 +100,7 @@
 
 
 def test_a_soak_with_recurring_jobs_breaks_no_promise(tmp_path):
-    """Guards against one recurring job that stops the whole fleet."""
+    """Guards against jobs with a long backlog that stop the whole fleet."""
     result = run.soak(BACKLOG_SEED, BACKLOG_S, tmp_path, BACKLOG)
     assert BACKLOG[0] in result.faults
     assert not result.broken
