Ignore jobs that were removed while their table was read

Cause: when the store discards its history, the follower of the job table reads all rows, some tenths of a second. Meanwhile retention removes rows of jobs that ended long ago, and then forgets the jobs. A row that was read before its removal reaches an owner that does not know the job any more, and takes it for a new one. The same where a part of the table was unavailable and is read again.

Ruled out: a new owner. It reads the progress after the jobs, and progress rows are removed only by writes that are fenced by the owner's row, so a job that the former owner removes meanwhile keeps its progress and is not new.

Change: from the beginning of a read until its rows are delivered, the owner keeps the jobs whose removal was confirmed, with the version of their end. Rows that are not newer are ignored (`removed-job-read`). A later read begins after the removal and can't return the row. A submission with the same id is newer than the end and counts. `job-removed` tells of each removal.

The tests fail before in both cases: the tracker has the removed job again.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -621,6 +621,32 @@
     received_kb: int
 
 
+@dataclasses.dataclass(frozen=True)
+class JobRemoved:
+    """The rows of a job that ended long ago were removed from the store.
+
+    Attributes:
+        version: with which its end was written.
+    """
+
+    job: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RemovedJobRead:
+    """A read of all jobs returned a job that was removed meanwhile.
+
+    The owner ignores it.
+
+    Attributes:
+        version: of the row that was read.
+    """
+
+    job: str
+    version: int
+
+
 @dataclasses.dataclass(frozen=True)
 class EventLoopBlocked:
     """A greenlet ran for long without letting others run.
--- a/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/job_tables.py
@@ -20,6 +20,7 @@
 from vanillaswitch.internal import time_slices
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import jobs
+from vanillaswitch.protocol import platform
 from vanillaswitch.protocol import unusable
 
 
@@ -57,6 +58,9 @@
         self._quarantined: set[str] = set()
         self._emit = emit
         self._orphan_entries: list[job_tracker.JobEntry] = []
+        # Jobs that were removed since the current read of the table began, with
+        # the version of their end; None while the table is not being read.
+        self._removed_during_read: dict[str, int] | None = None
         self._jobs = table_follower.Follower(
             feed,
             fenced_writer.JOB_TABLE,
@@ -64,6 +68,7 @@
             lambda snapshot: self._on_jobs(snapshot.rows),
             self._on_jobs,
             emit,
+            on_read_begins=self._on_read_begins,
         )
         self._cancel_follower = table_follower.Follower(
             feed,
@@ -118,6 +123,25 @@
         """Cancels jobs as requested by clients; does not return."""
         self._cancel_follower.run()
 
+    def on_job_removed(self, entry: job_tracker.JobEntry) -> None:
+        """Handles the confirmed removal of the row of an ended job.
+
+        A read of the table that began before the removal may still return the
+        row. It must not be taken for a new job: the job would run again.
+        """
+        if self._removed_during_read is not None:
+            # The job's end was written with this version, so its own row is
+            # older, and the row of a later submission with its id is newer.
+            self._removed_during_read[entry.job.job_id] = entry.version
+
+    def _is_removed(self, change: change_feeds.RowChange) -> bool:
+        """Whether a row was read before its job was removed."""
+        removed = self._removed_during_read or {}
+        return change.version <= removed.get(change.key, platform.ABSENT)
+
+    def _on_read_begins(self) -> None:
+        self._removed_during_read = {}
+
     def take_orphan_entries(self) -> list[job_tracker.JobEntry]:
         """Returns entries for progress rows whose jobs were removed.
 
@@ -226,6 +250,9 @@
             now = self._clock.monotonic()
             if change.value is None and not change.read_error:
                 continue
+            if self._is_removed(change):
+                self._emit(events.RemovedJobRead(change.key, change.version))
+                continue
             job = self._decode_job(change)
             if job is None or change.key in self._quarantined:
                 continue
@@ -235,6 +262,7 @@
             else:
                 self._scheduler.add_job(job, now, self._job_age_s(job))
             self._specs.on_job_added(job.job_id)
+        self._removed_during_read = None
         if self._progress_without_job:
             self._update_unreadable_jobs()
         self._on_change()
--- a/src/vanillaswitch/coordination/fleet/ownership/owner.py
+++ b/src/vanillaswitch/coordination/fleet/ownership/owner.py
@@ -540,11 +540,12 @@
                 store_ms,
             )
             for entry in expired:
-                if retention.remove_job(
-                    self._dependencies.table, entry.job.job_id
-                ):
-                    self._scheduler.tracker.remove(entry.job.job_id)
+                job_id = entry.job.job_id
+                if retention.remove_job(self._dependencies.table, job_id):
+                    self._job_tables.on_job_removed(entry)
+                    self._scheduler.tracker.remove(job_id)
                     self._progress_to_remove.append(entry)
+                    self._emit(events.JobRemoved(job_id, entry.version))
 
     def _record(self, batch: term_state.WriteBatch) -> None:
         """Writes a batch of changed jobs, and removals of progress rows.
--- a/src/vanillaswitch/coordination/fleet/table_follower.py
+++ b/src/vanillaswitch/coordination/fleet/table_follower.py
@@ -44,6 +44,7 @@
         wait_s: float = LONG_POLL_S,
         prefers_snapshots: bool = False,
         on_current: Callable[[float], None] | None = None,
+        on_read_begins: Callable[[], None] = lambda: None,
     ):
         """Creates a follower.
 
@@ -63,6 +64,9 @@
                 change often.
             on_current: called whenever the copy is complete, with the monotonic
                 seconds up to which it has all acknowledged changes.
+            on_read_begins: called before all rows, or those of missing
+                partitions, are read. If the read succeeds, no other changes
+                are reported before its rows.
         """
         self._feed = feed
         self._table = table
@@ -74,6 +78,7 @@
         self._wait_s = wait_s
         self._prefers_snapshots = prefers_snapshots
         self._on_current = on_current
+        self._on_read_begins = on_read_begins
         self._version: int | None = None
         self._missing_partitions: tuple[str, ...] = ()
         self._is_failing = False
@@ -164,6 +169,7 @@
             self._on_current(sent_at)
 
     def _read_snapshot(self) -> bool:
+        self._on_read_begins()
         sent_at = self._clock.monotonic()
         outcome = self._feed.snapshot(self._table)
         if isinstance(outcome, platform.Unavailable):
@@ -178,6 +184,7 @@
 
     def _read_missing_partitions(self) -> None:
         """Reads the missing partitions; later changes arrive as usual."""
+        self._on_read_begins()
         outcome = self._feed.snapshot(self._table, self._missing_partitions)
         if isinstance(outcome, platform.Unavailable):
             return
