Ask for tickets for jobs of removed queues

Cause: tickets were requested only while a configured queue has an advisor. Planning goes by the queue of the job, which it remembers, and so waits for tickets that nobody asks for. And an owner that never knew the queue had its attempts alone from the job's row: it sent starts without tickets, which instances reject.

Ruled out: advice itself. While another queue with an advisor stays, the jobs go on until the owner changes.

Change: tickets are requested while any queue has an advisor, also a removed one. The row of a job holds the settings of its queue's advisor, where it has one; an owner that never knew the queue uses them. A configured queue decides as before, and rows without an advisor read as before.

--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -323,13 +323,31 @@
         )
 
     def queue_of(self, entry: job_tracker.JobEntry) -> fleet.Queue | None:
-        """Returns the queue of a job, also if it was removed in this term.
+        """Returns the queue of a job, also if it was removed.
 
         An accepted job ends under the terms of its queue, whatever is removed
-        meanwhile. None if this owner never knew the queue.
+        meanwhile. An owner that never knew the queue has only the terms that
+        the job's row holds; None if these are none but the attempts.
         """
-        name = entry.job.queue
-        return self.queues.get(name) or self._removed_queues.get(name)
+        job = entry.job
+        known = self.queues.get(job.queue) or self._removed_queues.get(
+            job.queue
+        )
+        if known is None and job.advice is not None:
+            known = fleet.Queue(
+                job.queue, "", "", job.service, advice=job.advice
+            )
+            self._removed_queues[job.queue] = known
+        return known
+
+    @property
+    def has_advised_queue(self) -> bool:
+        """Whether a queue has an advisor, also one that was removed."""
+        return any(
+            queue.advice
+            for queues in (self.queues, self._removed_queues)
+            for queue in queues.values()
+        )
 
     def max_attempts_of(self, entry: job_tracker.JobEntry) -> int:
         """Returns how many failed runs of one task fail a job."""
--- a/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
+++ b/src/vanillaswitch/coordination/fleet/instances/ticket_refresher.py
@@ -62,7 +62,7 @@
         Args:
             pause: see ``Planning.plan``.
         """
-        if not any(queue.advice for queue in self._scheduler.queues.values()):
+        if not self._scheduler.has_advised_queue:
             self._calls.update_requests(())
             return
         now = self._clock.monotonic()
--- a/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
+++ b/src/vanillaswitch/coordination/fleet/job_requests/job_rows.py
@@ -26,6 +26,7 @@
 _DIGEST = "spec_digest"
 _ACCOUNT = "account"
 _ATTEMPT_LIMIT = "attempt_limit"
+_ADVICE = "advice"
 
 
 @functools.cache
@@ -55,6 +56,8 @@
         del document[_ACCOUNT]
     if not job.attempt_limit:
         del document[_ATTEMPT_LIMIT]
+    if job.advice is None:
+        del document[_ADVICE]
     defaults = _step_defaults()
     document["steps"] = [
         {
--- a/src/vanillaswitch/platform/job_body.py
+++ b/src/vanillaswitch/platform/job_body.py
@@ -59,6 +59,7 @@
     submitted_wall_ms: float = 0,
     account: str = "",
     attempt_limit: int = 0,
+    advice: jobs.AdvisorConfig | None = None,
 ) -> jobs.Job:
     """Decodes a job that a client submits.
 
@@ -71,6 +72,7 @@
         submitted_wall_ms: see ``jobs.Job``.
         account: see ``jobs.Job``.
         attempt_limit: see ``jobs.Job``.
+        advice: see ``jobs.Job``.
 
     Raises:
         BadJobError: a field is unknown, missing or out of range.
@@ -109,6 +111,7 @@
         submitted_wall_ms=submitted_wall_ms,
         account=account,
         attempt_limit=attempt_limit,
+        advice=advice,
     )
 
 
--- a/src/vanillaswitch/platform/job_request_handler.py
+++ b/src/vanillaswitch/platform/job_request_handler.py
@@ -167,6 +167,7 @@
                 int(self._clock.wall() * 1000),
                 account,
                 queue.max_attempts,
+                queue.advice,
             )
         except job_body.BadJobError as error:
             return _refusal(400, "bad-job", str(error))
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -73,19 +73,7 @@
         return Load(self.cpu + other.cpu, self.cpu_time + other.cpu_time)
 
 
-@dataclasses.dataclass(frozen=True)
-class AdvisorConfig:
-    """Settings of the advisor that decides where a queue's steps may run.
-
-    Attributes:
-        decision_ms: time that the advisor takes for a call.
-        period_ms: additional time for each instance in the call.
-        validity_ms: how long a ticket is valid.
-    """
-
-    decision_ms: float
-    period_ms: float
-    validity_ms: float
+AdvisorConfig = jobs.AdvisorConfig
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/vanillaswitch/protocol/jobs.py
+++ b/src/vanillaswitch/protocol/jobs.py
@@ -79,6 +79,21 @@
     may_miss: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class AdvisorConfig:
+    """Settings of the advisor that decides where a queue's steps may run.
+
+    Attributes:
+        decision_ms: time that the advisor takes for a call.
+        period_ms: additional time for each instance in the call.
+        validity_ms: how long a ticket is valid.
+    """
+
+    decision_ms: float
+    period_ms: float
+    validity_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Job:
     """A job as submitted; immutable.
@@ -104,6 +119,8 @@
         attempt_limit: number of failed runs of one task that fails the job, as
             its queue said when it was submitted; 0 if unknown. Used if the
             queue is removed.
+        advice: advisor of its queue at that time; None for none or if unknown.
+            Used by owners that never knew the queue.
     """
 
     job_id: str
@@ -119,6 +136,7 @@
     spec_digest: str = ""
     account: str = ""
     attempt_limit: int = 0
+    advice: AdvisorConfig | None = None
 
     def is_visible_to(self, account: str) -> bool:
         """Whether a client account may see and cancel the job."""
