Look at instances again after any pause of a plan

Callers would have seen: tasks that start on an instance which began to drain, or stopped answering, while the owner planned.

Cause: since plans pause, the instances of a pool were looked at again only if the pause right before a step let others run. Those while steps are put in order, and between parts of a wide step, were missed.

Change: a plan remembers any pause since it last looked. Without a pause it does not look again, which it did after each placed step.

The test lets an instance drain at each seventh pause of a plan; before, it got more tasks in some of the cases.

--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -54,6 +54,25 @@
     return False
 
 
+class _Pauses:
+    """Remembers whether others ran during a part of a plan."""
+
+    def __init__(self, pause: Pause):
+        self._pause = pause
+        self._has_paused = False
+
+    def __call__(self) -> bool:
+        """Lets others run, like the ``Pause`` that it stands for."""
+        paused = self._pause()
+        self._has_paused |= paused
+        return paused
+
+    def take(self) -> bool:
+        """Returns whether others ran since the last call."""
+        has_paused, self._has_paused = self._has_paused, False
+        return has_paused
+
+
 class _Attempt(enum.Enum):
     """What came of an attempt to place tasks of a step.
 
@@ -379,12 +398,13 @@
         """
         held_up: set[str] = set()
         now = plan_time.now
+        pauses = _Pauses(pause)
         instances = [item for item in pool if item.is_schedulable(now)]
         max_free = placement.MaxFreeCapacity(instances)
         suspect_limit = suspect_placement.SuspectLimit(pool)
         relevant = []
         for step in steps:
-            pause()
+            pauses()
             if step.entry.spec is None:
                 continue
             self._mark_if_image_suspect(step, now)
@@ -394,8 +414,9 @@
                 or max_free.may_fit(step.demand)
             ):
                 relevant.append(step)
-        for step in self._in_queue_order(relevant, plan_time, pause):
-            if pause():
+        for step in self._in_queue_order(relevant, plan_time, pauses):
+            pauses()
+            if pauses.take():
                 instances = self._still_schedulable(instances, now)
                 max_free.update(instances)
             account = step.entry.job.account
@@ -410,9 +431,8 @@
                 if step.step.gang:
                     suspect_limit = suspect_placement.SuspectLimit(pool)
             if max_free.may_fit(step.demand) and step.has_startable_task:
-                attempt = self._place_all(step, instances, now, pause)
+                attempt = self._place_all(step, instances, now, pauses)
                 if attempt is _Attempt.PLACED:
-                    instances = self._still_schedulable(instances, now)
                     max_free.update(instances)
                 elif (
                     attempt is _Attempt.NO_CAPACITY
--- a/tests/failures/test_long_plans.py
+++ b/tests/failures/test_long_plans.py
@@ -119,22 +119,25 @@
         assert scheduler.tracker.get(start.task.job_id).ended is None
 
 
-def test_an_instance_that_drains_during_a_plan_gets_no_more_tasks():
+@pytest.mark.parametrize("at", range(0, 200, 7))
+def test_an_instance_that_drains_during_a_plan_gets_no_more_tasks(at):
     """Guards against starts on instances that the plan knew as ready."""
     scheduler = _scheduler(*[jobs.Step(count=1, cpu=1000)] * 40)
-    before = {}
+    drained = scheduler.instances["i-0"]
+    counts = []
 
     def pause():
-        if scheduler.instances["i-0"].runs and not before:
-            before["count"] = len(scheduler.instances["i-0"].runs)
-            scheduler.handle_registration(
-                fleet_builders.registration("i-0", draining=True), 1.0
-            )
-            return True
-        return False
+        counts.append(len(drained.runs))
+        if len(counts) != at + 1:
+            return False
+        scheduler.handle_registration(
+            fleet_builders.registration("i-0", draining=True), 1.0
+        )
+        return True
 
     scheduler.plan(1.0, fleet_builders.WALL_MS, pause)
-    assert len(scheduler.instances["i-0"].runs) == before["count"] == 1
+    assert len(counts) > at
+    assert len(drained.runs) == counts[at]
 
 
 def test_a_wide_step_pauses_between_parts_of_it():
