--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -6,6 +6,7 @@
 from vanillaswitch.coordination.fleet.instances import stop_orders
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -67,7 +68,7 @@
     def _apply_superseded_end(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         end: fleet.RunEnd,
         now: float,
     ) -> None:
@@ -87,7 +88,7 @@
         self,
         instance: instance_state.Instance,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         end: fleet.RunEnd,
         run: instance_state.Run | None,
         now: float,
@@ -109,7 +110,7 @@
 
     def _emit_run_end(
         self,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         run: int,
         instance: instance_state.Instance,
         outcome: str,
@@ -127,8 +128,8 @@
 
     def _emit_late_end(
         self,
-        before: job_tracker.Task,
-        task: job_tracker.Task,
+        before: open_steps.Task,
+        task: open_steps.Task,
         end: fleet.RunEnd,
         instance: instance_state.Instance,
     ) -> None:
@@ -162,7 +163,7 @@
     def _apply_success(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         run: int,
         instance: instance_state.Instance,
         now: float,
@@ -171,7 +172,7 @@
 
         Completes the task, or requeues it if it is long-running.
         """
-        if task.state is job_tracker.TaskState.DONE:
+        if task.state is open_steps.TaskState.DONE:
             return
         instance.consecutive_failed_jobs.clear()
         instance.suspension_count = 0
@@ -188,7 +189,7 @@
     def _complete_task(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         run: int,
         now: float,
     ) -> None:
@@ -197,7 +198,7 @@
         The end of one member completes the whole gang. Runs that have replaced
         the completed one are stopped.
         """
-        if task.state is job_tracker.TaskState.DONE:
+        if task.state is open_steps.TaskState.DONE:
             return
         name = task.name
         step = entry.open_steps_by_key[name.occurrence, name.step]
@@ -205,14 +206,14 @@
         for member in step.tasks if step.step.gang else [task]:
             if member.is_superseded(run):
                 self._stop_current_run(member, now)
-            member.state = job_tracker.TaskState.DONE
+            member.state = open_steps.TaskState.DONE
         if step.is_done:
             entry.close_step(step)
             if entry.ended is not None:
                 self._emit_job_end(entry, "all tasks are done", now)
         self.tracker.mark_dirty(entry)
 
-    def _stop_current_run(self, task: job_tracker.Task, now: float) -> None:
+    def _stop_current_run(self, task: open_steps.Task, now: float) -> None:
         """Stops the current run of a task that an earlier run has completed."""
         instance = self.instances.get(task.instance)
         if instance is None:
@@ -226,7 +227,7 @@
     def _count_failure(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         end: fleet.RunEnd,
         instance: instance_state.Instance,
         now: float,
@@ -271,7 +272,7 @@
     def _requeue_after(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         run: int,
         instance: instance_state.Instance,
         checkpoint: str,
@@ -290,7 +291,7 @@
         """
         if not task.is_current(run, instance.name):
             return
-        task.state = job_tracker.TaskState.WAITING
+        task.state = open_steps.TaskState.WAITING
         task.instance = ""
         name = task.name
         if checkpoint and entry.job.steps[name.step].checkpointable:
@@ -301,7 +302,7 @@
     def _save_checkpoint(
         self,
         entry: job_tracker.JobEntry,
-        task: job_tracker.Task,
+        task: open_steps.Task,
         checkpoint: str,
     ) -> None:
         """Stores a checkpoint; that of a gang member is valid for the gang."""
@@ -333,7 +334,7 @@
 
 def _record_duration(
     entry: job_tracker.JobEntry,
-    task: job_tracker.Task,
+    task: open_steps.Task,
     run: instance_state.Run,
     instance: instance_state.Instance,
     now: float,
--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -21,6 +21,7 @@
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import jobs
 from vanillaswitch.state import deployment as deployments
@@ -63,7 +64,7 @@
 
     at: float
     rack: str
-    task: job_tracker.Task
+    task: open_steps.Task
     crash: crash_evidence.Crash
     is_sole_unproven: bool
     long_running: bool
@@ -235,7 +236,7 @@
                     self._fail_if_crashing(entry, task, now)
 
     def _fail_if_crashing(
-        self, entry: job_tracker.JobEntry, task: job_tracker.Task, now: float
+        self, entry: job_tracker.JobEntry, task: open_steps.Task, now: float
     ) -> None:
         """Fails a job if the evidence shows that a task crashes instances."""
         long_running = entry.job.steps[task.name.step].long_running
@@ -284,7 +285,7 @@
         )
 
     def _fail_crashing_job(
-        self, entry: job_tracker.JobEntry, task: job_tracker.Task, now: float
+        self, entry: job_tracker.JobEntry, task: open_steps.Task, now: float
     ) -> None:
         """Fails a job whose task crashes instances.
 
--- a/src/vanillaswitch/coordination/fleet/instances/disruption_budget.py
+++ b/src/vanillaswitch/coordination/fleet/instances/disruption_budget.py
@@ -11,7 +11,7 @@
 
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import jobs
 
 SERVING_PERCENT = 100.0
@@ -69,7 +69,7 @@
 
 
 def unavailable_indices(
-    state: term_state.TermState, step: job_tracker.OpenStep, now: float
+    state: term_state.TermState, step: open_steps.OpenStep, now: float
 ) -> set[int]:
     """Returns the indices of a step's tasks that may not be serving."""
     unavailable = set()
@@ -113,7 +113,7 @@
 
 
 def _current_run(
-    state: term_state.TermState, task: job_tracker.Task
+    state: term_state.TermState, task: open_steps.Task
 ) -> instance_state.Run | None:
     """Returns the run of an assigned task.
 
@@ -121,7 +121,7 @@
         None if there is no such run, or if it will end with its machine.
     """
     instance = state.instances.get(task.instance)
-    if instance is None or task.state is not job_tracker.TaskState.ASSIGNED:
+    if instance is None or task.state is not open_steps.TaskState.ASSIGNED:
         return None
     # The run will end with its machine, but the instance has not reported that
     # yet. Orders for several machines follow within milliseconds of each other.
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -9,6 +9,7 @@
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import fleet
 
 
@@ -30,7 +31,7 @@
         for entry in self.tracker.unfinished.values():
             for step in entry.open_steps_by_key.values():
                 for task in step.opened_tasks:
-                    if task.state is job_tracker.TaskState.ASSIGNED:
+                    if task.state is open_steps.TaskState.ASSIGNED:
                         name = task.instance
                         if name not in self.instances:
                             unregistered.append(name)
@@ -54,7 +55,7 @@
         """
         for step in entry.open_steps_by_key.values():
             for task in step.opened_tasks:
-                if task.state is job_tracker.TaskState.ASSIGNED:
+                if task.state is open_steps.TaskState.ASSIGNED:
                     self._recover_late_task(step, task, now, lease_expires_at)
         for instance in self.instances.values():
             self._apply_unprocessed_ends(instance, entry.job.job_id, now)
@@ -89,8 +90,8 @@
 
     def _recover_late_task(
         self,
-        step: job_tracker.OpenStep,
-        task: job_tracker.Task,
+        step: open_steps.OpenStep,
+        task: open_steps.Task,
         now: float,
         lease_expires_at: float,
     ) -> None:
@@ -140,14 +141,14 @@
         self.instances[name] = instance
 
     def _recover_run(
-        self, step: job_tracker.OpenStep, task: job_tracker.Task, now: float
+        self, step: open_steps.OpenStep, task: open_steps.Task, now: float
     ) -> None:
         """Adds the recorded run of a task to its instance."""
         run = instance_state.Run(
             task.name,
             task.run,
             step.step,
-            job_tracker.task_demand(step.step),
+            open_steps.task_demand(step.step),
             now,
         )
         run.is_start_sent = True
--- a/src/vanillaswitch/coordination/fleet/instances/scheduler.py
+++ b/src/vanillaswitch/coordination/fleet/instances/scheduler.py
@@ -25,6 +25,7 @@
 from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import duration_estimates
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.coordination.fleet.queue import wide_progress
 from vanillaswitch.protocol import jobs
@@ -105,7 +106,7 @@
 
     def _record_arrival(self, entry: job_tracker.JobEntry, now: float) -> None:
         cpu = sum(
-            job_tracker.task_demand(step).cpu * step.count
+            open_steps.task_demand(step).cpu * step.count
             for step in entry.job.steps
             if not step.after and not step.long_running
         )
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -7,6 +7,7 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import stragglers
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -107,7 +108,7 @@
         if gang or run_status.run >= newer.run:
             return
         instance.remove_run(newer.key)
-        task.state = job_tracker.TaskState.WAITING
+        task.state = open_steps.TaskState.WAITING
         task.run = run_status.run
 
     def _process_listed_run(
@@ -201,7 +202,7 @@
             run_status.task,
             run_status.run,
             step,
-            job_tracker.task_demand(step),
+            open_steps.task_demand(step),
             now,
         )
         run.is_start_sent = run.confirmed = True
@@ -227,7 +228,7 @@
             run_status.task.occurrence, run_status.task.step
         ]
         step, task = open_step.step, open_step.task(run_status.task.index)
-        task.state = job_tracker.TaskState.ASSIGNED
+        task.state = open_steps.TaskState.ASSIGNED
         task.instance = instance.name
         task.remove_crash(run_status.run)
         task.last_counted_run = min(task.last_counted_run, run_status.run - 1)
@@ -235,7 +236,7 @@
             run_status.task,
             run_status.run,
             step,
-            job_tracker.task_demand(step),
+            open_steps.task_demand(step),
             now,
         )
         run.account = entry.job.account
@@ -389,6 +390,6 @@
     if task is None or entry.job.steps[run_status.task.step].gang:
         return False
     return (
-        task.state is job_tracker.TaskState.WAITING
+        task.state is open_steps.TaskState.WAITING
         and run_status.run == task.run
     )
--- a/src/vanillaswitch/coordination/fleet/instances/suspect_placement.py
+++ b/src/vanillaswitch/coordination/fleet/instances/suspect_placement.py
@@ -15,7 +15,7 @@
 from vanillaswitch.coordination.fleet.instances import disruption_budget
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 
 BUSY_SUSPECT_SHARE = 0.25
 """Largest share of a pool that may run suspected tasks at a time. Applies when
@@ -66,8 +66,8 @@
 
 def choose_suspect_instance(
     state: term_state.TermState,
-    step: job_tracker.OpenStep,
-    task: job_tracker.Task,
+    step: open_steps.OpenStep,
+    task: open_steps.Task,
     candidates: Sequence[instance_state.Instance],
     now: float,
 ) -> instance_state.Instance | None:
@@ -123,8 +123,8 @@
 
 
 def can_start_suspect(
-    step: job_tracker.OpenStep,
-    task: job_tracker.Task,
+    step: open_steps.OpenStep,
+    task: open_steps.Task,
     instance: instance_state.Instance,
 ) -> bool:
     """Whether a suspected task may start on an instance now."""
--- a/src/vanillaswitch/coordination/fleet/queue/placement.py
+++ b/src/vanillaswitch/coordination/fleet/queue/placement.py
@@ -13,15 +13,15 @@
 from collections.abc import Set
 
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
-Assignments = list[tuple[job_tracker.Task, instance_state.Instance]]
+Assignments = list[tuple[open_steps.Task, instance_state.Instance]]
 
 
 def eligible_instances(
-    step: job_tracker.OpenStep,
+    step: open_steps.OpenStep,
     instances: Sequence[instance_state.Instance],
     tickets: Mapping[str, str] | None,
 ) -> Sequence[instance_state.Instance]:
@@ -98,7 +98,7 @@
 
 
 def choose_instances(
-    step: job_tracker.OpenStep,
+    step: open_steps.OpenStep,
     candidates: Sequence[instance_state.Instance],
     max_tasks: int,
 ) -> Assignments:
@@ -140,8 +140,8 @@
 
     def add(
         self,
-        step: job_tracker.OpenStep,
-        task: job_tracker.Task,
+        step: open_steps.OpenStep,
+        task: open_steps.Task,
         instance: instance_state.Instance,
     ) -> None:
         """Reserves resources for a task."""
@@ -157,7 +157,7 @@
 
 
 def place_gang(
-    step: job_tracker.OpenStep, candidates: Sequence[instance_state.Instance]
+    step: open_steps.OpenStep, candidates: Sequence[instance_state.Instance]
 ) -> Assignments:
     """Places a whole gang, on one rack if the step prefers it and one fits.
 
@@ -181,7 +181,7 @@
 
 
 def _choose_all_or_none(
-    step: job_tracker.OpenStep, candidates: Sequence[instance_state.Instance]
+    step: open_steps.OpenStep, candidates: Sequence[instance_state.Instance]
 ) -> Assignments:
     chosen: Assignments = []
     reservations = _TentativeReservations()
@@ -198,8 +198,8 @@
 
 
 def preference(
-    step: job_tracker.OpenStep,
-    task: job_tracker.Task,
+    step: open_steps.OpenStep,
+    task: open_steps.Task,
     instance: instance_state.Instance,
 ) -> tuple[bool, bool, bool, int, str]:
     """Returns a key by which instances are sorted, the best one first.
@@ -226,7 +226,7 @@
 
     def __init__(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         candidates: Sequence[instance_state.Instance],
     ):
         """Begins with the first task.
@@ -240,7 +240,7 @@
         self._last: instance_state.Instance | None = None
         self._avoided: Set[str] = frozenset()
 
-    def choose(self, task: job_tracker.Task) -> instance_state.Instance | None:
+    def choose(self, task: open_steps.Task) -> instance_state.Instance | None:
         """Returns the best instance that a task fits on, None for none.
 
         The caller reserves the resources on it before it chooses for the next
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -24,7 +24,7 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.coordination.fleet.queue import ticket_requests
@@ -110,7 +110,7 @@
 
     def ready_steps(
         self, plan_time: queue_order.PlanTime
-    ) -> dict[str, list[job_tracker.OpenStep]]:
+    ) -> dict[str, list[open_steps.OpenStep]]:
         """Returns open steps with waiting tasks, by pool, in queue order."""
         return {
             pool_name: self._in_queue_order(steps, plan_time)
@@ -119,9 +119,9 @@
 
     def _waiting_steps(
         self, plan_time: queue_order.PlanTime, pause: Pause = no_pause
-    ) -> dict[str, list[job_tracker.OpenStep]]:
+    ) -> dict[str, list[open_steps.OpenStep]]:
         """Returns open steps with waiting tasks, by pool."""
-        waiting: dict[str, list[job_tracker.OpenStep]] = {}
+        waiting: dict[str, list[open_steps.OpenStep]] = {}
         for entry in list(self.tracker.unfinished.values()):
             pause()
             found = [
@@ -135,10 +135,10 @@
 
     def _in_queue_order(
         self,
-        steps: Iterable[job_tracker.OpenStep],
+        steps: Iterable[open_steps.OpenStep],
         plan_time: queue_order.PlanTime,
         pause: Pause = no_pause,
-    ) -> list[job_tracker.OpenStep]:
+    ) -> list[open_steps.OpenStep]:
         """Returns steps in the order in which they get capacity."""
         keyed = []
         for step in steps:
@@ -152,7 +152,7 @@
             return self._by_fair_share(keyed)
         return [step for _, _, step in keyed]
 
-    def _tie(self, step: job_tracker.OpenStep) -> _Tie:
+    def _tie(self, step: open_steps.OpenStep) -> _Tie:
         """Returns what decides between steps of the same order."""
         if not self._overload.fair_order:
             return (step.entry.received_at,)
@@ -167,8 +167,8 @@
 
     def _by_fair_share(
         self,
-        keyed: Sequence[tuple[queue_order.Key, _Tie, job_tracker.OpenStep]],
-    ) -> list[job_tracker.OpenStep]:
+        keyed: Sequence[tuple[queue_order.Key, _Tie, open_steps.OpenStep]],
+    ) -> list[open_steps.OpenStep]:
         """Returns steps of one pool in an order that divides it fairly.
 
         Args:
@@ -355,7 +355,7 @@
 
     def _find_jobs_without_spec(
         self,
-        waiting: Mapping[str, Iterable[job_tracker.OpenStep]],
+        waiting: Mapping[str, Iterable[open_steps.OpenStep]],
         plan_time: queue_order.PlanTime,
         pause: Pause,
     ) -> tuple[str, ...]:
@@ -373,7 +373,7 @@
     def _plan_pool(
         self,
         pool: Sequence[instance_state.Instance],
-        steps: Iterable[job_tracker.OpenStep],
+        steps: Iterable[open_steps.OpenStep],
         plan_time: queue_order.PlanTime,
         pause: Pause,
     ) -> bool:
@@ -461,7 +461,7 @@
 
     def _place_all(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         instances: Sequence[instance_state.Instance],
         now: float,
         pause: Pause,
@@ -481,7 +481,7 @@
             if not step.is_open or not step.has_startable_task:
                 return result
 
-    def _is_held_up(self, step: job_tracker.OpenStep) -> bool:
+    def _is_held_up(self, step: open_steps.OpenStep) -> bool:
         """Whether the limit of its account lets not all waiting tasks start."""
         if self.account_limit(step.entry.job.account) == limits.NO_LIMIT:
             return False
@@ -489,7 +489,7 @@
         return self._startable_count(step, count) < count
 
     def _mark_if_image_suspect(
-        self, step: job_tracker.OpenStep, now: float
+        self, step: open_steps.OpenStep, now: float
     ) -> None:
         """Marks a step as suspect if its image has recently crashed instances.
 
@@ -503,7 +503,7 @@
 
     def _place_in_isolation(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         instances: list[instance_state.Instance],
         suspect_limit: suspect_placement.SuspectLimit,
         now: float,
@@ -562,7 +562,7 @@
             self.tracker.mark_dirty(step.entry)
         return instances
 
-    def _has_active_suspect_run(self, step: job_tracker.OpenStep) -> bool:
+    def _has_active_suspect_run(self, step: open_steps.OpenStep) -> bool:
         """Whether a suspect task of a step has a run that is not to be stopped.
 
         Such a run will show whether the task crashes its instance. A run that
@@ -572,7 +572,7 @@
         suspect_runs = [
             self._find_run(task.instance, (task.name, task.run))
             for task in step.opened_tasks
-            if task.is_suspect and task.state is job_tracker.TaskState.ASSIGNED
+            if task.is_suspect and task.state is open_steps.TaskState.ASSIGNED
         ]
         return any(
             run is not None and run.stop_requested_at is None
@@ -581,7 +581,7 @@
 
     def _reserve_instance(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         instances: Iterable[instance_state.Instance],
         now: float,
     ) -> instance_state.Instance | None:
@@ -622,7 +622,7 @@
 
     def _place(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         instances: Sequence[instance_state.Instance],
         now: float,
         *,
@@ -671,7 +671,7 @@
         return _Attempt.PLACED
 
     def _within_document(
-        self, step: job_tracker.OpenStep, chosen: placement.Assignments
+        self, step: open_steps.OpenStep, chosen: placement.Assignments
     ) -> placement.Assignments:
         """Leaves out tasks for which the document of their job has no room."""
         room = step.entry.fresh_start_count(self._max_document_bytes)
@@ -679,7 +679,7 @@
         left_out = set(fresh[room:])
         return [pair for pair in chosen if pair[0].name not in left_out]
 
-    def _startable_count(self, step: job_tracker.OpenStep, wanted: int) -> int:
+    def _startable_count(self, step: open_steps.OpenStep, wanted: int) -> int:
         """Returns how many tasks of a step may start.
 
         The limit of its account and the size of its job's row limit them. All
@@ -720,8 +720,8 @@
 
     def _assign(
         self,
-        step: job_tracker.OpenStep,
-        task: job_tracker.Task,
+        step: open_steps.OpenStep,
+        task: open_steps.Task,
         instance: instance_state.Instance,
         number: int,
         ticket: str,
@@ -773,7 +773,7 @@
         )
 
     def tickets_for(
-        self, step: job_tracker.OpenStep, now: float
+        self, step: open_steps.OpenStep, now: float
     ) -> Mapping[str, str] | None:
         """Returns a step's valid tickets by instance, None if it needs none.
 
@@ -832,7 +832,7 @@
         return ticket_requests.interleave(by_pool)
 
     def _advice_for(
-        self, step: job_tracker.OpenStep
+        self, step: open_steps.OpenStep
     ) -> fleet.AdvisorConfig | None:
         """Returns the advisor of a step whose tasks need only tickets."""
         if step.entry.spec is None:
@@ -853,11 +853,11 @@
 
     def _backlog(
         self,
-        steps: Iterable[job_tracker.OpenStep],
+        steps: Iterable[open_steps.OpenStep],
         usage: limits.AccountUsage,
         plan_time: queue_order.PlanTime,
         pause: Pause,
-    ) -> tuple[list[tuple[job_tracker.OpenStep, int]], fleet.Load]:
+    ) -> tuple[list[tuple[open_steps.OpenStep, int]], fleet.Load]:
         """Returns what the waiting tasks of some steps and their jobs need.
 
         Tasks that the limits of their accounts hold up are left out, since more
@@ -874,11 +874,11 @@
             Thousandths of a core that the tasks of steps need, and the load of
             those that end by themselves.
         """
-        needs: list[tuple[job_tracker.OpenStep, int]] = []
+        needs: list[tuple[open_steps.OpenStep, int]] = []
         load = fleet.Load()
-        last_steps: dict[str, job_tracker.OpenStep] = {}
+        last_steps: dict[str, open_steps.OpenStep] = {}
 
-        def add(step: job_tracker.OpenStep, number: int, count: int) -> None:
+        def add(step: open_steps.OpenStep, number: int, count: int) -> None:
             nonlocal load
             entry, account = step.entry, step.entry.job.account
             waiting = entry.job.steps[number]
@@ -888,7 +888,7 @@
                 count = limits.startable_count(limit, used, waiting, count)
                 usage.add_tasks(account, waiting, count)
             if count:
-                cpu = job_tracker.task_demand(waiting).cpu * count
+                cpu = open_steps.task_demand(waiting).cpu * count
                 needs.append((step, cpu))
                 load = load.with_tasks(
                     waiting, count, entry.expected_ms(number)
@@ -909,7 +909,7 @@
 
     def _sum_by_group(
         self,
-        needs: Iterable[tuple[job_tracker.OpenStep, int]],
+        needs: Iterable[tuple[open_steps.OpenStep, int]],
         plan_time: queue_order.PlanTime,
         pause: Pause,
     ) -> dict[queue_order.Group, int]:
@@ -924,7 +924,7 @@
 
     def record_advice(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         named: Collection[str],
         tickets: Mapping[str, str],
         now: float,
--- a/src/vanillaswitch/coordination/fleet/queue/queue_order.py
+++ b/src/vanillaswitch/coordination/fleet/queue/queue_order.py
@@ -23,6 +23,7 @@
 import enum
 
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -44,7 +45,7 @@
     wall_ms: float
 
 
-Order = Callable[[job_tracker.OpenStep, fleet.Queue | None, PlanTime], Key]
+Order = Callable[[open_steps.OpenStep, fleet.Queue | None, PlanTime], Key]
 
 ORDERS: registry.Registry[Order] = registry.Registry("order of a queue")
 DEFAULT_ORDER = "headroom"
@@ -130,7 +131,7 @@
     return entry.critical_path_ms
 
 
-def _remaining_path_ms(step: job_tracker.OpenStep) -> float:
+def _remaining_path_ms(step: open_steps.OpenStep) -> float:
     """Returns the remaining critical path of an occurrence.
 
     The value is cached until a step is done. Computing it for each open step in
@@ -146,7 +147,7 @@
     return entry.remaining_path_ms[step.occurrence]
 
 
-def _remaining_work(step: job_tracker.OpenStep) -> float:
+def _remaining_work(step: open_steps.OpenStep) -> float:
     """Returns the estimated remaining work of an occurrence.
 
     The unit is thousandths of a core x ms. The value is cached until a step is
@@ -162,7 +163,7 @@
     return entry.remaining_work[step.occurrence]
 
 
-def _age_ms(step: job_tracker.OpenStep, plan_time: PlanTime) -> float:
+def _age_ms(step: open_steps.OpenStep, plan_time: PlanTime) -> float:
     due_ms = step.entry.job.due_ms(step.occurrence)
     if due_ms:
         return max(0.0, plan_time.wall_ms - due_ms)
@@ -192,7 +193,7 @@
 
 
 def _urgency(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> _Urgency:
     entry = step.entry
     entry.drop_outdated_paths()
@@ -220,7 +221,7 @@
 
 
 def classify(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> Group:
     """Returns the group of an open step.
 
@@ -234,7 +235,7 @@
 
 @ORDERS.register("headroom")
 def headroom(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> Key:
     """Started jobs first, then those with ample slack, then the others.
 
@@ -254,7 +255,7 @@
     return _by_headroom(step, urgency)
 
 
-def _by_headroom(step: job_tracker.OpenStep, urgency: _Urgency) -> Key:
+def _by_headroom(step: open_steps.OpenStep, urgency: _Urgency) -> Key:
     slack_ms = urgency.slack_ms
     if _has_started(step):
         rank = (_STARTED, slack_ms)
@@ -268,7 +269,7 @@
 
 @ORDERS.register(FAIR_ORDER)
 def fair(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> Key:
     """Like ``headroom``, but late jobs with the least work left first.
 
@@ -313,7 +314,7 @@
     return (*key[:2], not is_started, level, *key[2:])
 
 
-def _has_started(step: job_tracker.OpenStep) -> bool:
+def _has_started(step: open_steps.OpenStep) -> bool:
     """Whether a task of this occurrence of the job was ever assigned."""
     return step.number > 0 or step.counts.started > 0
 
@@ -331,7 +332,7 @@
 
 @ORDERS.register("slack")
 def slack(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> Key:
     """Jobs that can still meet their objective first, by least slack."""
     return _by_group(_urgency(step, queue, plan_time))
@@ -339,7 +340,7 @@
 
 @ORDERS.register("arrival")
 def arrival(
-    step: job_tracker.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
+    step: open_steps.OpenStep, queue: fleet.Queue | None, plan_time: PlanTime
 ) -> Key:
     """First come, first served; a baseline to compare other orders with."""
     del queue
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -17,7 +17,7 @@
 import math
 
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.coordination.fleet.queue import tickets
 from vanillaswitch.protocol import fleet
@@ -55,7 +55,7 @@
         validity_s: how long its tickets are valid, unless it says otherwise.
     """
 
-    step: job_tracker.OpenStep
+    step: open_steps.OpenStep
     instances: Sequence[str]
     expected_s: float
     validity_s: float
@@ -123,7 +123,7 @@
 
     def add(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         count: int,
         advice: fleet.AdvisorConfig,
     ) -> None:
@@ -158,7 +158,7 @@
             )
         )
 
-    def _slots(self, step: job_tracker.OpenStep, count: int) -> dict[str, int]:
+    def _slots(self, step: open_steps.OpenStep, count: int) -> dict[str, int]:
         """Returns how many tasks fit on each instance that may run the step.
 
         Args:
@@ -187,7 +187,7 @@
 
     def _choose(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         candidates: Iterable[instance_state.Instance],
         slots: Mapping[str, int],
         missing: int,
@@ -225,7 +225,7 @@
 
     def _set_aside_later_capacity(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         names: Iterable[str],
         slots: Mapping[str, int],
         count: int,
@@ -252,7 +252,7 @@
 
     def _set_aside(
         self,
-        step: job_tracker.OpenStep,
+        step: open_steps.OpenStep,
         slots: Mapping[str, int],
         count: int,
     ) -> None:
--- a/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
+++ b/src/vanillaswitch/coordination/fleet/queue/wide_progress.py
@@ -22,7 +22,7 @@
 """A longer list of steps that are done is written as ranges."""
 
 DONE = "d"
-"""State of a task that is done, as in ``job_tracker.TaskState``."""
+"""State of a task that is done, as in ``open_steps.TaskState``."""
 
 FIXED_BYTES = 2048
 """What a compact document holds besides its tasks, and the token of its
@@ -50,8 +50,8 @@
     """What a later owner needs to know of a task that was started.
 
     Attributes:
-        state: see ``job_tracker.TaskState``.
-        born_ms: see ``job_tracker.Task``.
+        state: see ``open_steps.TaskState``.
+        born_ms: see ``open_steps.Task``.
         crashes: rows of ``crash_evidence.encode_crashes``.
     """
 
--- a/src/vanillaswitch/coordination/fleet/status_summaries.py
+++ b/src/vanillaswitch/coordination/fleet/status_summaries.py
@@ -15,15 +15,16 @@
 from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import accounts
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import unusable
 
 _TASK_STATE_NAMES = {
-    job_tracker.TaskState.WAITING: "waiting",
-    job_tracker.TaskState.ASSIGNED: "assigned",
-    job_tracker.TaskState.DONE: "done",
+    open_steps.TaskState.WAITING: "waiting",
+    open_steps.TaskState.ASSIGNED: "assigned",
+    open_steps.TaskState.DONE: "done",
 }
 
 
@@ -254,7 +255,7 @@
     usage = limits.AccountUsage()
     for entry in own:
         for step in entry.open_steps_by_key.values():
-            count = _counts_by_state(step)[job_tracker.TaskState.ASSIGNED]
+            count = _counts_by_state(step)[open_steps.TaskState.ASSIGNED]
             usage.add_tasks(account.name, step.step, count)
     used = usage.used(account.name)
     return AccountSummary(
@@ -290,7 +291,7 @@
         wall_ms: time of day in milliseconds since 1970.
     """
     services = {queue.name: queue.service for queue in config.queues}
-    by_pool: dict[str, list[job_tracker.OpenStep]] = {}
+    by_pool: dict[str, list[open_steps.OpenStep]] = {}
     for entry in entries:
         service = services.get(entry.job.queue, entry.job.service)
         by_pool.setdefault(service, []).extend(_finite_steps(entry, wall_ms))
@@ -309,7 +310,7 @@
 
 def _finite_steps(
     entry: job_tracker.JobEntry, wall_ms: float
-) -> list[job_tracker.OpenStep]:
+) -> list[open_steps.OpenStep]:
     """Returns the open steps whose tasks end by themselves."""
     return [
         step
@@ -321,7 +322,7 @@
 def _pool_shares(
     service: str,
     config: fleet.FleetConfig,
-    steps: Iterable[job_tracker.OpenStep],
+    steps: Iterable[open_steps.OpenStep],
     registrations: Iterable[fleet.Registration],
 ) -> fair_shares.PoolShares:
     rooms = [item.capacity for item in registrations if item.service == service]
@@ -338,7 +339,7 @@
         },
     )
     for step in steps:
-        count = _counts_by_state(step)[job_tracker.TaskState.ASSIGNED]
+        count = _counts_by_state(step)[open_steps.TaskState.ASSIGNED]
         shares.add(step.entry.job.account, step.demand, count)
     return shares
 
@@ -387,24 +388,24 @@
 
 
 def _counts_by_state(
-    step: job_tracker.OpenStep,
-) -> Mapping[job_tracker.TaskState, int]:
+    step: open_steps.OpenStep,
+) -> Mapping[open_steps.TaskState, int]:
     counts = step.counts
     return {
-        job_tracker.TaskState.WAITING: counts.waiting,
-        job_tracker.TaskState.ASSIGNED: (
+        open_steps.TaskState.WAITING: counts.waiting,
+        open_steps.TaskState.ASSIGNED: (
             step.step.count - counts.waiting - counts.done
         ),
-        job_tracker.TaskState.DONE: counts.done,
+        open_steps.TaskState.DONE: counts.done,
     }
 
 
-def _needs_summary(task: job_tracker.Task) -> bool:
-    done = task.state is job_tracker.TaskState.DONE
+def _needs_summary(task: open_steps.Task) -> bool:
+    done = task.state is open_steps.TaskState.DONE
     return not done or bool(task.failed_runs or task.crashes)
 
 
-def _summarize_task(task: job_tracker.Task) -> TaskSummary:
+def _summarize_task(task: open_steps.Task) -> TaskSummary:
     return TaskSummary(
         task.name.path_in_job,
         _TASK_STATE_NAMES[task.state],
@@ -454,7 +455,7 @@
                 is_on_instance = task.instance == name
                 if (
                     is_on_instance
-                    and task.state is job_tracker.TaskState.ASSIGNED
+                    and task.state is open_steps.TaskState.ASSIGNED
                 ):
                     label = task.name.path_in_job
                     yield f"{entry.job.job_id} {label} run {task.run}"
--- a/standins/model/world.py
+++ b/standins/model/world.py
@@ -27,7 +27,7 @@
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.machines import machine_controller
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.internal import registry
 from vanillaswitch.protocol import fleet
@@ -289,7 +289,7 @@
         start = fleet.StartRequest(
             order.task, order.run, "", "", self._token, int(deadline)
         )
-        outcome = instance.start(start, job_tracker.task_demand(step))
+        outcome = instance.start(start, open_steps.task_demand(step))
         if not isinstance(outcome, fleet.Accepted):
             raise AssertionError(f"a start was refused: {outcome}")
         self._scheduler.handle_start_accepted(
--- a/tests/common/crash_simulation.py
+++ b/tests/common/crash_simulation.py
@@ -15,7 +15,7 @@
 from vanillaswitch.coordination.fleet.instances import lease_times
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
 from vanillaswitch.coordination.fleet.instances import term_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -290,7 +290,7 @@
         start = fleet.StartRequest(
             order.task, order.run, "", "", self.token, deadline
         )
-        outcome = model.start(start, job_tracker.task_demand(step))
+        outcome = model.start(start, open_steps.task_demand(step))
         assert isinstance(outcome, fleet.Accepted), outcome
         self.scheduler.handle_start_accepted(
             order.instance,
--- a/tests/common/disruption_simulation.py
+++ b/tests/common/disruption_simulation.py
@@ -17,7 +17,7 @@
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.machines import evacuation
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -237,7 +237,7 @@
     ) -> fleet.OrderOutcome:
         step = self.jobs[start.task.job_id].steps[0]
         outcome = self.instances[name].start(
-            start, job_tracker.task_demand(step)
+            start, open_steps.task_demand(step)
         )
         hosts = [
             other
--- a/tests/common/fleet_builders.py
+++ b/tests/common/fleet_builders.py
@@ -1,5 +1,6 @@
 """Builders of jobs, instances and owners for tests."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
@@ -147,6 +148,36 @@
     return batch
 
 
+def end_runs(
+    scheduler: schedulers.Scheduler,
+    starts: Iterable[term_state.StartOrder],
+    now: float,
+    numbers: dict[str, int],
+) -> None:
+    """Lets each instance report that its runs have ended as done.
+
+    Args:
+        scheduler: receives the status reports, one of each instance.
+        starts: the starts of these runs.
+        now: monotonic seconds.
+        numbers: number of the last end by instance; updated.
+    """
+    ended: dict[str, list[fleet.RunEnd]] = {
+        name: [] for name in scheduler.instances
+    }
+    for start in starts:
+        number = numbers.get(start.instance, 0) + 1
+        numbers[start.instance] = number
+        ended[start.instance].append(
+            fleet.RunEnd(
+                number, start.task, start.run, fleet.RunOutcome.DONE, ""
+            )
+        )
+    for name, ends in ended.items():
+        report = status_report(ended=tuple(ends))
+        scheduler.handle_status_report(name, report, now, now)
+
+
 def accept_starts(
     scheduler: schedulers.Scheduler,
     batch: term_state.WriteBatch,
--- a/tests/common/owner_histories.py
+++ b/tests/common/owner_histories.py
@@ -21,7 +21,7 @@
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import planning
 from vanillaswitch.coordination.fleet.queue import task_counts
 from vanillaswitch.protocol import fleet
@@ -328,7 +328,7 @@
     def _execute_start(self, name: str, start: fleet.StartRequest) -> object:
         model = self.instances[name]
         job = self.jobs[start.task.job_id]
-        need = job_tracker.task_demand(job.steps[start.task.step])
+        need = open_steps.task_demand(job.steps[start.task.step])
         before = len(model.started)
         outcome = model.start(start, need)
         if len(model.started) > before:
@@ -634,12 +634,12 @@
 
 
 def _assert_counts(
-    counts: task_counts.TaskCounts, tasks: Sequence[job_tracker.Task]
+    counts: task_counts.TaskCounts, tasks: Sequence[open_steps.Task]
 ) -> None:
     waiting = [
-        task for task in tasks if task.state is job_tracker.TaskState.WAITING
+        task for task in tasks if task.state is open_steps.TaskState.WAITING
     ]
-    done = [task for task in tasks if task.state is job_tracker.TaskState.DONE]
+    done = [task for task in tasks if task.state is open_steps.TaskState.DONE]
     unfinished = [task for task in tasks if task.run and task not in done]
     assert counts.total == len(tasks)
     assert counts.waiting == len(waiting)
--- a/tests/cover/test_deployment_command.py
+++ b/tests/cover/test_deployment_command.py
@@ -14,6 +14,7 @@
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.ownership import fenced_writer
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.internal import clock as clocks
 from vanillaswitch.platform import http_table
 from vanillaswitch.protocol import jobs
@@ -219,7 +220,7 @@
             )
         entry = job_tracker.JobEntry(fleet_builders.job(1, step), 0.0)
         (task,) = next(iter(entry.open_due_steps(0.0))).tasks
-        task.state, task.run = job_tracker.TaskState.ASSIGNED, 1
+        task.state, task.run = open_steps.TaskState.ASSIGNED, 1
         workstation.put(
             f"{fenced_writer.PROGRESS_TABLE}/{entry.job.job_id}",
             entry.to_document(),
--- a/tests/cover/test_machine_releases.py
+++ b/tests/cover/test_machine_releases.py
@@ -13,7 +13,7 @@
 from vanillaswitch.coordination.fleet.machines import pool_allocation
 from vanillaswitch.coordination.fleet.machines import waves
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -255,7 +255,7 @@
             jobs.TaskName("f" * 16, 0, 0, 0),
             1,
             step,
-            job_tracker.task_demand(step),
+            open_steps.task_demand(step),
             played.clock.monotonic(),
         )
     )
--- a/tests/cover/test_owner_decisions.py
+++ b/tests/cover/test_owner_decisions.py
@@ -4,6 +4,7 @@
 
 from tests.common import fleet_builders
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
@@ -110,7 +111,7 @@
 
     def could_fit(step):
         return instance.fits_beside_long_running_tasks(
-            step, other, job_tracker.task_demand(step), 1.0
+            step, other, open_steps.task_demand(step), 1.0
         )
 
     assert not instance.free_cpu
--- a/tests/failures/test_recurring_jobs.py
+++ b/tests/failures/test_recurring_jobs.py
@@ -56,26 +56,6 @@
     return calls
 
 
-def _end_all(scheduler, starts, now, numbers):
-    """Lets some runs end as done."""
-    for name in _NAMES:
-        ended = []
-        for start in starts:
-            if start.instance == name:
-                numbers[name] = numbers.get(name, 0) + 1
-                ended.append(
-                    fleet.RunEnd(
-                        numbers[name],
-                        start.task,
-                        start.run,
-                        fleet.RunOutcome.DONE,
-                        "",
-                    )
-                )
-        report = fleet_builders.status_report(ended=tuple(ended))
-        scheduler.handle_status_report(name, report, now, now)
-
-
 def _costs(due, steps):
     """Returns the calls of each operation on a job, half of which is done."""
     scheduler = _scheduler()
@@ -95,7 +75,7 @@
     batch = scheduler.take_batch(100)
     costs["write"] = _count_calls(entry.to_document)
     costs["end"] = _count_calls(
-        lambda: _end_all(scheduler, batch.starts, 2.0, {})
+        lambda: fleet_builders.end_runs(scheduler, batch.starts, 2.0, {})
     )
     costs["status"] = _count_calls(
         lambda: (
@@ -133,7 +113,7 @@
             break
         started.extend(start.task for start in batch.starts)
         now += 1.0
-        _end_all(scheduler, batch.starts, now, numbers)
+        fleet_builders.end_runs(scheduler, batch.starts, now, numbers)
     (entry,) = scheduler.tracker
     assert entry.ended is jobs.JobState.COMPLETED
     first = [task.occurrence for task in started if task.step == 0]
@@ -172,7 +152,7 @@
     while starts := fleet_builders.plan_batch(scheduler, now).starts:
         started += len(starts)
         now += 1.0
-        _end_all(scheduler, starts, now, numbers)
+        fleet_builders.end_runs(scheduler, starts, now, numbers)
     (entry,) = scheduler.tracker
     assert started == job_tracker.MAX_OPEN_STEPS // 2
     assert len(entry.open_steps_by_key) == started
@@ -238,7 +218,7 @@
             now += 1.0
             ended = [start for start in batch.starts if chooser.random() < 0.7]
             started.extend(start.task for start in ended)
-            _end_all(scheduler, ended, now, numbers)
+            fleet_builders.end_runs(scheduler, ended, now, numbers)
         document = json.loads(json.dumps(entry.to_document()))
         assert entry.ended is None, term
     assert len(started) == len(set(started))
--- a/tests/failures/test_row_sizes.py
+++ b/tests/failures/test_row_sizes.py
@@ -7,6 +7,7 @@
 
 from tests.common import fleet_builders
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
@@ -16,7 +17,7 @@
     entry = job_tracker.JobEntry(fleet_builders.job(steps=(step,)), 0.0)
     (open_step,) = entry.open_due_steps(0.0)
     for task in open_step.tasks:
-        task.state = job_tracker.TaskState.ASSIGNED
+        task.state = open_steps.TaskState.ASSIGNED
         task.run, task.instance = 1, "i-54a34c12c2"
         task.born_ms, task.checkpoint = 1_782_052_189_646, "00000bb87a21d94b"
     return entry
@@ -27,7 +28,7 @@
     entry = _entry(jobs.Step(count=8, checkpointable=True))
     sizes = [len(json.dumps(entry.to_document()))]
     for task in entry.open_steps_by_key[0, 0].tasks:
-        task.state = job_tracker.TaskState.DONE
+        task.state = open_steps.TaskState.DONE
         sizes.append(len(json.dumps(entry.to_document())))
     assert sizes == sorted(sizes, reverse=True)
     assert len(set(sizes)) == len(sizes)
@@ -37,7 +38,7 @@
     """Guards against rows that no longer tell where a task failed."""
     entry = _entry(jobs.Step(count=2))
     first, second = entry.open_steps_by_key[0, 0].tasks
-    first.state = second.state = job_tracker.TaskState.DONE
+    first.state = second.state = open_steps.TaskState.DONE
     first.failed_runs = 1
     instances = [row[5] for row in entry.to_document()["tasks"]]
     assert instances == ["i-54a34c12c2", ""]
@@ -105,8 +106,8 @@
     """Guards against earlier versions that take the step as unproven."""
     entry = _entry(jobs.Step(count=2))
     done, waiting = entry.open_steps_by_key[0, 0].tasks
-    done.state = job_tracker.TaskState.DONE
-    waiting.state, waiting.run = job_tracker.TaskState.WAITING, 0
+    done.state = open_steps.TaskState.DONE
+    waiting.state, waiting.run = open_steps.TaskState.WAITING, 0
     waiting.born_ms = None
     assert [row[:3] for row in entry.to_document()["evidence"]] == [[0, 0, 0]]
 
@@ -115,6 +116,6 @@
     """Guards against a lost run that is taken back without its boot time."""
     entry = _entry(jobs.Step(count=1))
     (task,) = entry.open_steps_by_key[0, 0].tasks
-    task.state, task.instance = job_tracker.TaskState.WAITING, ""
+    task.state, task.instance = open_steps.TaskState.WAITING, ""
     (row,) = entry.to_document()["evidence"]
     assert row[3] == task.born_ms
--- a/tests/failures/test_wide_jobs.py
+++ b/tests/failures/test_wide_jobs.py
@@ -12,10 +12,10 @@
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.platform import job_body
 from vanillaswitch.platform import store_rows
-from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import platform
 from vanillaswitch.state import deployment as deployments
@@ -63,7 +63,7 @@
     (step,) = entry.open_due_steps(0.0)
     for task in step.tasks:
         if chooser.random() < 0.5:
-            task.run, task.state = 1, job_tracker.TaskState.DONE
+            task.run, task.state = 1, open_steps.TaskState.DONE
     limit = _ROW_BYTES * 3 // 4
     waiting = [task for task in step.tasks if not task.run]
     for task in waiting[: entry.fresh_start_count(limit)]:
@@ -72,7 +72,7 @@
         if chooser.random() < 0.1:
             task.failed_runs = 1
             continue
-        task.state = job_tracker.TaskState.ASSIGNED
+        task.state = open_steps.TaskState.ASSIGNED
         task.instance = chooser.choice(_NAMES)
         task.born_ms = 1_782_052_189_646
     return entry
@@ -90,15 +90,15 @@
     (after,) = again.open_due_steps(0.0)
     assert len(after.tasks) == len(before.tasks)
     for old, new in zip(before.tasks, after.tasks, strict=True):
-        if old.state is job_tracker.TaskState.DONE:
-            assert new.state is job_tracker.TaskState.DONE
+        if old.state is open_steps.TaskState.DONE:
+            assert new.state is open_steps.TaskState.DONE
             continue
         for field in ("state", "run", "instance", "failed_runs", "checkpoint"):
             assert getattr(new, field) == getattr(old, field)
         assert new.born_ms == old.born_ms
         assert new.last_counted_run == (
             old.run
-            if old.state is job_tracker.TaskState.WAITING
+            if old.state is open_steps.TaskState.WAITING
             else old.run - 1
         )
 
@@ -110,7 +110,7 @@
     count = entry.fresh_start_count(_ROW_BYTES * 3 // 4)
     for task in step.tasks[-count:]:
         task.run, task.checkpoint = 12, _CHECKPOINT
-        task.state = job_tracker.TaskState.ASSIGNED
+        task.state = open_steps.TaskState.ASSIGNED
         task.instance = f"i-{task.name.index:010x}"
         task.born_ms = 1_782_052_189_646
     _assert_fits(entry)
@@ -170,27 +170,12 @@
 def _run_all(scheduler, now):
     """Lets all started tasks end; returns how many ran at most at once."""
     most = 0
-    numbers = dict.fromkeys(scheduler.instances, 0)
+    numbers: dict[str, int] = {}
     while batch := fleet_builders.plan_batch(scheduler, now).starts:
         most = max(most, len(batch))
         _assert_fits(*scheduler.tracker)
         now += 1.0
-        for name in numbers:
-            ended = []
-            for start in batch:
-                if start.instance == name:
-                    numbers[name] += 1
-                    ended.append(
-                        fleet.RunEnd(
-                            numbers[name],
-                            start.task,
-                            start.run,
-                            fleet.RunOutcome.DONE,
-                            "",
-                        )
-                    )
-            report = fleet_builders.status_report(ended=tuple(ended))
-            scheduler.handle_status_report(name, report, now, now)
+        fleet_builders.end_runs(scheduler, batch, now, numbers)
     return most
 
 
