--- a/review/world3.py
+++ b/review/world3.py
@@ -380,6 +380,7 @@
             task.cancel()
         for run in self.running.values():
             run["work"].cancel()
+        self.running = {}
         self.world.note("minion-crash", minion=self.name, life=self.life)
         self.server.stop()
 
