Review case 7: limits of tenants keep a whole pool idle

Lasting tasks that wait for their tenants' limits reserve an instance each, so that an accepted job of another tenant never starts.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""An upkeep order of a killed owner is carried out beside its successor's."""
+"""Freezes the owner while more than 500 tasks of one minion end."""
 
 import asyncio
 import json
@@ -10,74 +10,61 @@
 
 import world3  # noqa: E402
 
-MACHINES = 5
-WORK_S = 4.0
-LATE_S = 5.0
-WAVE = 1
+JOBS = 3
+TASKS = 400
+WORK_S = 3.0
+FREEZE_S = 3.5
 
 
 async def play(folder, trouble, lines):
-    """Returns whether LIMIT was broken."""
+    """Returns whether TWICE was broken."""
     world = world3.World(folder, 3)
     capacity = {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0}
     world.minions = [
         world3.Minion(world, number, "pool", ("a", f"r{number}"), capacity)
-        for number in range(MACHINES)
+        for number in range(3)
     ]
-    late = []
-
-    def first_is_late(path, body):
-        if path != "/-/machine-upkeep" or late or not trouble:
-            return 0
-        late.append(body["machine"])
-        return LATE_S
-
-    world.cloud.late = first_is_late
     with world3.running(world, lines):
         await world.configure(
             1, [world3.route("quotes", "pool")], [{"name": "pool"}]
         )
         await world.start()
-        # All machines but one are busy when the wave is ordered.
         step = {
-            "count": MACHINES - 1,
-            "cpu": 15_000,
-            "mem_mb": 1024,
+            "count": TASKS,
+            "cpu": 12,
+            "mem_mb": 16,
             "estimate_ms": int(WORK_S * 1000),
         }
         body = {"spec": json.dumps({"work_s": WORK_S}), "steps": [step]}
-        path = f"/quotes/{1:016x}"
-        status, _ = await world.request(world.edges[0], "POST", path, body)
-        if status != 200:
-            raise RuntimeError(f"the job was not accepted: {status}")
+        paths = [f"/quotes/{number:016x}" for number in range(1, JOBS + 1)]
+        for path in paths:
+            status, _ = await world.request(world.edges[0], "POST", path, body)
+            if status != 200:
+                raise RuntimeError(f"a job was not accepted: {status}")
         if not await world.until(
-            lambda: len(world.found("start")) >= MACHINES - 1, 10
+            lambda: len(world.found("start")) >= JOBS * TASKS, 20
         ):
             raise RuntimeError("not all tasks started in time")
-        await asyncio.sleep(WORK_S - 1.2)
-        order = {
-            "wave": WAVE,
-            "machines": [minion.machine for minion in world.minions[1:]],
-            "duration_s": 12,
-            "max_count": 1,
-        }
-        world.note("wave", **order)
-        await world.store.write("op", f"wave/{WAVE}", order)
-        if not await world.until(lambda: world.found("cloud-order"), 15):
-            raise RuntimeError("no upkeep was ordered in time")
-        restarting = None
+        await world.until(lambda: world.found("end"), 10)
+        freeze = None
         if trouble:
-            await asyncio.sleep(1.0)
-            restarting = asyncio.create_task(world.leader().kill_and_restart())
-        await asyncio.sleep(18.0)
-        if restarting is not None:
-            await restarting
-        world.note("status", row=world.store.document("status", f"wave/{WAVE}"))
-    begun = world.found("upkeep-begins")
-    broken = [e for e in begun if len(e["beside"]) >= e["max_count"]]
-    lines.append(f"late order: {late}")
-    lines.append(f"upkeeps: {[(e['at'], e['machine']) for e in begun]}")
-    lines.append(f"upkeeps that break LIMIT: {len(broken)}, {broken[:2]}")
+            freeze = asyncio.create_task(world.leader().freeze(FREEZE_S))
+        await asyncio.sleep(8.0)
+        if freeze is not None:
+            await freeze
+        states = []
+        for path in paths:
+            _, answer = await world.request(world.edges[1], "GET", path)
+            states.append(answer)
+        await asyncio.sleep(2.0)
+    broken = world3.twice(world)
+    firsts = [
+        event for event in world.found("first-hold") if event["unacknowledged"]
+    ]
+    lines.append(f"first calls of a new owner: {firsts}")
+    lines.append(f"starts: {len(world.found('start'))} of {JOBS * TASKS} tasks")
+    lines.append(f"starts that break TWICE: {len(broken)}, {broken[:2]}")
+    lines.append(f"the jobs are shown as {states}")
     return bool(broken)
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""An innocent job is given up because one minion goes down and up."""
+"""Lasting tasks beyond their tenants' limits keep all other work waiting."""
 
 import asyncio
 import json
@@ -10,93 +10,97 @@
 
 import world3  # noqa: E402
 
-MINIONS = 10
-LONG_S = 60.0
-WORK_S = 9.0
-PERIOD_S = 1.4
-FLAP_S = 6.5
+MINIONS = 3
+CONFIG_APPLY_S = 2.0
+FINISH_S = 14.0
+WATCH_S = 5.0
+TASK_CPU = 800
+SHORT_CPU = 1000
+CAPACITY = {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0}
 
 
-async def _flap(minion):
-    """Goes down and up by turns, with the pages' period and duration."""
-    until = asyncio.get_running_loop().time() + FLAP_S
-    while asyncio.get_running_loop().time() < until:
-        minion.crash()
-        await asyncio.sleep(PERIOD_S / 2)
-        await minion.start()
-        await asyncio.sleep(PERIOD_S / 2)
+def _tenants(limited):
+    """Returns the tenants; a limit of 0 is none."""
+    most = {"cpu": 1000 if limited else 0, "mem_mb": 0, "gpu": 0}
+    none = {"cpu": 0, "mem_mb": 0, "gpu": 0}
+    return [
+        {
+            "name": f"tenant-{number}",
+            "api_keys": [f"key-{number}"],
+            "weight": 10.0,
+            "max_count": most if number < MINIONS else none,
+        }
+        for number in range(MINIONS + 1)
+    ]
 
 
 async def play(folder, trouble, lines):
     """Returns whether LOST was broken."""
     world = world3.World(folder, 3)
-    capacity = {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0}
+    world.contracts = (*world3.CONTRACTS, "tenants", "quota")
     world.minions = [
-        world3.Minion(world, number, "pool", ("a", f"r{number // 4}"), capacity)
+        world3.Minion(world, number, "pool", ("a", f"r{number}"), CAPACITY)
         for number in range(MINIONS)
     ]
     with world3.running(world, lines):
-        await world.configure(
-            1, [world3.route("quotes", "pool")], [{"name": "pool"}]
-        )
+        routes = [world3.route("quotes", "pool")]
+        services = [{"name": "pool"}]
+        await world.configure(1, routes, services, _tenants(False))
         await world.start()
-        # All minions but one are busy with longer work.
-        long_job = {
-            "spec": json.dumps({"work_s": LONG_S}),
+        if trouble:
+            world.note("config", version=2, tenants=_tenants(True))
+            await world.configure(2, routes, services, _tenants(True))
+        await asyncio.sleep(CONFIG_APPLY_S)
+        lasting = {
+            "spec": json.dumps({"lasts": True}),
             "steps": [
                 {
-                    "count": MINIONS - 1,
-                    "cpu": 12_000,
-                    "mem_mb": 4096,
-                    "estimate_ms": int(LONG_S * 1000),
+                    "count": 2,
+                    "cpu": TASK_CPU,
+                    "mem_mb": 256,
+                    "long_running": True,
                 }
             ],
         }
-        job = {
-            "spec": json.dumps({"work_s": WORK_S}),
+        for number in range(MINIONS):
+            status, _ = await world.request(
+                world.edges[0],
+                "POST",
+                f"/quotes/{number + 1:016x}",
+                lasting,
+                f"key-{number}",
+            )
+            if status != 200:
+                raise RuntimeError(f"a job was not accepted: {status}")
+        await asyncio.sleep(3.0)
+        short = {
+            "spec": json.dumps({"work_s": 0.5}),
             "steps": [
                 {
                     "count": 1,
-                    "cpu": 8_000,
-                    "mem_mb": 4096,
-                    "estimate_ms": int(WORK_S * 1000),
+                    "cpu": SHORT_CPU,
+                    "mem_mb": 256,
+                    "estimate_ms": 500,
                 }
             ],
         }
-        edge = world.edges[0]
+        path = f"/quotes/{255:016x}"
+        key = f"key-{MINIONS}"
         status, _ = await world.request(
-            edge, "POST", f"/quotes/{1:016x}", long_job
+            world.edges[0], "POST", path, short, key
         )
-        if status != 200 or not await world.until(
-            lambda: len(world.found("start")) >= MINIONS - 1, 10
-        ):
-            raise RuntimeError("the longer work did not start in time")
-        path = f"/quotes/{2:016x}"
-        status, _ = await world.request(edge, "POST", path, job)
-        task = f"{2:016x}.0.0.0"
-        if status != 200 or not await world.until(
-            lambda: world.found("start", task=task), 10
-        ):
-            raise RuntimeError("the job did not start in time")
-        await asyncio.sleep(1.0)
-        if trouble:
-            name = world.found("start", task=task)[0]["minion"]
-            await _flap(next(m for m in world.minions if m.name == name))
-        state = ""
-        for _ in range(60):
-            await asyncio.sleep(0.5)
-            status, answer = await world.request(world.edges[1], "GET", path)
-            state = answer.get("state", "") if status == 200 else ""
-            if state in ("completed", "failed", "cancelled"):
-                break
-    failed_ends = world.found("end", task=task, how="failed")
-    broken = state in ("failed", "cancelled") and not failed_ends
-    lines.append(f"starts of the job's task: {world.found('start', task=task)}")
-    lines.append(
-        f"its ends that a minion listed: {world.found('end', task=task)}"
-    )
-    lines.append(f"the job is shown as {state}")
-    return broken
+        if status != 200:
+            raise RuntimeError(f"the short job was not accepted: {status}")
+        # This was the end of the traffic.
+        await asyncio.sleep(FINISH_S + WATCH_S)
+        used = sum(TASK_CPU * len(minion.running) for minion in world.minions)
+        _, answer = await world.request(world.edges[1], "GET", path, None, key)
+    starts = world.found("start", task=f"{255:016x}.0.0.0")
+    share = used / (MINIONS * CAPACITY["cpu"])
+    lines.append(f"starts of the short job's task: {starts}")
+    lines.append(f"share of the service's capacity in use: {share:.2f}")
+    lines.append(f"the short job is shown as {answer}")
+    return not starts and share < 0.5
 
 
 if __name__ == "__main__":
--- a/review/world3.py
+++ b/review/world3.py
@@ -31,6 +31,19 @@
 HEARTBEAT_S = 1.5
 WARM_UP_S = 0.3
 
+CONTRACTS = (
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "recover",
+    "sched",
+    "platform",
+    "advice",
+    "upkeep",
+    "sharing",
+)
+
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -746,8 +759,7 @@
             "discovery=platform",
             "entry=vip",
             "heartbeat_ms=1500",
-            "contracts=base,drain,config,cost,recover,sched,platform,advice,"
-            "upkeep,sharing",
+            f"contracts={','.join(self._world.contracts)}",
             "orders=request",
             f"platform.address={self.port.address}",
             "platform.form=table",
@@ -819,6 +831,7 @@
 
     def __init__(self, folder, edges):
         self.folder = folder
+        self.contracts = CONTRACTS
         self.events = []
         self._began = time.monotonic()
         self.store = Store(self)
@@ -842,7 +855,7 @@
             and all(event.get(name) == value for name, value in fields.items())
         ]
 
-    async def configure(self, version, routes, services):
+    async def configure(self, version, routes, services, tenants=()):
         """Writes a configuration as the operator does."""
         await self.store.write(
             "op",
@@ -851,6 +864,7 @@
                 "version": version,
                 "routes": routes,
                 "services": services,
+                "tenants": list(tenants),
                 "limits": {"max_body_bytes": 262_144},
             },
         )
@@ -885,7 +899,7 @@
             edge for edge in self.edges if edge.name == self.store.leader
         )
 
-    async def request(self, edge, method, path, body=None):
+    async def request(self, edge, method, path, body=None, key=""):
         """Makes a client's request and keeps what was answered."""
         self.note("request", edge=edge.name, method=method, path=path)
         status, answer = await call(
@@ -893,7 +907,10 @@
             method,
             path,
             body,
-            fields=(("X-Deadline-Ms", "3000"),),
+            fields=(
+                ("X-Deadline-Ms", "3000"),
+                *([("X-Api-Key", key)] if key else []),
+            ),
         )
         self.note(
             "answer",
