--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,6 +10,8 @@
 
 import world3  # noqa: E402
 
+MINIONS = 8
+TASKS = 24
 WORK_S = 8.0
 LATE_S = 4.0
 DOWN_S = 2.0
@@ -21,7 +23,7 @@
     capacity = {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0}
     world.minions = [
         world3.Minion(world, number, "pool", ("a", f"r{number}"), capacity)
-        for number in range(3)
+        for number in range(MINIONS)
     ]
     late = []
 
@@ -39,9 +41,9 @@
         )
         await world.start()
         step = {
-            "count": 1,
-            "cpu": 1000,
-            "mem_mb": 1024,
+            "count": TASKS,
+            "cpu": 500,
+            "mem_mb": 256,
             "estimate_ms": int(WORK_S * 1000),
         }
         body = {"spec": json.dumps({"work_s": WORK_S}), "steps": [step]}
@@ -61,7 +63,7 @@
         await asyncio.sleep(16.0)
         await world.request(world.edges[1], "GET", path)
     broken = world3.twice(world)
-    lines.append(f"starts: {world.found('start')}")
+    lines.append(f"starts: {len(world.found('start'))}, one of them late")
     lines.append(f"late starts: {world.found('late-start-done')}")
     lines.append(f"starts that break TWICE: {len(broken)}, {broken[:2]}")
     return bool(broken)
--- a/review/further3/other_kind/case.py
+++ b/review/further3/other_kind/case.py
@@ -10,7 +10,8 @@
 
 import world3  # noqa: E402
 
-TASKS = 60
+MINIONS = 8
+TASKS = 160
 WORK_S = 0.3
 DOWN_S = 0.1
 FIRST_BEAT_S = 1.0
@@ -32,7 +33,7 @@
     capacity = {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0}
     world.minions = [
         world3.Minion(world, number, "pool", (KIND, f"r{number}"), capacity)
-        for number in range(3)
+        for number in range(MINIONS)
     ]
     with world3.running(world, lines):
         await world.configure(
