Reserve instances only for tasks that lack nothing but room

Cause: a plan reserved an instance for any long-running step with a waiting task, whatever had kept the task from being placed. The limit of an account is one such reason. Room in the row of a job is another: three jobs of 700 long-running tasks kept a pool idle without any limit. Ruled out: the order of the queue and the shares of accounts.

Change: queue/reservations.py decides. A step reserves an instance only if its tasks may start and none of the instances that it may run on has room, a gang only if it fits once the short tasks have ended, and a step without a ticket for 3 s at most. Half of a pool is reserved at most, suspect tasks included. A plan ends all earlier reservations, which kept machines from being moved before. Long-running tasks without room in their row are left out of the backlog. Each change is logged as instance-reserved.

Why it works: a plan places before it reserves. A task that still waits beside an instance with room waits for something else, whether that is known here or not, and reserves nothing.

The tests of the starvation that reservations prevent are unchanged.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -390,6 +390,28 @@
     gpu: str
 
 
+@dataclasses.dataclass(frozen=True)
+class InstanceReserved:
+    """A step began or ceased to keep other new work from an instance.
+
+    It does so while lack of room there is all that keeps a task of it from
+    starting.
+
+    Attributes:
+        step: "OCCURRENCE.STEP".
+        instance: the instance; empty if none is reserved any more.
+        need: thousandths of a core, "/", megabytes, "/" and accelerators that a
+            task needs.
+        free: likewise what is not in use on the instance.
+    """
+
+    job: str
+    step: str
+    instance: str
+    need: str
+    free: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ErrandSent:
     """This process asked another one to access the store on its behalf.
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -13,6 +13,7 @@
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import job_tracker
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import reservations
 from vanillaswitch.coordination.fleet.queue import tickets as ticket_book
 from vanillaswitch.protocol import accounts as account_lib
 from vanillaswitch.protocol import fleet
@@ -131,6 +132,7 @@
         self.unreadable_jobs: Collection[str] = frozenset()
         self.tickets = ticket_book.TicketBook()
         self._forget_steps_at = float("-inf")
+        self._ticket_waits = reservations.TicketWaits()
         self._reserved_in_plan: dict[str, tuple[str, int, int]] = {}
         self.jobs_without_spec: tuple[str, ...] = ()
         self.backlog_cpu: Mapping[str, int] = {}
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -509,6 +509,26 @@
         )
         return fits and self._meets_placement_rules(step, task, now)
 
+    def fitting_count(
+        self, need: fleet.Resources, *, beside_short_tasks: bool
+    ) -> int:
+        """Returns how many tasks with the same need have room here.
+
+        Args:
+            need: what each of them needs.
+            beside_short_tasks: whether the short tasks that run here keep their
+                capacity; otherwise only the long-running ones do.
+        """
+        room = self.free
+        if not beside_short_tasks:
+            kept = self._long_running_demand
+            room = fleet.Resources(
+                self.capacity.cpu - kept.cpu,
+                self.capacity.mem_mb - kept.mem_mb,
+                self.capacity.gpu - kept.gpu,
+            )
+        return room.fitting_count(need)
+
     def free_share(self, need: fleet.Resources) -> float:
         """Returns the share of a need that its unreserved capacity covers.
 
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -27,6 +27,7 @@
 from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import placement
 from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.coordination.fleet.queue import reservations
 from vanillaswitch.coordination.fleet.queue import ticket_requests
 from vanillaswitch.protocol import fleet
 
@@ -373,7 +374,7 @@
     def _plan_pool(
         self,
         pool: Sequence[instance_state.Instance],
-        steps: Iterable[open_steps.OpenStep],
+        steps: Sequence[open_steps.OpenStep],
         plan_time: queue_order.PlanTime,
         pause: Pause,
     ) -> bool:
@@ -402,6 +403,7 @@
         instances = [item for item in pool if item.is_schedulable(now)]
         max_free = placement.MaxFreeCapacity(instances)
         suspect_limit = suspect_placement.SuspectLimit(pool)
+        reserved = reservations.PoolReservations(len(instances))
         relevant = []
         for step in steps:
             pauses()
@@ -426,7 +428,7 @@
                 held_up.add(account)
             if step.has_crashed and self._startable_count(step, 1):
                 instances = self._place_in_isolation(
-                    step, instances, suspect_limit, now
+                    step, instances, suspect_limit, reserved, now
                 )
                 if step.step.gang:
                     suspect_limit = suspect_placement.SuspectLimit(pool)
@@ -441,13 +443,51 @@
                     and self.tickets_for(step, now) is None
                 ):
                     max_free.mark_unfit(step.demand)
-            reserved = self._reserve_instance(step, instances, now)
-            if reserved is not None:
-                self._reserved_in_plan[reserved.name] = step.key
-                instances = [item for item in instances if item is not reserved]
+            kept_free = self._instance_to_reserve(step, instances, now)
+            if kept_free is not None and reserved.allows(step):
+                reserved.add(step, kept_free)
+                instances = [
+                    item for item in instances if item is not kept_free
+                ]
+        self._apply_reservations(steps, reserved)
         self._limited_accounts |= held_up
         return bool(held_up)
 
+    def _apply_reservations(
+        self,
+        steps: Iterable[open_steps.OpenStep],
+        reserved: reservations.PoolReservations,
+    ) -> None:
+        """Stores what a plan has reserved, and ends all earlier reservations.
+
+        Args:
+            steps: the steps of a pool with waiting tasks.
+            reserved: the reservations for some of them.
+        """
+        for step in steps:
+            instance = reserved.by_step.get(step.key)
+            name = instance.name if instance else ""
+            if instance is not None:
+                self._reserved_in_plan[name] = step.key
+            if name != step.reserved_instance:
+                step.reserved_instance = name
+                self._emit_reservation(step, instance)
+
+    def _emit_reservation(
+        self,
+        step: open_steps.OpenStep,
+        instance: instance_state.Instance | None,
+    ) -> None:
+        key = f"{step.occurrence}.{step.number}"
+        name, free = "", ""
+        if instance is not None:
+            name, free = instance.name, instance.free.as_text()
+        self._emit(
+            events.InstanceReserved(
+                step.entry.job.job_id, key, name, step.demand.as_text(), free
+            )
+        )
+
     def _still_schedulable(
         self, instances: Iterable[instance_state.Instance], now: float
     ) -> list[instance_state.Instance]:
@@ -506,6 +546,7 @@
         step: open_steps.OpenStep,
         instances: list[instance_state.Instance],
         suspect_limit: suspect_placement.SuspectLimit,
+        reserved: reservations.PoolReservations,
         now: float,
     ) -> list[instance_state.Instance]:
         """Starts suspect tasks of a step where a crash would end fewest runs.
@@ -514,6 +555,7 @@
             step: a step with waiting tasks.
             instances: the instances that are available for this step.
             suspect_limit: limits the suspects that run in the step's pool.
+            reserved: the reserved instances of the pool.
             now: monotonic seconds.
 
         Returns:
@@ -546,12 +588,14 @@
             )
             if found is None or not suspect_limit.allows(found):
                 break
+            can_start = suspect_placement.can_start_suspect(step, task, found)
+            if not can_start and reserved.is_full:
+                break
             instances = [item for item in instances if item is not found]
-            if not suspect_placement.can_start_suspect(step, task, found):
-                # Reserved: nothing else starts there until its new runs are
-                # proven and the task fits.
-                step.reserved_instance = found.name
-                self._reserved_in_plan[found.name] = step.key
+            if not can_start:
+                # Nothing else starts there until its new runs are proven and
+                # the task fits.
+                reserved.add(step, found)
                 break
             ticket = tickets.get(found.name, "") if tickets else ""
             self._assign(
@@ -579,46 +623,30 @@
             for run in suspect_runs
         )
 
-    def _reserve_instance(
+    def _instance_to_reserve(
         self,
         step: open_steps.OpenStep,
-        instances: Iterable[instance_state.Instance],
+        instances: Sequence[instance_state.Instance],
         now: float,
     ) -> instance_state.Instance | None:
-        """Returns an instance to reserve until a long-running task fits on it.
+        """Returns an instance to reserve for a step; see ``reservations``.
 
-        In a full pool, smaller tasks use up any capacity that becomes free, so
-        a larger long-running task would starve while small ones arrive. The
-        instance with the most unreserved capacity has enough of it soon: once
-        the short tasks that run on it have ended.
+        Returns:
+            The instance. None if the step needs none, or if its tasks would not
+            start once there is room for them.
         """
-        if not step.step.long_running:
+        if not step.step.long_running or not step.has_startable_task:
+            return None
+        if not self._startable_count(step, _smallest_start(step)):
             return None
-        if not step.has_waiting_task:
+        usable = self.tickets_for(step, now)
+        if usable is None:
+            return reservations.choose_instance(step, instances, None, now)
+        if not self._ticket_waits.may_reserve(step.key, bool(usable), now):
             return None
-        task = step.first_waiting_task
-        need = step.demand
         unsuitable = self.tickets.unsuitable(step.key)
-        reserved = max(
-            (
-                instance
-                for instance in instances
-                if instance.fits_beside_long_running_tasks(
-                    step.step, task.name, need, now
-                )
-                and instance.name not in unsuitable
-            ),
-            # Keep the same instance unless another one has more free capacity.
-            # If the reservation alternated between two, small tasks would fill
-            # both of them.
-            key=lambda item: (
-                item.free_share(need),
-                item.name == step.reserved_instance,
-            ),
-            default=None,
-        )
-        step.reserved_instance = reserved.name if reserved else ""
-        return reserved
+        tickets = reservations.Tickets(usable.keys(), unsuitable)
+        return reservations.choose_instance(step, instances, tickets, now)
 
     def _place(
         self,
@@ -845,11 +873,13 @@
         if now < self._forget_steps_at:
             return
         self._forget_steps_at = now + FORGET_STEPS_INTERVAL_S
-        self.tickets.retain(
+        open_keys = {
             step.key
             for entry in self.tracker.unfinished.values()
             for step in entry.open_steps_by_key.values()
-        )
+        }
+        self.tickets.retain(open_keys)
+        self._ticket_waits.retain(open_keys)
 
     def _backlog(
         self,
@@ -861,8 +891,10 @@
         """Returns what the waiting tasks of some steps and their jobs need.
 
         Tasks that the limits of their accounts hold up are left out, since more
-        machines would not let them start. Tasks of due occurrences that are not
-        open yet count with the last open step of their job, which they follow.
+        machines would not let them start. So are long-running tasks for which
+        the row of their job has no room; short ones get room as others end.
+        Tasks of due occurrences that are not open yet count with the last open
+        step of their job, which they follow.
 
         Args:
             steps: the steps, those of a job in the order of its occurrences.
@@ -882,6 +914,9 @@
             nonlocal load
             entry, account = step.entry, step.entry.job.account
             waiting = entry.job.steps[number]
+            if entry.is_wide and waiting.long_running:
+                room = entry.fresh_start_count(self._max_document_bytes)
+                count = min(count, room + step.counts.waiting_again)
             limit = self.account_limit(account)
             if limit != limits.NO_LIMIT:
                 used = usage.used(account)
@@ -933,3 +968,8 @@
         """Records an answer; see ``TicketBook.record_answer``."""
         self.tickets.record_answer(step.key, named, tickets, now, validity_s)
         self._needs_plan = True
+
+
+def _smallest_start(step: open_steps.OpenStep) -> int:
+    """Returns how many tasks of a step start at a time at least."""
+    return step.step.count if step.step.gang else 1
--- a/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
+++ b/src/vanillaswitch/coordination/fleet/queue/ticket_requests.py
@@ -134,7 +134,7 @@
             count: how many of its tasks may start.
             advice: settings of its queue's advisor.
         """
-        may_fit = _fitting_tasks(self._largest, step.demand) > 0
+        may_fit = self._largest.fitting_count(step.demand) > 0
         if not count or not (may_fit or step.has_crashed):
             return
         slots = self._slots(step, count)
@@ -174,7 +174,7 @@
                 continue
             if requires and requires not in instance.registration.labels:
                 continue
-            fitting = min(count, _fitting_tasks(self._free[name], need))
+            fitting = min(count, self._free[name].fitting_count(need))
             if step.has_crashed:
                 # A suspect task may reserve an instance until it fits.
                 fitting = max(1, fitting)
@@ -246,7 +246,7 @@
         for name in names:
             fitting += slots[name]
             free = self._instances[name].free
-            later[name] = slots[name] - _fitting_tasks(free, step.demand)
+            later[name] = slots[name] - free.fitting_count(step.demand)
         self._set_aside(step, later, count)
         return fitting
 
@@ -302,20 +302,6 @@
     )
 
 
-def _fitting_tasks(free: fleet.Resources, need: fleet.Resources) -> int:
-    """Returns how many tasks with a need fit into unreserved capacity."""
-    counts = [
-        max(0, available // wanted)
-        for available, wanted in (
-            (free.cpu, need.cpu),
-            (free.mem_mb, need.mem_mb),
-            (free.gpu, need.gpu),
-        )
-        if wanted
-    ]
-    return min(counts, default=MAX_INSTANCES)
-
-
 def _least_instances(advice: fleet.AdvisorConfig, empty_answers: int) -> int:
     """Returns how many instances a call names at least.
 
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -13,6 +13,9 @@
 from vanillaswitch.protocol import accounts as account_lib
 from vanillaswitch.protocol import jobs
 
+UNLIMITED_COUNT = 2**31
+"""Stands for any number of tasks."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Resources:
@@ -28,6 +31,31 @@
     mem_mb: int
     gpu: int = 0
 
+    def as_text(self) -> str:
+        """Returns "CPU/MEM_MB/GPU"."""
+        return f"{self.cpu}/{self.mem_mb}/{self.gpu}"
+
+    def fitting_count(self, need: "Resources") -> int:
+        """Returns how many times this capacity covers a need.
+
+        Args:
+            need: demand of one task.
+
+        Returns:
+            The count, 0 if a quantity is negative, and ``UNLIMITED_COUNT`` if
+            the need is zero in every quantity.
+        """
+        counts = [
+            max(0, available // wanted)
+            for available, wanted in (
+                (self.cpu, need.cpu),
+                (self.mem_mb, need.mem_mb),
+                (self.gpu, need.gpu),
+            )
+            if wanted
+        ]
+        return min(counts, default=UNLIMITED_COUNT)
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
