Release no run by a report that may leave out its end

Cause: a minion lists the oldest unacknowledged ends, 500 at a time. A run of an earlier owner that its first report to a new owner listed neither as running nor as ended was released at once, and its task queued again. Ruled out: the acknowledgement of ends, which goes by what was written, and the order of rows.

Change: all ends before the first report to an owner count as known once a report lists no new end, or the end of a run that went on after that first report, since ends are listed in order. Runs of earlier owners are released only then. This needs no figure of how many ends fit into a report. A report that is full by the protocol's figure or has a gap between its ends releases nothing. The same rule applies to stopped runs and to runs of jobs that are read late. While ends are outstanding, renewals don't wait for the next end. The lease is renewed by every report as before.

Why it works: whatever the page, no absence counts until a report shows that nothing is left out before it.

--- a/src/vanillaswitch/coordination/fleet/instances/instance_client.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_client.py
@@ -183,7 +183,10 @@
                 # Other starts on this instance wait until a report shows that
                 # the isolated task does not crash it.
                 wait_s = crash_evidence.MIN_REQUIRED_RUN_TIME_S
-            if instance.last_end_number > self.acknowledged_end(instance):
+            if (
+                instance.last_end_number > self.acknowledged_end(instance)
+                or not instance.has_listed_former_ends
+            ):
                 wait_s = 0.0
         deadline_ms = self._deadline_ms(instance, began_at)
         # After an unanswered call, the instance may have crashed. The next
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -51,7 +51,8 @@
         If an instance has sent a status report meanwhile, the state of each of
         its runs is known. Either it reported the run or its end, or the run
         never started and can't start any more, since the instance refuses
-        orders with a lower fencing token than this owner's.
+        orders with a lower fencing token than this owner's. If it has not
+        listed all ends yet, a later report tells.
         """
         for step in entry.open_steps_by_key.values():
             for task in step.opened_tasks:
@@ -111,7 +112,7 @@
         if reported_run is not None:
             run.awaits_first_report = False
             run.copy_reported_state(reported_run)
-        elif instance.has_reported and not any(
+        elif instance.has_listed_former_ends and not any(
             (end.task, end.run) == run.key for end in instance.unprocessed_ends
         ):
             self._release_run(instance, run)
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -1,6 +1,7 @@
 """Processes status reports and unanswered calls; expires leases."""
 
 from collections.abc import Collection
+from collections.abc import Sequence
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import restarts
@@ -44,10 +45,10 @@
             instance.is_unresponsive or instance.has_unanswered_call
         )
         instance.is_unresponsive = instance.has_unanswered_call = False
-        for end in report.ended_runs:
-            if end.number > instance.last_end_number:
-                instance.last_end_number = end.number
-                self._process_end(instance, end, now)
+        lists_all_ends = _lists_all_ends(instance, report)
+        for end in _new_ends(instance, report):
+            instance.last_end_number = end.number
+            self._process_end(instance, end, now)
         listed = {
             (run_status.task, run_status.run) for run_status in report.running
         }
@@ -57,7 +58,9 @@
             self._process_listed_run(instance, run_status, began_at, now)
         for run in list(instance.runs.values()):
             if run.key not in listed:
-                self._process_missing_run(instance, run, began_at, now)
+                self._process_missing_run(
+                    instance, run, lists_all_ends, began_at, now
+                )
         if not instance.has_reported:
             instance.has_reported = True
             instance.first_report_at = now
@@ -282,6 +285,7 @@
         self,
         instance: instance_state.Instance,
         run: instance_state.Run,
+        lists_all_ends: bool,
         began_at: float,
         now: float,
     ) -> None:
@@ -292,8 +296,19 @@
         longer start before the report was requested, or if a previous owner
         ordered it: the instance now refuses that owner's orders, because this
         owner's fencing token is higher.
+
+        A run that is over may have ended as done. Its task would run twice if
+        the run were released before its end is listed, so a report that may
+        leave out ends releases none.
+
+        Args:
+            instance: the instance.
+            run: the missing run.
+            lists_all_ends: see ``_lists_all_ends``.
+            began_at: monotonic seconds at which the report was requested.
+            now: monotonic seconds.
         """
-        inherited = run.awaits_first_report and not instance.has_reported
+        inherited = run.awaits_first_report and instance.has_listed_former_ends
         if inherited and _targets_former_incarnation(instance, run):
             why = "its instance restarted"
             self._count_loss(instance, [run], why, now, crash_confirmed=False)
@@ -301,7 +316,8 @@
             run.cannot_start_since is not None
             and run.cannot_start_since < began_at
         )
-        if inherited or was_ruled_out or _can_no_longer_start(run, began_at):
+        is_over = was_ruled_out or _can_no_longer_start(run, began_at)
+        if inherited or (is_over and lists_all_ends):
             self._release_run(instance, run)
 
     def handle_unanswered_call(self, name: str, began_at: float) -> None:
@@ -356,6 +372,69 @@
                 )
 
 
+def _new_ends(
+    instance: instance_state.Instance, report: fleet.StatusReport
+) -> list[fleet.RunEnd]:
+    """Returns the ends that were not listed before, in order."""
+    return sorted(
+        (
+            end
+            for end in report.ended_runs
+            if end.number > instance.last_end_number
+        ),
+        key=lambda end: end.number,
+    )
+
+
+def _lists_all_ends(
+    instance: instance_state.Instance, report: fleet.StatusReport
+) -> bool:
+    """Whether no run has ended whose end was never listed.
+
+    A report lists the oldest ends, as many as fit. So all ends before the first
+    report to this owner are known once a report lists no new one, or the end of
+    a run that went on after the first report. This does not depend on how many
+    ends fit into a report. Records it in ``has_listed_former_ends``.
+
+    Args:
+        instance: the instance.
+        report: its report, the new ends of which are not processed yet.
+    """
+    new_ends = _new_ends(instance, report)
+    if _has_gap(instance, new_ends):
+        return False
+    if new_ends:
+        instance.has_listed_former_ends |= instance.has_reported and any(
+            _went_on_after_first_report(instance, end) for end in new_ends
+        )
+    elif not report.is_page_full:
+        instance.has_listed_former_ends = True
+    return instance.has_listed_former_ends and not report.is_page_full
+
+
+def _went_on_after_first_report(
+    instance: instance_state.Instance, end: fleet.RunEnd
+) -> bool:
+    """Whether a run ended after the first report of its instance."""
+    run = instance.runs.get((end.task, end.run))
+    if run is None:
+        return False
+    is_own = not run.awaits_first_report
+    return run.was_reported or (
+        is_own and run.decided_at >= instance.first_report_at
+    )
+
+
+def _has_gap(
+    instance: instance_state.Instance, new_ends: Sequence[fleet.RunEnd]
+) -> bool:
+    """Whether numbers are missing between ends that were listed."""
+    numbers = [end.number for end in new_ends]
+    if instance.last_end_number:
+        numbers.insert(0, instance.last_end_number)
+    return bool(numbers) and numbers[-1] - numbers[0] >= len(numbers)
+
+
 def _can_no_longer_start(run: instance_state.Run, requested_at: float) -> bool:
     """Whether a run is being stopped and no start of it can still arrive.
 
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -210,6 +210,9 @@
         capacity: its current capacity; see ``known_capacity``.
         last_end_number: sequence number of the last ended run that it reported;
             see ``fleet.RunEnd``.
+        has_listed_former_ends: every run that had ended there before its first
+            report to this owner has been listed as ended. Until then, a run of
+            an earlier owner that it does not list may have ended as well.
         unprocessed_ends: reported ends of runs whose jobs can't be read yet.
         clock_ms: its clock at ``clock_at``.
         clock_at: monotonic seconds at which ``clock_ms`` arrived.
@@ -287,6 +290,7 @@
         self.last_paced_at = 0.0
         self.low_latency_since = now
         self.last_end_number = 0
+        self.has_listed_former_ends = False
         self.unprocessed_ends: list[fleet.RunEnd] = []
         self.clock_ms = 0.0
         self.clock_at = now
--- a/src/vanillaswitch/platform/upstreams.py
+++ b/src/vanillaswitch/platform/upstreams.py
@@ -20,6 +20,10 @@
 PORT_LIMIT = 65_536
 """One more than the highest TCP port."""
 
+MAX_ENDS_PER_REPORT = 500
+"""Most ends of runs that an instance lists in one status report, by the
+platform's protocol. It lists the oldest ones."""
+
 PACE_TIMEOUT_S = 1.0
 """Time limit for an order that limits a run's speed; a healthy instance answers
 at once."""
@@ -301,11 +305,13 @@
         )
         return fleet.NoAnswer(True, "the status report is invalid")
     try:
+        ended_runs = tuple(map(_decode_end, body.get("ended") or ()))
         return fleet.StatusReport(
             clock_ms=clock_ms,
             born_ms=born_ms,
             running=tuple(map(_decode_run, body.get("running") or ())),
-            ended_runs=tuple(map(_decode_end, body.get("ended") or ())),
+            ended_runs=ended_runs,
+            is_page_full=len(ended_runs) >= MAX_ENDS_PER_REPORT,
         )
     except unusable.FIELD_ERRORS as error:
         logs.error("the status report of an instance is invalid: {!r}", error)
--- a/src/vanillaswitch/protocol/fleet.py
+++ b/src/vanillaswitch/protocol/fleet.py
@@ -330,13 +330,18 @@
 
     Attributes:
         clock_ms: the instance's own clock at the time of the answer.
+        running: all runs that are there.
+        ended_runs: the oldest ends that are not acknowledged yet.
         born_ms: see ``Registration``.
+        is_page_full: ``ended_runs`` has as many ends as a report can have, so
+            there may be later ends that it does not list.
     """
 
     clock_ms: float
     running: tuple[RunStatus, ...]
     ended_runs: tuple[RunEnd, ...]
     born_ms: int | None = None
+    is_page_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/standins/leased_instance.py
+++ b/standins/leased_instance.py
@@ -2,7 +2,8 @@
 
 It keeps the rules of the platform's pages: tokens only grow, a run starts
 once, a stopped or ended run never starts, ends are listed until they are
-acknowledged, and all that runs dies with its lease.
+acknowledged, the oldest first and not all at a time, and all that runs dies
+with its lease.
 """
 
 import dataclasses
@@ -32,8 +33,12 @@
     """
 
     def __init__(
-        self, registration: fleet.Registration, max_hold_ms: float = 10_000
+        self,
+        registration: fleet.Registration,
+        max_hold_ms: float = 10_000,
+        ends_per_report: int = 500,
     ):
+        self._ends_per_report = ends_per_report
         self.registration = registration
         self.up = True
         self.started: list[tuple[jobs.TaskName, int]] = []
@@ -136,8 +141,9 @@
         return fleet.StatusReport(
             self._clock_ms,
             running,
-            tuple(self._ended),
+            tuple(self._ended[: self._ends_per_report]),
             self.registration.born_ms,
+            len(self._ended) >= self._ends_per_report,
         )
 
     def end(self, task: jobs.TaskName, how: fleet.RunOutcome) -> None:
