Decode any answer of an outside system without an exception

Operators reported processes that ended over odd entries among the minions'.

Cause: reading a table's document never raises, but the answers to calls were decoded by hand, and no test drew these.

Change: numbers, strings and rows in the answers of minions, the list of machines, the advisor and the store are checked. An invalid report counts as no answer and is logged once. A list of machines that repeats a page is no answer; it was read without an end. Foreign values are logged in short. A minion whose key fits into no header field is unusable.

Evidence: tests/cover/test_boundary_answers.py draws statuses and bodies for each call.

--- a/src/vanillaswitch/coordination/fleet/instances/instance_client.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_client.py
@@ -215,6 +215,12 @@
             )
             self._context.wake_planner.set()
             return True
+        if isinstance(outcome, fleet.NoAnswer) and not again:
+            logs.warning(
+                "instance {} sent no status report: {}",
+                self._name,
+                outcome.reason,
+            )
         self._scheduler.handle_unanswered_call(self._name, began_at)
         self._handle_rejection(outcome, now)
         return False
--- a/src/vanillaswitch/platform/advice.py
+++ b/src/vanillaswitch/platform/advice.py
@@ -1,8 +1,11 @@
 """Client of the placement advisor, which grants tickets to run a step."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Any
 
 from vanillaswitch.platform import http_calls
+from vanillaswitch.platform import validation
 from vanillaswitch.protocol import fleet
 from vanillaswitch.transport import plain_http
 
@@ -44,11 +47,24 @@
             return fleet.AdvisorOverloaded()
         if response.status != _OK:
             return fleet.NoAnswer(False, f"status {response.status}")
-        if "good" not in response.body:
-            return fleet.NoAnswer(False, "the response names no instances")
-        # "good" lists pairs of an instance and its ticket.
-        tickets = {
-            str(pair[0]): str(pair[1]) for pair in response.body.get("good", ())
-        }
-        validity_s = float(response.body.get("validity_ms", 0.0)) / 1000
-        return fleet.Tickets(tickets, validity_s)
+        return _decode_tickets(response.body)
+
+
+def _decode_tickets(
+    body: Mapping[str, Any],
+) -> fleet.Tickets | fleet.NoAnswer:
+    """Decodes an answer: "good" lists pairs of an instance and its ticket."""
+    if "good" not in body:
+        return fleet.NoAnswer(False, "the response names no instances")
+    pairs = body["good"]
+    validity_ms = validation.finite_float(body.get("validity_ms", 0.0))
+    if validity_ms is None or not isinstance(pairs, list):
+        return fleet.NoAnswer(False, "the response is invalid")
+    if not all(map(_is_pair_of_strings, pairs)):
+        return fleet.NoAnswer(False, "the response is invalid")
+    return fleet.Tickets(dict(pairs), validity_ms / 1000)
+
+
+def _is_pair_of_strings(raw: Any) -> bool:
+    is_pair = isinstance(raw, list) and len(raw) == 2
+    return is_pair and all(isinstance(item, str) for item in raw)
--- a/src/vanillaswitch/platform/http_table.py
+++ b/src/vanillaswitch/platform/http_table.py
@@ -18,6 +18,7 @@
 from vanillaswitch.internal import logs
 from vanillaswitch.platform import http_calls
 from vanillaswitch.platform import store_rows
+from vanillaswitch.platform import validation
 from vanillaswitch.protocol import change_feeds
 from vanillaswitch.protocol import platform
 from vanillaswitch.transport import minion_http
@@ -149,18 +150,23 @@
         if isinstance(response, http_calls.NoResponse):
             outcome_type = platform.OutcomeUnknown if response.sent else None
             return (outcome_type or platform.Unavailable)(response.reason)
-        version = response.body.get("row_version")
-        if response.status == _OK and type(version) is int:
+        version = validation.safe_int(response.body.get("row_version"))
+        if response.status == _OK and version is not None:
             return platform.Committed(version)
         if response.status == _OK:
             return platform.OutcomeUnknown("the response has no row_version")
         if response.status == _PRECONDITION_FAILED:
-            return store_rows.decode_conflict(
-                transaction, response.body.get("rows", ())
-            )
+            rows = response.body.get("rows", [])
+            if not _are_rows(rows):
+                return platform.Unavailable("the response has invalid rows")
+            return store_rows.decode_conflict(transaction, rows)
         if response.status in _NOT_APPLIED:
             return platform.Unavailable(f"status {response.status}")
-        logs.error("the store rejected a transaction: {}", response)
+        logs.error(
+            "the store rejected a transaction: status {}, {}",
+            response.status,
+            validation.excerpt(response.body),
+        )
         return platform.Unavailable(f"status {response.status}")
 
     def snapshot(
@@ -423,12 +429,17 @@
     def _on_response(self, response: http_calls.JsonResponse) -> None:
         """Records that the store answers and passes its clock on."""
         self._record_activity()
-        now_ms = response.body.get("now_ms")
-        if isinstance(now_ms, int | float):
+        now_ms = validation.finite_float(response.body.get("now_ms"))
+        if now_ms is not None:
             self._on_store_clock(now_ms)
 
 
 def _is_row_page(body: Mapping[str, Any]) -> bool:
     """Returns whether a response holds rows and their version."""
-    has_version = type(body.get("row_version")) is int
-    return has_version and isinstance(body.get("rows"), list)
+    has_version = validation.safe_int(body.get("row_version")) is not None
+    return has_version and _are_rows(body.get("rows"))
+
+
+def _are_rows(raw: Any) -> bool:
+    """Returns whether a field of a response is a list of rows."""
+    return isinstance(raw, list) and all(map(store_rows.is_row, raw))
--- a/src/vanillaswitch/platform/machines.py
+++ b/src/vanillaswitch/platform/machines.py
@@ -58,6 +58,7 @@
         """
         found: list[fleet.Machine] = []
         page_token = None
+        page_tokens: set[str] = set()
         while True:
             target = "/-/machines"
             if page_token:
@@ -84,6 +85,9 @@
                     for item in found
                 }
                 return found
+            if not validation.is_text(page_token) or page_token in page_tokens:
+                return fleet.NoAnswer(True, "unusable next_token")
+            page_tokens.add(page_token)
 
     def _decode_cached(self, raw: Any) -> fleet.Machine | unusable.Unusable:
         """Decodes an entry of the list, or returns its cached value.
@@ -94,8 +98,11 @@
         cached = (
             self._decoded_entries.get(name) if isinstance(name, str) else None
         )
-        if cached is not None and cached[0] == raw:
-            return cached[1]
+        try:
+            if cached is not None and cached[0] == raw:
+                return cached[1]
+        except RecursionError:
+            return unusable.Unusable("nested too deeply")
         decoded = decode_machine(raw)
         if isinstance(decoded, fleet.Machine):
             self._decoded_entries[decoded.name] = raw, decoded
--- a/src/vanillaswitch/platform/store_rows.py
+++ b/src/vanillaswitch/platform/store_rows.py
@@ -91,12 +91,24 @@
         return document, ""
     if not isinstance(document.get("value"), dict):
         return unusable.Unusable('the field "value" is not a JSON object')
-    return document["value"], str(document.get("token", ""))
+    token = document.get("token")
+    return document["value"], token if isinstance(token, str) else ""
+
+
+def is_row(raw: Any) -> bool:
+    """Whether an element of a list of rows has the fields of a row."""
+    return (
+        isinstance(raw, dict)
+        and validation.is_text(raw.get("key"))
+        and isinstance(raw.get("table", ""), str)
+        and isinstance(raw.get("value", ""), str | None)
+        and validation.safe_int(raw.get("row_version", 0)) is not None
+    )
 
 
 def decode_row(raw: Mapping[str, Any]) -> platform.Row:
     """Decodes a row; logs and returns an empty one if it can't be decoded."""
-    table = str(raw["table"])
+    table = str(raw.get("table", ""))
     version = int(raw.get("row_version", 0))
     decoded = _decode_value(table, str(raw.get("value") or ""))
     if isinstance(decoded, unusable.Unusable):
--- a/src/vanillaswitch/platform/upstreams.py
+++ b/src/vanillaswitch/platform/upstreams.py
@@ -91,7 +91,14 @@
 def decode_registration(
     instance: str, document: Mapping[str, Any]
 ) -> fleet.Registration | unusable.Unusable:
-    """Decodes a row of the table of instances."""
+    """Decodes a row of the table of instances.
+
+    Args:
+        instance: its key, which is sent to the instance in a header field.
+        document: its content.
+    """
+    if not (instance.isascii() and instance.isprintable()):
+        return unusable.Unusable("key: expected printable ASCII characters")
     row = validation.parse_document(_InstanceRow, document)
     if isinstance(row, unusable.Unusable):
         return row
@@ -273,7 +280,8 @@
         return fleet.Refused(_decode_reason(response.body.get("reason")), clock)
     if response.status == _BAD_REQUEST:
         logs.error(
-            "an instance rejected an order as invalid: {}", dict(response.body)
+            "an instance rejected an order as invalid: {}",
+            validation.excerpt(response.body),
         )
         return fleet.Refused(fleet.RefusalReason.INVALID, clock)
     return fleet.Refused(fleet.RefusalReason.UNHEALTHY, clock)
@@ -282,8 +290,11 @@
 def _decode_reason(raw: Any) -> fleet.RefusalReason:
     try:
         return fleet.RefusalReason(raw)
-    except ValueError:
-        logs.warning("an instance refused an order, unknown reason: {}", raw)
+    except (ValueError, RecursionError):
+        logs.warning(
+            "an instance refused an order, unknown reason: {}",
+            validation.excerpt(raw),
+        )
         return fleet.RefusalReason.INVALID
 
 
@@ -299,11 +310,11 @@
     if clock_ms is None:
         return fleet.NoAnswer(True, "the status report has no clock_ms")
     born_ms = body.get("born")
-    if "born" in body and type(born_ms) is not int:
-        logs.error(
-            "status report: born: expected an integer, not {!r}", born_ms
+    if "born" in body and validation.safe_int(born_ms) is None:
+        found = validation.excerpt(born_ms)
+        return fleet.NoAnswer(
+            True, f"status report: born: expected an integer, not {found}"
         )
-        return fleet.NoAnswer(True, "the status report is invalid")
     try:
         ended_runs = tuple(map(_decode_end, body.get("ended") or ()))
         return fleet.StatusReport(
@@ -314,15 +325,15 @@
             is_page_full=len(ended_runs) >= MAX_ENDS_PER_REPORT,
         )
     except unusable.FIELD_ERRORS as error:
-        logs.error("the status report of an instance is invalid: {!r}", error)
-        return fleet.NoAnswer(True, "the status report is invalid")
+        found = validation.excerpt(error)
+        return fleet.NoAnswer(True, f"the status report is invalid: {found}")
 
 
 def _decode_run(raw: Sequence[Any]) -> fleet.RunStatus:
     return fleet.RunStatus(
         parse_task(raw[0]),
-        int(raw[1]),
-        str(raw[2] or ""),
+        _count(raw[1]),
+        _checkpoint(raw[2]),
         _number_or_zero(raw[3]),
         _number_or_zero(raw[4]) if len(raw) > 4 else 0.0,
     )
@@ -335,16 +346,43 @@
     """
     number = validation.finite_float(raw)
     if number is None:
-        logs.warning("status report: not a finite number: {!r}", raw)
+        logs.warning(
+            "status report: not a finite number: {}", validation.excerpt(raw)
+        )
         return 0.0
     return number
 
 
+def _count(raw: Any) -> int:
+    """Decodes the number of a run or of an end.
+
+    Raises:
+        ValueError: it is not an integer from 0 to ``MAX_SAFE_INTEGER``. The
+            number of an end that is larger than all others would make the owner
+            pass over all further ends.
+    """
+    number = validation.safe_int(raw)
+    if number is None or number < 0:
+        raise ValueError(f"not the number of a run: {validation.excerpt(raw)}")
+    return number
+
+
+def _checkpoint(raw: Any) -> str:
+    """Decodes a checkpoint; empty for none.
+
+    Raises:
+        ValueError: it is not a string.
+    """
+    if raw is not None and type(raw) is not str:
+        raise ValueError(f"not a checkpoint: {validation.excerpt(raw)}")
+    return raw or ""
+
+
 def _decode_end(raw: Sequence[Any]) -> fleet.RunEnd:
     return fleet.RunEnd(
-        int(raw[0]),
+        _count(raw[0]),
         parse_task(raw[1]),
-        int(raw[2]),
+        _count(raw[2]),
         fleet.RunOutcome(raw[3]),
-        str(raw[4] or ""),
+        _checkpoint(raw[4]),
     )
--- a/src/vanillaswitch/platform/validation.py
+++ b/src/vanillaswitch/platform/validation.py
@@ -9,8 +9,10 @@
 
 import json
 import math
+import reprlib
 import typing
 from typing import Any
+from typing import TypeGuard
 from typing import TypeVar
 
 import cattrs
@@ -89,6 +91,8 @@
         )
     try:
         return _CONVERTER.structure(raw, target_type)
+    except RecursionError:
+        return unusable.Unusable("nested too deeply")
     except (cattrs.BaseValidationError, ValueError, TypeError) as error:
         reasons = cattrs.transform_error(error)
         return unusable.Unusable("; ".join(reasons[:_MAX_REASONS]))
@@ -108,6 +112,37 @@
 
 def finite_float(value: Any) -> float | None:
     """Returns a finite number as a float, and None for anything else."""
-    if type(value) not in (int, float) or not math.isfinite(value):
+    if type(value) not in (int, float):
         return None
-    return float(value)
+    try:
+        number = float(value)
+    except OverflowError:
+        return None
+    return number if math.isfinite(number) else None
+
+
+def safe_int(value: Any) -> int | None:
+    """Returns an integer of at most ``MAX_SAFE_INTEGER``, else None."""
+    if type(value) is not int or abs(value) > MAX_SAFE_INTEGER:
+        return None
+    return value
+
+
+def is_text(value: Any) -> TypeGuard[str]:
+    """Whether a value is a string that can be sent, without surrogates."""
+    if type(value) is not str:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+_EXCERPTS = reprlib.Repr()
+_EXCERPTS.maxstring = _EXCERPTS.maxother = 200
+
+
+def excerpt(value: Any) -> str:
+    """Returns a short text for the log, however long or nested a value is."""
+    return _EXCERPTS.repr(value)
--- a/src/vanillaswitch/protocol/unusable.py
+++ b/src/vanillaswitch/protocol/unusable.py
@@ -6,10 +6,14 @@
     AttributeError,
     LookupError,
     OverflowError,
+    RecursionError,
     TypeError,
     ValueError,
 )
-"""Exceptions from reading a field that is missing or has a wrong value."""
+"""Exceptions from reading a field that is missing or has a wrong value.
+
+A value that is nested almost as deeply as the interpreter allows raises
+``RecursionError`` when it is compared or printed."""
 
 
 @dataclasses.dataclass(frozen=True)
