--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -45,8 +45,11 @@
             instance.is_unresponsive or instance.has_unanswered_call
         )
         instance.is_unresponsive = instance.has_unanswered_call = False
-        lists_all_ends = _lists_all_ends(instance, report)
-        for end in _new_ends(instance, report):
+        new_ends = _new_ends(instance, report)
+        lists_all_ends = _lists_all_ends(
+            instance, new_ends, report.is_page_full
+        )
+        for end in new_ends:
             instance.last_end_number = end.number
             self._process_end(instance, end, now)
         listed = {
@@ -387,7 +390,9 @@
 
 
 def _lists_all_ends(
-    instance: instance_state.Instance, report: fleet.StatusReport
+    instance: instance_state.Instance,
+    new_ends: Sequence[fleet.RunEnd],
+    is_page_full: bool,
 ) -> bool:
     """Whether no run has ended whose end was never listed.
 
@@ -398,18 +403,18 @@
 
     Args:
         instance: the instance.
-        report: its report, the new ends of which are not processed yet.
+        new_ends: the ends in its report that are not processed yet.
+        is_page_full: see ``fleet.StatusReport``.
     """
-    new_ends = _new_ends(instance, report)
     if _has_gap(instance, new_ends):
         return False
     if new_ends:
         instance.has_listed_former_ends |= instance.has_reported and any(
             _went_on_after_first_report(instance, end) for end in new_ends
         )
-    elif not report.is_page_full:
+    elif not is_page_full:
         instance.has_listed_former_ends = True
-    return instance.has_listed_former_ends and not report.is_page_full
+    return instance.has_listed_former_ends and not is_page_full
 
 
 def _went_on_after_first_report(
