Release inherited runs once, when their ends are known

Seen: tests/cover/test_fair_order.py::TestFairOrder failed in one run of the whole suite (a drawn history with a new owner). Its instance reports before the new owner has recovered any run, and its later reports list no inherited run.

Cause: since each report released the runs of earlier owners that it did not list, also of runs recovered after the first report. Before, only the first report did. Processes recover runs before any report, and late jobs settle their own, so no process is affected; the narrower rule is the former one.

Change: they are released by the report that shows that all former ends are known, which is the first one unless it leaves out ends.

--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -46,9 +46,13 @@
         )
         instance.is_unresponsive = instance.has_unanswered_call = False
         new_ends = _new_ends(instance, report)
+        had_listed_former_ends = instance.has_listed_former_ends
         lists_all_ends = _lists_all_ends(
             instance, new_ends, report.is_page_full
         )
+        settles_inherited_runs = (
+            instance.has_listed_former_ends and not had_listed_former_ends
+        )
         for end in new_ends:
             instance.last_end_number = end.number
             self._process_end(instance, end, now)
@@ -60,10 +64,12 @@
                 self._drop_newer_run(instance, run_status, listed)
             self._process_listed_run(instance, run_status, began_at, now)
         for run in list(instance.runs.values()):
-            if run.key not in listed:
-                self._process_missing_run(
-                    instance, run, lists_all_ends, began_at, now
-                )
+            if run.key in listed:
+                continue
+            if settles_inherited_runs and run.awaits_first_report:
+                self._release_inherited_run(instance, run, now)
+            elif lists_all_ends:
+                self._process_missing_run(instance, run, began_at)
         if not instance.has_reported:
             instance.has_reported = True
             instance.first_report_at = now
@@ -284,43 +290,48 @@
         instance.add_run(run)
         return run
 
+    def _release_inherited_run(
+        self,
+        instance: instance_state.Instance,
+        run: instance_state.Run,
+        now: float,
+    ) -> None:
+        """Releases a run of a previous owner that never started or is over.
+
+        The instance lists it neither as running nor as ended, and now refuses
+        that owner's orders, because this owner's fencing token is higher.
+        """
+        if _targets_former_incarnation(instance, run):
+            why = "its instance restarted"
+            self._count_loss(instance, [run], why, now, crash_confirmed=False)
+        self._release_run(instance, run)
+
     def _process_missing_run(
         self,
         instance: instance_state.Instance,
         run: instance_state.Run,
-        lists_all_ends: bool,
         began_at: float,
-        now: float,
     ) -> None:
         """Releases a run that a status report does not list, if it is over.
 
         The report may be older than a start that was sent meanwhile, so a
         missing run proves nothing by itself. The run is over if it could no
-        longer start before the report was requested, or if a previous owner
-        ordered it: the instance now refuses that owner's orders, because this
-        owner's fencing token is higher.
+        longer start before the report was requested.
 
-        A run that is over may have ended as done. Its task would run twice if
-        the run were released before its end is listed, so a report that may
-        leave out ends releases none.
+        It may have ended as done. Its task would run twice if the run were
+        released before its end is listed, so the report must not leave out any
+        end.
 
         Args:
             instance: the instance.
             run: the missing run.
-            lists_all_ends: see ``_lists_all_ends``.
             began_at: monotonic seconds at which the report was requested.
-            now: monotonic seconds.
         """
-        inherited = run.awaits_first_report and instance.has_listed_former_ends
-        if inherited and _targets_former_incarnation(instance, run):
-            why = "its instance restarted"
-            self._count_loss(instance, [run], why, now, crash_confirmed=False)
         was_ruled_out = (
             run.cannot_start_since is not None
             and run.cannot_start_since < began_at
         )
-        is_over = was_ruled_out or _can_no_longer_start(run, began_at)
-        if inherited or (is_over and lists_all_ends):
+        if was_ruled_out or _can_no_longer_start(run, began_at):
             self._release_run(instance, run)
 
     def handle_unanswered_call(self, name: str, began_at: float) -> None:
