Give the reading of listed ends a module, and drawn documents a place

Read as a newcomer: a predicate that also recorded what it found decided when inherited runs are released. instances/listed_ends.py now returns what a report shows, and the caller records it. The key of a step is that of the tickets.

No check is loosened: the answers that were found by hand are explicit examples now, and twice as many are drawn. No change of behaviour.

--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -1,9 +1,9 @@
 """Processes status reports and unanswered calls; expires leases."""
 
 from collections.abc import Collection
-from collections.abc import Sequence
 
 from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.instances import listed_ends
 from vanillaswitch.coordination.fleet.instances import restarts
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
@@ -45,15 +45,12 @@
             instance.is_unresponsive or instance.has_unanswered_call
         )
         instance.is_unresponsive = instance.has_unanswered_call = False
-        new_ends = _new_ends(instance, report)
-        had_listed_former_ends = instance.has_listed_former_ends
-        lists_all_ends = _lists_all_ends(
-            instance, new_ends, report.is_page_full
-        )
+        ends = listed_ends.read(instance, report)
         settles_inherited_runs = (
-            instance.has_listed_former_ends and not had_listed_former_ends
+            ends.includes_former and not instance.has_listed_former_ends
         )
-        for end in new_ends:
+        instance.has_listed_former_ends = ends.includes_former
+        for end in ends.new:
             instance.last_end_number = end.number
             self._process_end(instance, end, now)
         listed = {
@@ -68,7 +65,7 @@
                 continue
             if settles_inherited_runs and run.awaits_first_report:
                 self._release_inherited_run(instance, run, now)
-            elif lists_all_ends:
+            elif ends.is_complete:
                 self._process_missing_run(instance, run, began_at)
         if not instance.has_reported:
             instance.has_reported = True
@@ -318,9 +315,7 @@
         missing run proves nothing by itself. The run is over if it could no
         longer start before the report was requested.
 
-        It may have ended as done. Its task would run twice if the run were
-        released before its end is listed, so the report must not leave out any
-        end.
+        Call it only if all ends have been listed; see ``listed_ends``.
 
         Args:
             instance: the instance.
@@ -386,71 +381,6 @@
                 )
 
 
-def _new_ends(
-    instance: instance_state.Instance, report: fleet.StatusReport
-) -> list[fleet.RunEnd]:
-    """Returns the ends that were not listed before, in order."""
-    return sorted(
-        (
-            end
-            for end in report.ended_runs
-            if end.number > instance.last_end_number
-        ),
-        key=lambda end: end.number,
-    )
-
-
-def _lists_all_ends(
-    instance: instance_state.Instance,
-    new_ends: Sequence[fleet.RunEnd],
-    is_page_full: bool,
-) -> bool:
-    """Whether no run has ended whose end was never listed.
-
-    A report lists the oldest ends, as many as fit. So all ends before the first
-    report to this owner are known once a report lists no new one, or the end of
-    a run that went on after the first report. This does not depend on how many
-    ends fit into a report. Records it in ``has_listed_former_ends``.
-
-    Args:
-        instance: the instance.
-        new_ends: the ends in its report that are not processed yet.
-        is_page_full: see ``fleet.StatusReport``.
-    """
-    if _has_gap(instance, new_ends):
-        return False
-    if new_ends:
-        instance.has_listed_former_ends |= instance.has_reported and any(
-            _went_on_after_first_report(instance, end) for end in new_ends
-        )
-    elif not is_page_full:
-        instance.has_listed_former_ends = True
-    return instance.has_listed_former_ends and not is_page_full
-
-
-def _went_on_after_first_report(
-    instance: instance_state.Instance, end: fleet.RunEnd
-) -> bool:
-    """Whether a run ended after the first report of its instance."""
-    run = instance.runs.get((end.task, end.run))
-    if run is None:
-        return False
-    is_own = not run.awaits_first_report
-    return run.was_reported or (
-        is_own and run.decided_at >= instance.first_report_at
-    )
-
-
-def _has_gap(
-    instance: instance_state.Instance, new_ends: Sequence[fleet.RunEnd]
-) -> bool:
-    """Whether numbers are missing between ends that were listed."""
-    numbers = [end.number for end in new_ends]
-    if instance.last_end_number:
-        numbers.insert(0, instance.last_end_number)
-    return bool(numbers) and numbers[-1] - numbers[0] >= len(numbers)
-
-
 def _can_no_longer_start(run: instance_state.Run, requested_at: float) -> bool:
     """Whether a run is being stopped and no start of it can still arrive.
 
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -443,12 +443,10 @@
                     and self.tickets_for(step, now) is None
                 ):
                     max_free.mark_unfit(step.demand)
-            kept_free = self._instance_to_reserve(step, instances, now)
-            if kept_free is not None and reserved.allows(step):
-                reserved.add(step, kept_free)
-                instances = [
-                    item for item in instances if item is not kept_free
-                ]
+            chosen = self._instance_to_reserve(step, instances, now)
+            if chosen is not None and reserved.allows(step):
+                reserved.add(step, chosen)
+                instances = [item for item in instances if item is not chosen]
         self._apply_reservations(steps, reserved)
         self._limited_accounts |= held_up
         return bool(held_up)
@@ -645,7 +643,7 @@
         if not self._ticket_waits.may_reserve(step.key, bool(usable), now):
             return None
         unsuitable = self.tickets.unsuitable(step.key)
-        tickets = reservations.Tickets(usable.keys(), unsuitable)
+        tickets = reservations.KnownTickets(usable.keys(), unsuitable)
         return reservations.choose_instance(step, instances, tickets, now)
 
     def _place(
--- a/src/vanillaswitch/coordination/fleet/queue/reservations.py
+++ b/src/vanillaswitch/coordination/fleet/queue/reservations.py
@@ -19,6 +19,7 @@
 
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import open_steps
+from vanillaswitch.coordination.fleet.queue import tickets as ticket_book
 
 MAX_RESERVED_SHARE = 0.5
 """Largest share of a pool that is reserved at a time, one instance at least.
@@ -28,12 +29,9 @@
 """How long an instance is reserved for a step without a ticket. An advisor that
 answers does so within a second; one that does not may be away for minutes."""
 
-StepKey = tuple[str, int, int]
-"""Job, occurrence and number of a step."""
-
 
 @dataclasses.dataclass(frozen=True)
-class Tickets:
+class KnownTickets:
     """What the advisor of a step said of the instances.
 
     Attributes:
@@ -50,9 +48,11 @@
 
     def __init__(self) -> None:
         """Creates an empty record."""
-        self._since: dict[StepKey, float] = {}
+        self._since: dict[ticket_book.StepKey, float] = {}
 
-    def may_reserve(self, step: StepKey, has_ticket: bool, now: float) -> bool:
+    def may_reserve(
+        self, step: ticket_book.StepKey, has_ticket: bool, now: float
+    ) -> bool:
         """Whether an instance may be reserved for a step.
 
         Args:
@@ -65,7 +65,7 @@
             return True
         return now - self._since.setdefault(step, now) < TICKET_WAIT_S
 
-    def retain(self, steps: Collection[StepKey]) -> None:
+    def retain(self, steps: Collection[ticket_book.StepKey]) -> None:
         """Forgets all other steps."""
         self._since = {
             step: since for step, since in self._since.items() if step in steps
@@ -82,7 +82,7 @@
             pool_size: number of its instances that take new work.
         """
         self._max_count = max(1, int(pool_size * MAX_RESERVED_SHARE))
-        self.by_step: dict[StepKey, instance_state.Instance] = {}
+        self.by_step: dict[ticket_book.StepKey, instance_state.Instance] = {}
 
     @property
     def is_full(self) -> bool:
@@ -103,7 +103,7 @@
 def choose_instance(
     step: open_steps.OpenStep,
     instances: Sequence[instance_state.Instance],
-    tickets: Tickets | None,
+    tickets: KnownTickets | None,
     now: float,
 ) -> instance_state.Instance | None:
     """Returns an instance to reserve until a long-running task fits on it.
--- a/src/vanillaswitch/platform/upstreams.py
+++ b/src/vanillaswitch/platform/upstreams.py
@@ -332,7 +332,7 @@
 def _decode_run(raw: Sequence[Any]) -> fleet.RunStatus:
     return fleet.RunStatus(
         parse_task(raw[0]),
-        _count(raw[1]),
+        _ordinal(raw[1]),
         _checkpoint(raw[2]),
         _number_or_zero(raw[3]),
         _number_or_zero(raw[4]) if len(raw) > 4 else 0.0,
@@ -353,7 +353,7 @@
     return number
 
 
-def _count(raw: Any) -> int:
+def _ordinal(raw: Any) -> int:
     """Decodes the number of a run or of an end.
 
     Raises:
@@ -380,9 +380,9 @@
 
 def _decode_end(raw: Sequence[Any]) -> fleet.RunEnd:
     return fleet.RunEnd(
-        _count(raw[0]),
+        _ordinal(raw[0]),
         parse_task(raw[1]),
-        _count(raw[2]),
+        _ordinal(raw[2]),
         fleet.RunOutcome(raw[3]),
         _checkpoint(raw[4]),
     )
--- a/tests/cover/test_boundary_answers.py
+++ b/tests/cover/test_boundary_answers.py
@@ -12,8 +12,8 @@
 import pytest
 
 from tests.common import clocks
+from tests.common import drawn_documents
 from tests.common import fleet_builders
-from tests.cover import test_document_validation as documents
 from vanillaswitch.coordination.fleet.instances import instance_client
 from vanillaswitch.platform import advice
 from vanillaswitch.platform import http_table
@@ -36,39 +36,6 @@
 _END = [58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]
 _ROW = {"table": "job", "part": "", "key": "a", "row_version": 3, "value": ""}
 
-_TEXTS = st.sampled_from(
-    [
-        "1" * 400,
-        "1" * 5000,
-        "-" + "9" * 400,
-        "1e400",
-        "[" * 100 + "]" * 100,
-        "[" * 900 + "]" * 900,
-        "[" * 40_000 + "]" * 40_000,
-        '{"a":' * 900 + "1" + "}" * 900,
-        '"\\ud800"',
-        "NaN",
-    ]
-)
-_PLACE = "a value to replace"
-
-
-def _answers(document):
-    """Draws bodies: a valid document with values replaced, or any bytes."""
-    damaged = documents.damaged_documents(document).map(
-        lambda value: json.dumps(value).encode()
-    )
-    odd = st.builds(
-        lambda path, text: (
-            json.dumps(documents._replace_at(document, path, _PLACE))
-            .replace(json.dumps(_PLACE), text)
-            .encode()
-        ),
-        st.sampled_from(list(documents._paths(document))),
-        _TEXTS,
-    )
-    return damaged | odd | st.binary(max_size=20)
-
 
 class _Client:
     """Answers each call with the same status and body."""
@@ -82,14 +49,14 @@
 
 _settings = hypothesis.settings(
     deadline=None,
-    max_examples=150,
+    max_examples=300,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 
 
 @given(
     _STATUSES,
-    _answers(
+    drawn_documents.damaged_bodies(
         {
             "clock_ms": 482113,
             "born": 1_796_271_705_000,
@@ -128,10 +95,16 @@
 
 @given(
     _STATUSES,
-    _answers(
-        {"machines": [documents.MACHINE_ENTRY], "next_token": "", "reason": ""}
+    drawn_documents.damaged_bodies(
+        {
+            "machines": [drawn_documents.MACHINE_ENTRY],
+            "next_token": "",
+            "reason": "",
+        }
     ),
 )
+@hypothesis.example(200, b'{"machines":[],"next_token":[1]}')
+@hypothesis.example(200, b'{"machines":[],"next_token":"\\ud800"}')
 @_settings
 def test_any_answer_about_machines_is_an_outcome(status, body):
     client = machines.HttpMachines(_Client(status, body), "10.0.0.1:80", "e-1")
@@ -149,7 +122,13 @@
     assert isinstance(client.list(), fleet.NoAnswer)
 
 
-@given(_STATUSES, _answers({"good": [["i-1", "t-1"]], "validity_ms": 5000}))
+@given(
+    _STATUSES,
+    drawn_documents.damaged_bodies(
+        {"good": [["i-1", "t-1"]], "validity_ms": 5000}
+    ),
+)
+@hypothesis.example(200, b'{"good":[5]}')
 @_settings
 def test_any_answer_of_the_advisor_is_an_outcome(status, body):
     advisor = advice.HttpAdvisor(_Client(status, body), "10.0.0.1:80")
@@ -162,8 +141,12 @@
 
 @given(
     _STATUSES,
-    _answers({"rows": [_ROW], "row_version": 3, "now_ms": 17, "parts": [""]}),
+    drawn_documents.damaged_bodies(
+        {"rows": [_ROW], "row_version": 3, "now_ms": 17, "parts": [""]}
+    ),
 )
+@hypothesis.example(200, b'{"rows":[{"key":"\\ud800"}],"row_version":1}')
+@hypothesis.example(412, b'{"rows":[5]}')
 @_settings
 def test_any_answer_of_the_store_is_an_outcome(status, body):
     clock_readings = []
@@ -187,7 +170,7 @@
 @pytest.mark.parametrize("name", ["i\r\nX-Lease-Holder: e", "\u65e5", "\ud800"])
 def test_a_key_that_fits_into_no_header_field_names_no_instance(name):
     """Guards against calls that raise, or send a field of another's choice."""
-    found = upstreams.decode_registration(name, documents.INSTANCE_ROW)
+    found = upstreams.decode_registration(name, drawn_documents.INSTANCE_ROW)
     assert isinstance(found, unusable.Unusable)
 
 
@@ -229,5 +212,5 @@
     An end whose number is larger than that of all others counted as the newest.
     The jobs of the instance were then never completed.
     """
-    body = documents.STATUS_REPORT | {"ended": [[number, *_END[1:]]]}
+    body = drawn_documents.STATUS_REPORT | {"ended": [[number, *_END[1:]]]}
     assert isinstance(upstreams.decode_status_report(body), fleet.NoAnswer)
--- a/tests/cover/test_document_validation.py
+++ b/tests/cover/test_document_validation.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from tests.common import drawn_documents
 from tests.common import fleet_builders
 from vanillaswitch.coordination.fleet.job_requests import job_rows
 from vanillaswitch.coordination.fleet.ownership import fenced_writer
@@ -24,57 +25,6 @@
 from vanillaswitch.protocol import jobs
 from vanillaswitch.protocol import unusable
 
-INSTANCE_ROW = {
-    "service": "berthing",
-    "address": "10.128.0.9:8080",
-    "zone": "zone-1",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-    "labels": ["a", "r1-3"],
-    "clock_ms": 482113,
-    "seq_no": 4,
-}
-MACHINE_ENTRY = {
-    "machine": "m-1",
-    "pool": "berthing",
-    "state": "up",
-    "zone": "zone-1",
-    "labels": ["a", "r1-2"],
-    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-    "id": "i-1",
-}
-CONFIG = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": "host.example",
-            "path_prefix": "/q/",
-            "service": "berthing",
-            "advice": {"decision_ms": 5, "period_ms": 1, "validity_ms": 100},
-        }
-    ],
-    "services": [{"name": "berthing", "standby": False}],
-    "limits": {"max_body_bytes": 1000},
-    "tenants": [
-        {
-            "name": "mare",
-            "api_keys": ["key-a1", "key-b2"],
-            "priority": 1,
-            "weight": 65,
-            "max_count": {"cpu": 2128093, "mem_mb": 5408450, "gpu": 0},
-        }
-    ],
-}
-WAVE = {"wave": 1, "machines": ["m-1"], "duration_s": 20, "max_count": 1}
-STATUS_REPORT = {
-    "clock_ms": 482113,
-    "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 3]],
-    "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
-}
 JOB_PROGRESS = {
     "ended": "",
     "ended_store_ms": 0.0,
@@ -83,62 +33,12 @@
     "tasks": [[0, 0, 0, "a", 1, "i-1", 0, ""]],
 }
 
-SCALARS = (
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.sampled_from([10**400, -(10**400), 2**63])
-    | st.floats()
-    | st.text(max_size=8)
-    | st.sampled_from(["\ud800", "ready", "draining", "10.0.0.1:80"])
-)
-VALUES = st.recursive(
-    SCALARS,
-    lambda value: (
-        st.lists(value, max_size=4)
-        | st.dictionaries(st.text(max_size=6), value, max_size=4)
-    ),
-    max_leaves=12,
-)
-
-
-def _paths(document, prefix=()):
-    """Yields the path of each value in a document, () for the document."""
-    yield prefix
-    entries = (
-        document.items()
-        if isinstance(document, dict)
-        else enumerate(document)
-        if isinstance(document, list)
-        else ()
-    )
-    for name, value in entries:
-        yield from _paths(value, (*prefix, name))
-
-
-def _replace_at(document, path, value):
-    if not path:
-        return value
-    copy = document.copy()
-    copy[path[0]] = _replace_at(document[path[0]], path[1:], value)
-    return copy
-
-
-def damaged_documents(document):
-    """Draws the document with one value replaced, or an arbitrary value."""
-    return VALUES | st.builds(
-        _replace_at,
-        st.just(document),
-        st.sampled_from(list(_paths(document))),
-        VALUES,
-    )
-
 
 def _registration(document):
     return upstreams.decode_registration("i-1", document)
 
 
-@given(damaged_documents(INSTANCE_ROW))
+@given(drawn_documents.damaged_documents(drawn_documents.INSTANCE_ROW))
 def test_any_instance_row_is_decoded_or_unusable(document):
     found = _registration(document)
     if isinstance(found, unusable.Unusable):
@@ -154,7 +54,7 @@
 
 
 def test_valid_instance_row_is_decoded():
-    found = _registration(INSTANCE_ROW)
+    found = _registration(drawn_documents.INSTANCE_ROW)
     assert found == fleet.Registration(
         "i-1",
         "berthing",
@@ -164,8 +64,15 @@
         fleet.Resources(16000, 32768, 0),
         ("a", "r1-3"),
     )
-    assert _registration(INSTANCE_ROW | {"new": 1, "remaining_ms": 3}) == found
-    assert _registration(INSTANCE_ROW | {"state": "draining"}).is_draining
+    assert (
+        _registration(
+            drawn_documents.INSTANCE_ROW | {"new": 1, "remaining_ms": 3}
+        )
+        == found
+    )
+    assert _registration(
+        drawn_documents.INSTANCE_ROW | {"state": "draining"}
+    ).is_draining
 
 
 @pytest.mark.parametrize(
@@ -199,7 +106,7 @@
     ],
 )
 def test_wrong_field_of_an_instance_row_is_named(field, value):
-    found = _registration(INSTANCE_ROW | {field: value})
+    found = _registration(drawn_documents.INSTANCE_ROW | {field: value})
     assert isinstance(found, unusable.Unusable)
     assert field in found.reason
 
@@ -209,40 +116,42 @@
 )
 def test_missing_field_of_an_instance_row_is_named(field):
     document = {
-        name: INSTANCE_ROW[name] for name in INSTANCE_ROW if name != field
+        name: drawn_documents.INSTANCE_ROW[name]
+        for name in drawn_documents.INSTANCE_ROW
+        if name != field
     }
     found = _registration(document)
     assert isinstance(found, unusable.Unusable)
     assert field in found.reason
 
 
-@given(damaged_documents(MACHINE_ENTRY))
+@given(drawn_documents.damaged_documents(drawn_documents.MACHINE_ENTRY))
 def test_any_machine_entry_is_decoded_or_unusable(raw):
     found = machines.decode_machine(raw)
     assert isinstance(found, fleet.Machine | unusable.Unusable)
 
 
-@given(damaged_documents(CONFIG))
+@given(drawn_documents.damaged_documents(drawn_documents.CONFIG))
 def test_any_configuration_is_decoded_or_unusable(document):
     found = operator_rows.decode_config(document)
     assert isinstance(found, fleet.FleetConfig | unusable.Unusable)
 
 
 def test_valid_configuration_is_decoded():
-    found = operator_rows.decode_config(CONFIG)
+    found = operator_rows.decode_config(drawn_documents.CONFIG)
     assert found.queues[0].advice == fleet.AdvisorConfig(5, 1, 100)
     assert found.max_body_bytes == 1000
     bare = {"version": 8, "routes": [], "services": [], "limits": None}
     assert operator_rows.decode_config(bare).version == 8
 
 
-@given(damaged_documents(WAVE))
+@given(drawn_documents.damaged_documents(drawn_documents.WAVE))
 def test_any_wave_is_decoded_or_unusable(document):
     found = operator_rows.decode_wave("wave/1", document)
     assert isinstance(found, fleet.WaveOrder | unusable.Unusable)
 
 
-@given(damaged_documents(STATUS_REPORT))
+@given(drawn_documents.damaged_documents(drawn_documents.STATUS_REPORT))
 def test_any_status_report_is_decoded_or_no_answer(body):
     found = upstreams.decode_status_report(
         body if isinstance(body, dict) else {}
@@ -253,7 +162,9 @@
 @pytest.mark.parametrize("born", [None, "17", 17.5, True, [17]])
 def test_status_report_with_a_non_integer_born_is_rejected(born):
     assert isinstance(
-        upstreams.decode_status_report(STATUS_REPORT | {"born": born}),
+        upstreams.decode_status_report(
+            drawn_documents.STATUS_REPORT | {"born": born}
+        ),
         fleet.NoAnswer,
     )
 
@@ -261,27 +172,39 @@
 def test_born_is_decoded_and_may_be_missing():
     born = {"born": 1_796_271_705_000}
     assert (
-        upstreams.decode_status_report(STATUS_REPORT | born).born_ms
+        upstreams.decode_status_report(
+            drawn_documents.STATUS_REPORT | born
+        ).born_ms
+        == born["born"]
+    )
+    assert (
+        _registration(drawn_documents.INSTANCE_ROW | born).born_ms
         == born["born"]
     )
-    assert _registration(INSTANCE_ROW | born).born_ms == born["born"]
-    assert upstreams.decode_status_report(STATUS_REPORT).born_ms is None
-    assert _registration(INSTANCE_ROW).born_ms is None
+    assert (
+        upstreams.decode_status_report(drawn_documents.STATUS_REPORT).born_ms
+        is None
+    )
+    assert _registration(drawn_documents.INSTANCE_ROW).born_ms is None
 
 
 def test_valid_status_report_is_decoded():
-    found = upstreams.decode_status_report(STATUS_REPORT)
+    found = upstreams.decode_status_report(drawn_documents.STATUS_REPORT)
     assert found.running[0].percent == 41
     assert found.ended_runs[0].outcome is fleet.RunOutcome.DONE
 
 
-@given(damaged_documents(job_rows.job_to_row(fleet_builders.job(1))))
+@given(
+    drawn_documents.damaged_documents(
+        job_rows.job_to_row(fleet_builders.job(1))
+    )
+)
 def test_any_job_row_is_decoded_or_unusable(document):
     found = job_rows.row_to_job(document if isinstance(document, dict) else {})
     assert isinstance(found, jobs.Job | unusable.Unusable)
 
 
-@given(damaged_documents(JOB_PROGRESS))
+@given(drawn_documents.damaged_documents(JOB_PROGRESS))
 def test_any_progress_is_restored_or_rejected(document):
     entry = job_tracker.JobEntry(fleet_builders.job(1), 0.0)
     problem = entry.load_document(
@@ -290,7 +213,11 @@
     assert problem is None or problem.reason
 
 
-@given(damaged_documents({"holder": "e", "address": "a:1", "boot": "b"}))
+@given(
+    drawn_documents.damaged_documents(
+        {"holder": "e", "address": "a:1", "boot": "b"}
+    )
+)
 def test_any_owner_row_has_a_holder_of_type_str(document):
     row = fenced_writer.decode_owner_row(
         document if isinstance(document, dict) else {}
--- a/tests/failures/test_reserved_instances.py
+++ b/tests/failures/test_reserved_instances.py
@@ -51,13 +51,11 @@
 def _add_instances(scheduler, count, cpu=_CPU):
     names = [f"i-{number}" for number in range(count)]
     fleet_builders.add_instances(scheduler, *names, cpu=cpu)
-    return names
 
 
-def _add_lasting_jobs(scheduler, count=2, cpu=800, mem_mb=256, **fields):
-    step = jobs.Step(
-        count=count, cpu=cpu, mem_mb=mem_mb, long_running=True, **fields
-    )
+def _add_lasting_jobs(scheduler, count=2, cpu=800, mem_mb=256):
+    """Adds a job of each account with a limit."""
+    step = jobs.Step(count=count, cpu=cpu, mem_mb=mem_mb, long_running=True)
     for number, account in enumerate(_ACCOUNTS, 1):
         job = fleet_builders.job(number, (step,), account=account)
         scheduler.add_job(job, 0.0)
@@ -205,10 +203,9 @@
         job = fleet_builders.job(number, (step,), account=account)
         scheduler.add_job(job, 1.0)
         if number in suspects:
-            for entry in scheduler.tracker:
-                if entry.job.job_id == job.job_id:
-                    (opened,) = entry.open_due_steps(fleet_builders.WALL_MS)
-                    opened.has_crashed = opened.task(0).is_suspect = True
+            entry = scheduler.tracker.get(job.job_id)
+            (opened,) = entry.open_due_steps(fleet_builders.WALL_MS)
+            opened.has_crashed = opened.task(0).is_suspect = True
     fleet_builders.plan_batch(scheduler, 3.0)
     reserved = scheduler.reserved_instances()
     assert len(reserved) <= max(1, size // 2)
