Take tickets from rows with further fields again

The check of the advisor's answers asked for rows of exactly two fields, so a newer advisor that adds one would have got no task started. Seen when the change was read again; the test fails before and passes now.

--- a/src/vanillaswitch/platform/advice.py
+++ b/src/vanillaswitch/platform/advice.py
@@ -53,18 +53,22 @@
 def _decode_tickets(
     body: Mapping[str, Any],
 ) -> fleet.Tickets | fleet.NoAnswer:
-    """Decodes an answer: "good" lists pairs of an instance and its ticket."""
+    """Decodes an answer: "good" lists rows of instance and ticket."""
     if "good" not in body:
         return fleet.NoAnswer(False, "the response names no instances")
-    pairs = body["good"]
+    rows = body["good"]
     validity_ms = validation.finite_float(body.get("validity_ms", 0.0))
-    if validity_ms is None or not isinstance(pairs, list):
+    if validity_ms is None or not isinstance(rows, list):
         return fleet.NoAnswer(False, "the response is invalid")
-    if not all(map(_is_pair_of_strings, pairs)):
+    if not all(map(_names_instance_and_ticket, rows)):
         return fleet.NoAnswer(False, "the response is invalid")
-    return fleet.Tickets(dict(pairs), validity_ms / 1000)
+    tickets = {name: ticket for name, ticket, *_ in rows}
+    return fleet.Tickets(tickets, validity_ms / 1000)
 
 
-def _is_pair_of_strings(raw: Any) -> bool:
-    is_pair = isinstance(raw, list) and len(raw) == 2
-    return is_pair and all(isinstance(item, str) for item in raw)
+def _names_instance_and_ticket(raw: Any) -> bool:
+    return (
+        isinstance(raw, list)
+        and len(raw) >= 2
+        and all(isinstance(item, str) for item in raw[:2])
+    )
--- a/tests/cover/test_boundary_answers.py
+++ b/tests/cover/test_boundary_answers.py
@@ -167,6 +167,13 @@
     assert all(isinstance(reading, float) for reading in clock_readings)
 
 
+def test_a_row_of_a_ticket_may_have_further_fields():
+    body = b'{"good":[["i-1","t-1",3]],"validity_ms":5000}'
+    advisor = advice.HttpAdvisor(_Client(200, body), "10.0.0.1:80")
+    outcome = advisor.request_tickets("a.0.1", ["i-1"], 1.0, False)
+    assert outcome == fleet.Tickets({"i-1": "t-1"}, 5.0)
+
+
 @pytest.mark.parametrize("name", ["i\r\nX-Lease-Holder: e", "\u65e5", "\ud800"])
 def test_a_key_that_fits_into_no_header_field_names_no_instance(name):
     """Guards against calls that raise, or send a field of another's choice."""
