Call each incarnation of an instance with a higher fencing token

What callers saw: tasks that had ended done were started again after a minion came back under its id. A hold of before got no answer, was carried out 5 s later by the new incarnation and acknowledged ends 1 to 80 there, which nobody had read.

Cause: a call without an answer may be executed seconds later, after newer calls, and all calls of a term had the same fencing token, so a call to the former incarnation passed.

Ruled out: the owner's own acknowledgements, which are 0 after a restart.

Change: the version of the owner's last write is the token of every incarnation but the first, kept by id for the term, as for moves of machines. The versions grow with each write, and the next owner's are higher still. A refusal of a call to a former incarnation does not end the term.

--- a/src/vanillaswitch/coordination/fleet/instances/instance_client.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 from typing import TypeVar
 
@@ -9,6 +10,7 @@
 import gevent.event
 import gevent.lock
 
+from vanillaswitch.coordination.fleet.instances import call_fences
 from vanillaswitch.coordination.fleet.instances import disruption_budget
 from vanillaswitch.coordination.fleet.instances import lease_times
 from vanillaswitch.coordination.fleet.instances import scheduler as schedulers
@@ -71,7 +73,7 @@
     Attributes:
         scheduler: the owner's decisions.
         upstreams: sends calls to instances.
-        writer: writes the owner's rows; knows its fencing token and its term.
+        writer: writes the owner's rows; knows its term.
         clock: source of monotonic time.
         wake_planner: set to make the owner plan again.
     """
@@ -82,6 +84,11 @@
     clock: clocks.Clock
     wake_planner: gevent.event.Event
 
+    @functools.cached_property
+    def fences(self) -> call_fences.CallFences:
+        """The fencing tokens of the term's calls."""
+        return call_fences.CallFences(self.writer)
+
 
 class InstanceClient:
     """Makes all calls to one instance during one term of ownership."""
@@ -138,6 +145,9 @@
                 # register again. Or its service is not configured (yet).
                 self._clock.sleep(RETRY_PAUSE_S)
                 continue
+            if self._context.fences.token(instance) is None:
+                self._clock.sleep(RETRY_PAUSE_S)
+                continue
             self._await_recorded_ends(instance)
             answered = self._renew_lease(instance, failures > 0)
             failures = 0 if answered else failures + 1
@@ -176,6 +186,9 @@
             Whether the instance sent a status report.
         """
         began_at = self._clock.monotonic()
+        token = self._context.fences.token(instance)
+        if token is None:
+            return False
         wait_s = 0.0
         if instance.has_reported and not instance.is_unresponsive and not again:
             wait_s = BUSY_POLL_S if instance.runs else IDLE_POLL_S
@@ -196,7 +209,7 @@
         def renew() -> fleet.RenewalOutcome:
             return self._context.upstreams.renew_lease(
                 instance.registration,
-                self._context.writer.token,
+                token,
                 acknowledged_end,
                 deadline_ms,
                 wait_s,
@@ -222,7 +235,7 @@
                 outcome.reason,
             )
         self._scheduler.handle_unanswered_call(self._name, began_at)
-        self._handle_rejection(outcome, now)
+        self._handle_rejection(outcome, token, now)
         return False
 
     def _deadline_ms(
@@ -274,20 +287,30 @@
             instance.end_lease_renewal(until, may_have_been_sent)
 
     def _handle_rejection(
-        self, outcome: fleet.RenewalOutcome | fleet.OrderOutcome, now: float
+        self,
+        outcome: fleet.RenewalOutcome | fleet.OrderOutcome,
+        token: int,
+        now: float,
     ) -> None:
         """Handles a refused call that concerns the instance or the term.
 
         Removes the instance if another one answered at its address. Ends the
         term if the instance refused the call because it has seen a higher
-        fencing token: a later owner exists.
+        fencing token than any that this owner sent it: a later owner exists.
+
+        Args:
+            outcome: the outcome of the call.
+            token: the fencing token of the call.
+            now: monotonic seconds.
         """
         if isinstance(outcome, fleet.InstanceReplaced):
             self._scheduler.remove_instance(
                 self._name, now, "another instance answers at its address"
             )
             self._context.wake_planner.set()
-        elif fleet.is_fenced(outcome):
+        elif fleet.is_fenced(outcome) and self._context.fences.is_newest(
+            self._name, token
+        ):
             logs.warning(
                 "instance {} has seen a higher fencing token; ending the term",
                 self._name,
@@ -331,11 +354,16 @@
                     return
                 self._clock.sleep(RETRY_PAUSE_S)
                 continue
-            outcome = self._start_once(order, attempts > 0)
+            instance = self._scheduler.instances.get(self._name)
+            if instance is None:
+                return
+            token = self._context.fences.token(instance)
+            if token is None:
+                self._clock.sleep(RETRY_PAUSE_S)
+                continue
+            outcome = self._start_once(instance, order, token, attempts > 0)
             now = self._clock.monotonic()
             attempts += 1
-            if outcome is None:
-                return
             if isinstance(outcome, fleet.Accepted):
                 self._scheduler.handle_start_accepted(
                     self._name, key, outcome.clock_ms, now
@@ -350,7 +378,7 @@
                     return
                 self._clock.sleep(RETRY_PAUSE_S)
                 continue
-            self._handle_rejection(outcome, now)
+            self._handle_rejection(outcome, token, now)
             if not isinstance(outcome, fleet.Refused):
                 return
             late_refusals += (
@@ -373,20 +401,20 @@
         return instance.incarnation if instance is not None else 0
 
     def _start_once(
-        self, order: term_state.StartOrder, new_connection: bool
-    ) -> fleet.OrderOutcome | None:
+        self,
+        instance: instance_state.Instance,
+        order: term_state.StartOrder,
+        token: int,
+        new_connection: bool,
+    ) -> fleet.OrderOutcome:
         """Sends one copy of a start.
 
         Args:
+            instance: the instance.
             order: the start.
+            token: the fencing token.
             new_connection: whether to use a new connection.
-
-        Returns:
-            The outcome; None if the instance is gone.
         """
-        instance = self._scheduler.instances.get(self._name)
-        if instance is None:
-            return None
         now = self._clock.monotonic()
         deadline = math.floor(
             instance.estimated_clock_ms(now) + lease_times.RUN_LEASE_S * 1000
@@ -396,7 +424,7 @@
             order.run,
             order.spec,
             order.checkpoint,
-            self._context.writer.token,
+            token,
             deadline,
             order.ticket,
         )
@@ -417,19 +445,20 @@
 
     def _send_pace(self, pace: pacing.PaceOrder) -> None:
         instance = self._scheduler.instances.get(self._name)
-        if instance is None:
+        token = self._context.fences.token(instance) if instance else None
+        if instance is None or token is None:
             return
         outcome = self._context.upstreams.set_pace(
             instance.registration,
             pace.run.task,
             pace.run.run,
             pace.percent,
-            self._context.writer.token,
+            token,
         )
         if isinstance(outcome, fleet.Accepted):
             pace.run.pace = pace.percent
         else:
-            self._handle_rejection(outcome, self._clock.monotonic())
+            self._handle_rejection(outcome, token, self._clock.monotonic())
 
     def send_stop(self, order: term_state.StopOrder) -> None:
         """Sends a stop once, in its own greenlet."""
@@ -441,11 +470,14 @@
             return
         if not self._scheduler.may_send_stop(order, self._clock.monotonic()):
             return
+        token = self._context.fences.token(instance)
+        if token is None:
+            return
         outcome = self._context.upstreams.stop(
             instance.registration,
             order.task,
             order.run,
-            self._context.writer.token,
+            token,
             SEND_TIMEOUT_S,
         )
         now = self._clock.monotonic()
@@ -459,4 +491,4 @@
                 self._name, (order.task, order.run), now
             )
         else:
-            self._handle_rejection(outcome, now)
+            self._handle_rejection(outcome, token, now)
--- a/tests/failures/test_unlisted_instance.py
+++ b/tests/failures/test_unlisted_instance.py
@@ -16,6 +16,7 @@
 class _Writer:
     is_term_over = False
     token = 9
+    last_written_version = 10
     last_write_sent_at = 0.0
 
 
