Start no task elsewhere while an earlier start of it may be executed

A start got no answer, its minion crashed, the task was started elsewhere, the minion came back under its id and executed the start.

Cause: the outstanding starts were kept in the record of the instance, which goes when the list of machines shows no instance; an answer to a repeated start was taken for the end of its first copy; and what rules a start out (a stop, a token) holds for one incarnation, the next one has forgotten it.

Change: starts without an answer are kept by the id of their instance, for 15 s and up to a number (late_starts). A run that is lost meanwhile is held: its task starts nowhere else (held_runs). Once the next incarnation has answered a call with its own token, the task restarts on that instance, else elsewhere after 15 s. _assign moves from planning.py to assignment.py.

Why it works: the new incarnation refuses the old start by its token, and a run on the same instance ends with it, so a later incarnation that executes the old start has no second run beside it. Waiting alone would be safe as well, but 15 s long after each such crash.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -279,6 +279,30 @@
     percent: float
 
 
+@dataclasses.dataclass(frozen=True)
+class LateStart:
+    """A start that got no answer, which its instance may execute later.
+
+    Attributes:
+        change: one of
+
+            * "kept": a copy got no answer.
+            * "dropped": no copy of it can be executed any more.
+            * "held": its run was lost. Its task starts nowhere else for now.
+            * "found": the next incarnation of the instance lists that run.
+            * "again": the task starts on the next incarnation as a new run.
+            * "released": the task may start elsewhere.
+        age_ms: time since the last copy was sent.
+    """
+
+    job: str
+    task: str
+    run: int
+    instance: str
+    change: str
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class JobEnded:
     """A job ended.
--- a/src/vanillaswitch/coordination/fleet/instances/crashes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/crashes.py
@@ -16,7 +16,7 @@
 import dataclasses
 
 from vanillaswitch.coordination.fleet import events
-from vanillaswitch.coordination.fleet.instances import completions
+from vanillaswitch.coordination.fleet.instances import held_runs
 from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import instance_state
@@ -70,7 +70,7 @@
     long_running: bool
 
 
-class CrashTracking(completions.RunCompletion):
+class CrashTracking(held_runs.HeldRuns):
     """Handles the loss of instances and of their runs."""
 
     def __init__(
@@ -89,15 +89,22 @@
         self._suspect_images_until: dict[str, float] = {}
 
     def remove_instance(self, name: str, now: float, why: str) -> None:
-        """Removes an instance that is certainly gone, with all its runs."""
-        instance = self.instances.pop(name, None)
-        if instance is None:
+        """Removes an instance that is certainly gone, with all its runs.
+
+        Those that a later incarnation may still execute are held.
+        """
+        instance = self.instances.get(name)
+        if instance is None or instance.is_gone:
             return
+        del self.instances[name]
         self._emit_instance_changed(instance, "gone", why, now)
         runs = list(instance.runs.values())
-        self._count_loss(instance, runs, why, now)
+        lost = [run for run in runs if run.held_until is None]
+        self._count_loss(instance, lost, why, now)
         for run in runs:
-            self._release_run(instance, run)
+            self._release_or_hold(instance, run, now, why)
+        if instance.runs:
+            self._keep_held_runs(instance, now)
         self._needs_plan = True
 
     def _count_loss(
--- /dev/null
+++ b/src/vanillaswitch/coordination/fleet/instances/held_runs.py
@@ -0,0 +1,202 @@
+"""Holds lost runs whose start may still be executed.
+
+A run on an instance that restarted or disappeared is over. Its task may start
+again elsewhere, unless a copy of its start is still on its way: the next
+incarnation under the same id would execute it beside the new run, and so would
+every later one (see ``late_starts``). Such a run is held: it keeps its task and
+its resources. It is released when no copy can arrive any more. If the instance
+returns earlier, the task restarts there, as a new run: whatever happens to the
+instance until then ends both that run and any late one.
+
+The start of a task that needs a ticket is not held. A ticket is valid for one
+incarnation only, so the next one refuses the start.
+"""
+
+from collections.abc import Callable
+
+from vanillaswitch.coordination.fleet import events
+from vanillaswitch.coordination.fleet.instances import completions
+from vanillaswitch.coordination.fleet.instances import late_starts
+from vanillaswitch.coordination.fleet.instances import term_state
+from vanillaswitch.coordination.fleet.queue import instance_state
+from vanillaswitch.coordination.fleet.queue import queue_order
+from vanillaswitch.protocol import fleet
+from vanillaswitch.state import deployment as deployments
+
+
+class HeldRuns(completions.RunCompletion):
+    """Knows the starts without an answer, and the runs held because of them."""
+
+    def __init__(
+        self,
+        order: queue_order.Order,
+        emit: Callable[[object], None],
+        bounds: deployments.Bounds = term_state.DEFAULT_BOUNDS,
+        overload: deployments.OverloadControls = (
+            term_state.NO_OVERLOAD_CONTROLS
+        ),
+    ):
+        """See ``term_state.TermState``."""
+        super().__init__(order, emit, bounds, overload)
+        self._late_starts = late_starts.LateStarts()
+        self._inherited_starts_until = float("-inf")
+        self._ruled_out_runs: dict[instance_state.RunKey, str] = {}
+
+    def _record_unanswered_start(
+        self, name: str, key: instance_state.RunKey, now: float
+    ) -> None:
+        """Keeps a start of which a copy was sent and got no answer."""
+        if self._late_starts.add(name, key, now):
+            until = now + instance_state.MAX_ORDER_DELAY_S
+            self._emit_late_start("kept", name, key, until, now)
+
+    def _late_start_until(
+        self,
+        instance: instance_state.Instance,
+        run: instance_state.Run,
+        now: float,
+    ) -> float | None:
+        """Returns until when a later incarnation may execute a run's start.
+
+        A start that was sent and not answered yet counts as sent now. A new
+        owner does not know which starts of the former one were answered. It
+        assumes that none was, but for long-running tasks, which were most
+        likely started long before.
+
+        Args:
+            instance: where the run was.
+            run: the lost run.
+            now: monotonic seconds.
+
+        Returns:
+            Monotonic seconds; None if no incarnation may execute it.
+        """
+        if not self._ids_recur or self._needs_ticket(run):
+            return None
+        until = self._late_starts.until(instance.name, run.task)
+        if run.held_until is not None:
+            until = max(until, run.held_until)
+        elif run.awaits_first_report:
+            if not run.step.long_running:
+                until = max(until, self._inherited_starts_until)
+        elif (
+            run.is_start_sent and not run.is_start_unsent and not run.confirmed
+        ):
+            until = max(until, now + instance_state.MAX_ORDER_DELAY_S)
+        return until if until > now else None
+
+    def _needs_ticket(self, run: instance_state.Run) -> bool:
+        entry = self.tracker.get(run.task.job_id)
+        queue = self.queue_of(entry) if entry else None
+        return queue is not None and queue.advice is not None
+
+    def _release_or_hold(
+        self,
+        instance: instance_state.Instance,
+        run: instance_state.Run,
+        now: float,
+        why: str,
+        *,
+        may_be_running: bool = False,
+    ) -> None:
+        """Releases a lost run, or holds it while its start may be executed.
+
+        Args:
+            instance: where the run was.
+            run: the lost run.
+            now: monotonic seconds.
+            why: how the loss was detected.
+            may_be_running: whether the new incarnation may have answered the
+                start. Its next status report shows that.
+        """
+        until = self._late_start_until(instance, run, now)
+        if until is None and may_be_running and run.is_start_sent:
+            until = None if run.was_reported else now
+        if until is None:
+            self._release_run(instance, run)
+            return
+        if run.held_until is None:
+            self._emit_late_start("held", instance.name, run.key, until, now)
+        run.held_until = until
+        run.awaits_first_report = False
+        run.reset_reported_state()
+        if run.stop_requested_at is None:
+            self.stop_run(instance, run, now, why)
+
+    def _keep_held_runs(
+        self, gone: instance_state.Instance, now: float
+    ) -> None:
+        """Keeps the held runs of an instance that was removed.
+
+        Its new record has no address, so it gets neither calls nor work until
+        an instance registers under the id.
+
+        Args:
+            gone: the former record, with held runs only.
+            now: monotonic seconds.
+        """
+        nowhere = fleet.Registration(
+            gone.name, "", "", "", False, fleet.Resources(0, 0), ()
+        )
+        kept = instance_state.Instance(nowhere, now, self.account_usage)
+        kept.is_listed = False
+        kept.is_unresponsive = kept.is_gone = True
+        for run in list(gone.runs.values()):
+            gone.remove_run(run.key)
+            run.is_isolated = False
+            kept.add_run(run)
+            assert run.held_until is not None
+            kept.lease_expires_at = max(kept.lease_expires_at, run.held_until)
+        self.instances[gone.name] = kept
+
+    def _rule_out(
+        self, instance: instance_state.Instance, run: instance_state.Run
+    ) -> None:
+        """Notes that the current incarnation will not execute a held run."""
+        if run.is_ruled_out:
+            return
+        run.is_ruled_out = True
+        instance.end_isolation(run)
+        self._ruled_out_runs[run.key] = instance.name
+        self._needs_plan = True
+
+    def _release_held_runs(self, now: float) -> None:
+        """Releases held runs whose start can't be executed any more."""
+        for late in self._late_starts.drop_expired(now):
+            self._emit_late_start(
+                "dropped", late.instance, late.key, late.until, now
+            )
+        for instance in list(self.instances.values()):
+            for run in list(instance.runs.values()):
+                if run.held_until is None or now < run.held_until:
+                    continue
+                # A start that was executed late has to be stopped first.
+                if instance.has_other_run(run):
+                    continue
+                if instance.is_gone or run.is_ruled_out:
+                    self._emit_late_start(
+                        "released", instance.name, run.key, run.held_until, now
+                    )
+                    self._release_run(instance, run)
+            if instance.is_gone and not instance.runs:
+                del self.instances[instance.name]
+
+    def _emit_late_start(
+        self,
+        change: str,
+        name: str,
+        key: instance_state.RunKey,
+        until: float,
+        now: float,
+    ) -> None:
+        task, run = key
+        self._emit(
+            events.LateStart(
+                task.job_id,
+                task.path_in_job,
+                run,
+                name,
+                change,
+                round((now - until + instance_state.MAX_ORDER_DELAY_S) * 1000),
+            )
+        )
--- a/src/vanillaswitch/coordination/fleet/instances/instance_client.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_client.py
@@ -189,6 +189,7 @@
         token = self._context.fences.token(instance)
         if token is None:
             return False
+        incarnation = instance.incarnation
         wait_s = 0.0
         if instance.has_reported and not instance.is_unresponsive and not again:
             wait_s = BUSY_POLL_S if instance.runs else IDLE_POLL_S
@@ -224,7 +225,7 @@
         now = self._clock.monotonic()
         if isinstance(outcome, fleet.StatusReport):
             self._scheduler.handle_status_report(
-                self._name, outcome, began_at, now
+                self._name, outcome, began_at, now, incarnation
             )
             self._context.wake_planner.set()
             return True
--- a/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
@@ -41,7 +41,7 @@
         if instance is not None and clock_ms is not None:
             self._check_for_clock_reset(instance, clock_ms, now)
         run = self._find_run(name, key)
-        if run is not None:
+        if run is not None and run.held_until is None:
             run.mark_started(now)
             self._mark_job_started(key[0].job_id)
 
@@ -154,13 +154,19 @@
         Returns:
             Whether to send the start again.
         """
+        if sent:
+            self._record_unanswered_start(name, key, now)
         instance = self.instances.get(name)
         run = self._find_run(name, key)
-        if instance is None or run is None or run.stop_requested_at is not None:
+        if instance is None or run is None:
             return False
-        if sent:
-            run.has_unanswered_start = True
-            run.unanswered_start_at = now
+        if run.held_until is not None and not sent:
+            # It was held because this copy could have arrived.
+            run.held_until, run.is_start_unsent = None, True
+            self._release_or_hold(instance, run, now, "start not sent")
+        if run.stop_requested_at is not None:
+            return False
+        run.has_unanswered_start |= sent
         run.is_start_unsent = not sent
         if run.confirmed:
             return False
--- a/src/vanillaswitch/coordination/fleet/instances/restarts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/restarts.py
@@ -90,7 +90,11 @@
         )
         self._emit_instance_changed(instance, "restarted", why, now)
         runs = list(instance.runs.values())
-        crashed = [run for run in runs if run.key not in reported_keys]
+        crashed = [
+            run
+            for run in runs
+            if run.key not in reported_keys and run.held_until is None
+        ]
         self._count_loss(instance, crashed, why, now)
         instance.incarnations.set_current(born_ms, now)
         # A call that was sent before the restart and reaches the new
@@ -107,11 +111,13 @@
         for run in runs:
             if run.key in reported_keys or run.awaits_first_report:
                 continue
-            if _may_start_late(run):
-                run.reset_reported_state()
-                self.stop_run(instance, run, now, "its instance restarted")
-            else:
-                self._release_run(instance, run)
+            self._release_or_hold(
+                instance,
+                run,
+                now,
+                "its instance restarted",
+                may_be_running=True,
+            )
         self._needs_plan = True
 
     def _check_for_clock_reset(
@@ -145,20 +151,7 @@
         again.
         """
         self._pending_stops.extend(
-            term_state.StopOrder(instance.name, task, run)
-            for task, run in instance.undelivered_starts(now)
+            term_state.StopOrder(instance.name, *key)
+            for key in self._late_starts.of_instance(instance.name, now)
+            if key not in instance.runs
         )
-
-
-def _may_start_late(run: instance_state.Run) -> bool:
-    """Whether a run may be on the new incarnation or may still start there.
-
-    The new incarnation knows no fencing token and no run. It may have accepted
-    a start that was meant for the former one, or may still execute a copy of
-    an unanswered start. The task may run elsewhere only after the new
-    incarnation has accepted a stop. A run that the former incarnation reported
-    had started there and ended with it.
-    """
-    return run.has_unanswered_start or (
-        run.is_start_sent and not run.was_reported
-    )
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -28,6 +28,7 @@
             Ids of instances that have runs but are not registered.
         """
         unregistered = []
+        self._inherited_starts_until = now + instance_state.MAX_ORDER_DELAY_S
         for entry in self.tracker.unfinished.values():
             for step in entry.open_steps_by_key.values():
                 for task in step.opened_tasks:
--- a/src/vanillaswitch/coordination/fleet/instances/start_checks.py
+++ b/src/vanillaswitch/coordination/fleet/instances/start_checks.py
@@ -27,6 +27,8 @@
         run = self._find_run(start.instance, (start.task, start.run))
         if instance is None or run is None or run.stop_requested_at is not None:
             return False
+        if instance.is_gone:
+            return False
         if not run.is_start_sent and not instance.can_send_start(run):
             self._withhold_start(instance, run)
             return False
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -18,7 +18,12 @@
     """Updates runs and instances from status reports."""
 
     def handle_status_report(
-        self, name: str, report: fleet.StatusReport, began_at: float, now: float
+        self,
+        name: str,
+        report: fleet.StatusReport,
+        began_at: float,
+        now: float,
+        incarnation: int | None = None,
     ) -> None:
         """Processes a status report of an instance.
 
@@ -27,12 +32,17 @@
             report: its status report.
             began_at: monotonic seconds at which the report was requested.
             now: monotonic seconds.
+            incarnation: number of the incarnation for whose fencing token it
+                was requested. Defaults to the current one.
         """
         instance = self.instances.get(name)
-        if instance is None:
+        if instance is None or instance.is_gone:
             return
+        if incarnation is None:
+            incarnation = instance.incarnation
         if not self._is_current_report(instance, report, began_at, now):
             return
+        instance.is_fenced |= incarnation == instance.incarnation
         instance.last_contact_at = now
         instance.clock_ms, instance.clock_at = report.clock_ms, now
         if (
@@ -66,7 +76,7 @@
             if settles_inherited_runs and run.awaits_first_report:
                 self._release_inherited_run(instance, run, now)
             elif ends.is_complete:
-                self._process_missing_run(instance, run, began_at)
+                self._process_missing_run(instance, run, began_at, now)
         if not instance.has_reported:
             instance.has_reported = True
             instance.first_report_at = now
@@ -133,6 +143,11 @@
             run = self._process_unknown_run(instance, run_status, now)
             if run is None:
                 return
+        if run.held_until is not None:
+            self._emit_late_start(
+                "found", instance.name, run.key, run.held_until, now
+            )
+            run.held_until = None
         self._stop_if_superseded(instance, run, now)
         run.mark_started(now)
         run.started_before_term = (
@@ -308,6 +323,7 @@
         instance: instance_state.Instance,
         run: instance_state.Run,
         began_at: float,
+        now: float,
     ) -> None:
         """Releases a run that a status report does not list, if it is over.
 
@@ -321,12 +337,21 @@
             instance: the instance.
             run: the missing run.
             began_at: monotonic seconds at which the report was requested.
+            now: monotonic seconds.
         """
         was_ruled_out = (
             run.cannot_start_since is not None
             and run.cannot_start_since < began_at
         )
-        if was_ruled_out or _can_no_longer_start(run, began_at):
+        if run.held_until is not None:
+            was_ruled_out |= instance.is_fenced
+        if not was_ruled_out and not _can_no_longer_start(run, began_at):
+            return
+        if run.held_until is not None and (
+            now < run.held_until or instance.has_other_run(run)
+        ):
+            self._rule_out(instance, run)
+        else:
             self._release_run(instance, run)
 
     def handle_unanswered_call(self, name: str, began_at: float) -> None:
@@ -355,24 +380,24 @@
 
     def release_expired_leases(self, now: float) -> None:
         """Releases runs on unresponsive instances whose lease has expired."""
+        self._release_held_runs(now)
         for instance in list(self.instances.values()):
+            if instance.is_gone:
+                continue
             if not instance.is_unresponsive or not instance.is_lease_expired(
                 now
             ):
                 continue
-            if instance.runs:
-                self._emit_instance_changed(
-                    instance, "lapsed", "the lease on its runs expired", now
-                )
+            runs = list(instance.runs.values())
+            lost = [run for run in runs if run.held_until is None]
+            why = "the lease on its runs expired"
+            if lost:
+                self._emit_instance_changed(instance, "lapsed", why, now)
                 self._count_loss(
-                    instance,
-                    list(instance.runs.values()),
-                    "the lease on its runs expired",
-                    now,
-                    crash_confirmed=False,
+                    instance, lost, why, now, crash_confirmed=False
                 )
-                for run in list(instance.runs.values()):
-                    self._release_run(instance, run)
+            for run in runs:
+                self._release_or_hold(instance, run, now, why)
             if not instance.is_listed:
                 self.remove_instance(
                     instance.name,
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -144,6 +144,7 @@
         self.arrivals: dict[str, arrival_rate.ArrivalRate] = {}
         self.backlog_load: Mapping[str, fleet.Load] = {}
         self._registrations_stale = False
+        self._ids_recur = False
         self._cancels_before_job: set[str] = set()
         self._pending_starts: list[StartOrder] = []
         self._pending_stops: list[StopOrder] = []
@@ -206,6 +207,8 @@
     ) -> bool:
         """Adds or updates an instance; returns whether it is new."""
         self._needs_plan = True
+        # Only instances that may restart under their id tell when they started.
+        self._ids_recur |= registration.born_ms is not None
         known = self.instances.get(registration.instance)
         if known is None:
             instance = instance_state.Instance(
@@ -227,6 +230,7 @@
             )
         known.update_registration(registration)
         known.is_listed = True
+        known.is_gone = False
         known.has_unreadable_registration = False
         return False
 
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -45,8 +45,12 @@
         is_start_sent: its start was recorded and may have been sent.
         confirmed: the instance has accepted the start or reports the run.
         has_unanswered_start: a copy of its start was sent and got no answer.
-        unanswered_start_at: monotonic seconds by which the last such copy was
-            sent.
+        held_until: monotonic seconds until which a copy of a start of its task
+            may still be executed on its instance, which has restarted or is
+            gone; None if neither has happened. The task starts nowhere else
+            before.
+        is_ruled_out: it is held, and the current incarnation of its instance
+            neither runs it nor will start it.
         awaits_first_report: an earlier owner decided to start it, and no
             instance has reported it to this owner yet.
         may_be_stopping: an earlier owner may have ordered its stop. Its
@@ -95,7 +99,8 @@
     is_start_sent: bool = False
     confirmed: bool = False
     has_unanswered_start: bool = False
-    unanswered_start_at: float = 0.0
+    held_until: float | None = None
+    is_ruled_out: bool = False
     awaits_first_report: bool = False
     may_be_stopping: bool = False
     has_unknown_demand: bool = False
@@ -172,6 +177,7 @@
         self.percent = 0.0
         self.reported_at = _NEVER_REPORTED
         self.cannot_start_since = None
+        self.is_ruled_out = False
 
 
 class Instance:
@@ -184,6 +190,7 @@
         incarnation: number of its current incarnation, unique over all
             instances.
         is_listed: it is in the platform's list.
+        is_gone: it was removed. Its record only has runs that are held.
         has_unreadable_registration: its registration can't be read.
         is_cordoned: a maintenance wave needs it without runs, or its machine is
             to move to another pool.
@@ -196,6 +203,9 @@
         runs: the runs that reserve resources on it.
         has_reported: its current incarnation has answered this owner. From then
             on it rejects the orders of earlier owners.
+        is_fenced: its current incarnation has answered a call whose fencing
+            token was higher than that of any call to a former one. From then on
+            it rejects the calls to former incarnations.
         first_report_at: monotonic seconds of its first answer to this owner.
         is_unresponsive: it does not answer.
         has_unanswered_call: a call to it got no answer, and it has not reported
@@ -246,6 +256,7 @@
             registration.born_ms, now
         )
         self.is_listed = True
+        self.is_gone = False
         self.has_unreadable_registration = False
         self.is_cordoned = False
         self.is_maintenance_due = False
@@ -257,7 +268,6 @@
         )
         self.runs: dict[RunKey, Run] = {}
         self._pending_renewals: list[float] = []
-        self._undelivered: dict[RunKey, float] = {}
         self._reserved_cpu = 0
         self._reserved_mem = 0
         self._reserved_gpu = 0
@@ -277,6 +287,7 @@
         """
         self.incarnation = next(_INCARNATION_NUMBERS)
         self.has_reported = False
+        self.is_fenced = False
         self.first_report_at = float("inf")
         self.is_unresponsive = False
         self.has_unanswered_call = False
@@ -382,7 +393,10 @@
     def has_unproven_run(self) -> bool:
         """Whether any run has not lasted long enough to be proven."""
         # The newest run is the most likely one.
-        return any(not run.is_proven for run in reversed(self.runs.values()))
+        return any(
+            not run.is_proven and not run.is_ruled_out
+            for run in reversed(self.runs.values())
+        )
 
     def end_isolation(self, run: Run) -> None:
         """Ends the isolation of a run."""
@@ -394,22 +408,6 @@
         """Load of its short tasks, which end by themselves."""
         return self._finite_load
 
-    def undelivered_starts(self, now: float) -> list[RunKey]:
-        """Returns ended runs of which a start order may still arrive.
-
-        The current incarnation rejects such orders as old. The next one would
-        accept them, because it knows of no earlier run.
-
-        Args:
-            now: monotonic seconds.
-        """
-        self._undelivered = {
-            key: sent_at
-            for key, sent_at in self._undelivered.items()
-            if now - sent_at <= MAX_ORDER_DELAY_S
-        }
-        return list(self._undelivered)
-
     def begin_lease_renewal(self, until: float) -> None:
         """Records that a call which renews its lease has begun.
 
@@ -586,6 +584,13 @@
         key = step_key(run.task)
         self._runs_per_step[key] = self._runs_per_step.get(key, 0) + 1
 
+    def has_other_run(self, run: Run) -> bool:
+        """Whether another run of a run's task is assigned to it."""
+        return any(
+            other.task == run.task and other is not run
+            for other in self.runs.values()
+        )
+
     def remove_run(self, key: RunKey) -> Run | None:
         """Releases the resources of a run.
 
@@ -597,8 +602,6 @@
             return None
         self._isolated.discard(key)
         self._unknown_demand.discard(key)
-        if run.has_unanswered_start:
-            self._undelivered[key] = run.unanswered_start_at
         self._reserved_cpu -= run.demand.cpu
         self._reserved_mem -= run.demand.mem_mb
         self._reserved_gpu -= run.demand.gpu
--- a/src/vanillaswitch/coordination/fleet/queue/planning.py
+++ b/src/vanillaswitch/coordination/fleet/queue/planning.py
@@ -15,14 +15,11 @@
 import math
 import operator
 
-from vanillaswitch import errors
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.accounts import fair_shares
 from vanillaswitch.coordination.fleet.accounts import limits
-from vanillaswitch.coordination.fleet.instances import order_outcomes
+from vanillaswitch.coordination.fleet.instances import assignment
 from vanillaswitch.coordination.fleet.instances import suspect_placement
-from vanillaswitch.coordination.fleet.instances import term_state
-from vanillaswitch.coordination.fleet.queue import crash_evidence
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.coordination.fleet.queue import placement
@@ -89,7 +86,7 @@
     HELD_BACK = enum.auto()
 
 
-class Planning(order_outcomes.OrderOutcomes):
+class Planning(assignment.Assignment):
     """Decides which tasks start on which instances."""
 
     def min_instances(self) -> dict[str, int]:
@@ -244,6 +241,7 @@
         self._needs_plan = False
         self._reserved_in_plan.clear()
         self.evaluate_pending_crashes(now)
+        self._restart_ruled_out_runs(now)
         self._refresh_durations(now)
         plan_time = queue_order.PlanTime(now, wall_ms)
         waiting = self._waiting_steps(plan_time, pause)
@@ -604,23 +602,6 @@
             self.tracker.mark_dirty(step.entry)
         return instances
 
-    def _has_active_suspect_run(self, step: open_steps.OpenStep) -> bool:
-        """Whether a suspect task of a step has a run that is not to be stopped.
-
-        Such a run will show whether the task crashes its instance. A run that
-        is to be stopped may not show it. Its stop may also have to wait until
-        other tasks of the step are serving, so they must not wait for it.
-        """
-        suspect_runs = [
-            self._find_run(task.instance, (task.name, task.run))
-            for task in step.opened_tasks
-            if task.is_suspect and task.state is open_steps.TaskState.ASSIGNED
-        ]
-        return any(
-            run is not None and run.stop_requested_at is None
-            for run in suspect_runs
-        )
-
     def _instance_to_reserve(
         self,
         step: open_steps.OpenStep,
@@ -744,60 +725,6 @@
             )
         self._limited_accounts.clear()
 
-    def _assign(
-        self,
-        step: open_steps.OpenStep,
-        task: open_steps.Task,
-        instance: instance_state.Instance,
-        number: int,
-        ticket: str,
-        now: float,
-        *,
-        isolated: bool = False,
-    ) -> None:
-        spec = step.entry.spec
-        if spec is None:
-            raise errors.InvariantError(
-                "a task was assigned before its spec was read"
-            )
-        task.assign(number, instance.name, instance.incarnations.current_ms)
-        step.entry.last_assigned_at = now
-        run = instance_state.Run(
-            task.name,
-            number,
-            step.step,
-            step.demand,
-            now,
-        )
-        run.born_ms = task.born_ms
-        run.account = step.entry.job.account
-        run.expected_ms = step.entry.expected_ms(step.number)
-        run.is_isolated = isolated
-        run.required_run_time_s = crash_evidence.required_run_time_s(
-            task.crashes
-        )
-        instance.add_run(run)
-        self._emit(
-            events.TaskAssigned(
-                task.name.job_id,
-                task.name.path_in_job,
-                number,
-                instance.name,
-                instance.free_cpu,
-                task.failed_runs,
-            )
-        )
-        self._pending_starts.append(
-            term_state.StartOrder(
-                instance.name,
-                task.name,
-                number,
-                spec,
-                task.checkpoint,
-                ticket,
-            )
-        )
-
     def tickets_for(
         self, step: open_steps.OpenStep, now: float
     ) -> Mapping[str, str] | None:
