Restart held tasks on their instance unless one more crash fails their job

Cause: a task that was lost twice with one instance waited for 15 s, also one that lasts and may be lost more often. Its service was down for that time. Change: the limit is the one that fails jobs (crash_evidence).

--- a/src/vanillaswitch/coordination/fleet/instances/assignment.py
+++ b/src/vanillaswitch/coordination/fleet/instances/assignment.py
@@ -9,11 +9,6 @@
 from vanillaswitch.coordination.fleet.queue import instance_state
 from vanillaswitch.coordination.fleet.queue import open_steps
 
-MAX_CRASHES_BEFORE_RESTART = 1
-"""A held task that was lost with the same instance more often does not restart
-there. The crashes of an instance that goes down and up would count against the
-task, and its job would fail."""
-
 
 class Assignment(order_outcomes.OrderOutcomes):
     """Assigns tasks; the caller chooses the instances."""
@@ -135,8 +130,7 @@
             or instance.has_other_run(run)
         ):
             return False
-        losses = sum(crash.instance == instance.name for crash in task.crashes)
-        if losses > MAX_CRASHES_BEFORE_RESTART:
+        if _is_last_chance(task, instance, step):
             return False
         instance.remove_run(run.key)
         if not self._may_restart(instance, step, task, run, now):
@@ -172,3 +166,21 @@
         return suspect_placement.can_start_suspect(step, task, instance) and (
             step.has_proven_task or not self._has_active_suspect_run(step)
         )
+
+
+def _is_last_chance(
+    task: open_steps.Task,
+    instance: instance_state.Instance,
+    step: open_steps.OpenStep,
+) -> bool:
+    """Whether another crash of an instance would fail the job of a task.
+
+    The instance may go down and up by itself. The crashes that it causes must
+    not fail a sound job.
+    """
+    crash = crash_evidence.Crash(
+        task.run + 1, instance.name, crash_evidence.CrashKind.SOLE_NEW_RUN
+    )
+    return crash_evidence.exceeds_crash_limit(
+        [*task.crashes, crash], long_running=step.step.long_running
+    )
