Visit only instances with held runs, and keep these through refusals

Related paths of the change before: a refused copy of a start released a held run although a report decides; stops of held runs were queued for instances without an address; each step of the owner visited all runs of all instances.

--- a/src/vanillaswitch/coordination/fleet/instances/assignment.py
+++ b/src/vanillaswitch/coordination/fleet/instances/assignment.py
@@ -128,10 +128,9 @@
             or now < task.not_before
             or instance.registration.service != self.pool_name_of(entry)
             or instance.has_other_run(run)
+            or _is_last_chance(task, instance, step)
         ):
             return False
-        if _is_last_chance(task, instance, step):
-            return False
         instance.remove_run(run.key)
         if not self._may_restart(instance, step, task, run, now):
             instance.add_run(run)
--- a/src/vanillaswitch/coordination/fleet/instances/held_runs.py
+++ b/src/vanillaswitch/coordination/fleet/instances/held_runs.py
@@ -40,6 +40,7 @@
         super().__init__(order, emit, bounds, overload)
         self._late_starts = late_starts.LateStarts()
         self._inherited_starts_until = float("-inf")
+        self._holding_instances: set[str] = set()
         self._ruled_out_runs: dict[instance_state.RunKey, str] = {}
 
     def _record_unanswered_start(
@@ -117,6 +118,7 @@
             return
         if run.held_until is None:
             self._emit_late_start("held", instance.name, run.key, until, now)
+        self._holding_instances.add(instance.name)
         run.held_until = until
         run.awaits_first_report = False
         run.reset_reported_state()
@@ -145,8 +147,6 @@
             gone.remove_run(run.key)
             run.is_isolated = False
             kept.add_run(run)
-            assert run.held_until is not None
-            kept.lease_expires_at = max(kept.lease_expires_at, run.held_until)
         self.instances[gone.name] = kept
 
     def _rule_out(
@@ -166,20 +166,36 @@
             self._emit_late_start(
                 "dropped", late.instance, late.key, late.until, now
             )
-        for instance in list(self.instances.values()):
-            for run in list(instance.runs.values()):
-                if run.held_until is None or now < run.held_until:
-                    continue
-                # A start that was executed late has to be stopped first.
-                if instance.has_other_run(run):
-                    continue
-                if instance.is_gone or run.is_ruled_out:
-                    self._emit_late_start(
-                        "released", instance.name, run.key, run.held_until, now
-                    )
-                    self._release_run(instance, run)
+        for name in list(self._holding_instances):
+            instance = self.instances.get(name)
+            runs = list(instance.runs.values()) if instance else []
+            held = [run for run in runs if run.held_until is not None]
+            if not held:
+                self._holding_instances.remove(name)
+            if instance is None:
+                continue
+            for run in held:
+                self._release_if_over(instance, run, now)
             if instance.is_gone and not instance.runs:
-                del self.instances[instance.name]
+                del self.instances[name]
+
+    def _release_if_over(
+        self,
+        instance: instance_state.Instance,
+        run: instance_state.Run,
+        now: float,
+    ) -> None:
+        """Releases a held run if no copy of its start can be executed."""
+        until = run.held_until
+        if until is None or now < until:
+            return
+        # A start that was executed late has to be stopped first.
+        is_over = instance.is_gone or run.is_ruled_out
+        if is_over and not instance.has_other_run(run):
+            self._emit_late_start(
+                "released", instance.name, run.key, until, now
+            )
+            self._release_run(instance, run)
 
     def _emit_late_start(
         self,
--- a/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
@@ -90,6 +90,9 @@
             self._handle_refused_ticket(run, name)
         if reason is fleet.RefusalReason.STALE_RUN:
             run.cannot_start_since = now
+        elif run.held_until is not None:
+            # The next status report shows whether an incarnation runs it.
+            return False
         elif no_copy_pending:
             self._release_run(instance, run)
         elif not run.confirmed:
--- a/src/vanillaswitch/coordination/fleet/instances/stop_orders.py
+++ b/src/vanillaswitch/coordination/fleet/instances/stop_orders.py
@@ -38,6 +38,8 @@
     def resend_stops(self, now: float) -> None:
         """Sends stops again that have not taken effect yet."""
         for instance in self.instances.values():
+            if instance.is_gone:
+                continue
             for run in instance.runs.values():
                 is_stopping = run.stop_requested_at is not None
                 is_due = now - run.stop_sent_at >= STOP_RESEND_S
