Hold a stopped start only if a copy of it got no answer

A start that was in flight when its instance was drained is refused after the stop, and counted as one that may be late: its task waited for up to 15 s, and so did the wave. Only starts that got no answer count now. Also: the record of late starts belongs to the state of the term.

--- a/src/vanillaswitch/coordination/fleet/instances/held_runs.py
+++ b/src/vanillaswitch/coordination/fleet/instances/held_runs.py
@@ -12,37 +12,15 @@
 incarnation only, so the next one refuses the start.
 """
 
-from collections.abc import Callable
-
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import completions
-from vanillaswitch.coordination.fleet.instances import late_starts
-from vanillaswitch.coordination.fleet.instances import term_state
 from vanillaswitch.coordination.fleet.queue import instance_state
-from vanillaswitch.coordination.fleet.queue import queue_order
 from vanillaswitch.protocol import fleet
-from vanillaswitch.state import deployment as deployments
 
 
 class HeldRuns(completions.RunCompletion):
     """Knows the starts without an answer, and the runs held because of them."""
 
-    def __init__(
-        self,
-        order: queue_order.Order,
-        emit: Callable[[object], None],
-        bounds: deployments.Bounds = term_state.DEFAULT_BOUNDS,
-        overload: deployments.OverloadControls = (
-            term_state.NO_OVERLOAD_CONTROLS
-        ),
-    ):
-        """See ``term_state.TermState``."""
-        super().__init__(order, emit, bounds, overload)
-        self._late_starts = late_starts.LateStarts()
-        self._inherited_starts_until = float("-inf")
-        self._holding_instances: set[str] = set()
-        self._ruled_out_runs: dict[instance_state.RunKey, str] = {}
-
     def _record_unanswered_start(
         self, name: str, key: instance_state.RunKey, now: float
     ) -> None:
@@ -72,7 +50,7 @@
         Returns:
             Monotonic seconds; None if no incarnation may execute it.
         """
-        if not self._ids_recur or self._needs_ticket(run):
+        if not self._is_accepted_by_next(run):
             return None
         until = self._late_starts.until(instance.name, run.task)
         if run.held_until is not None:
@@ -86,10 +64,12 @@
             until = max(until, now + instance_state.MAX_ORDER_DELAY_S)
         return until if until > now else None
 
-    def _needs_ticket(self, run: instance_state.Run) -> bool:
+    def _is_accepted_by_next(self, run: instance_state.Run) -> bool:
+        """Whether the next incarnation would accept a start of a run."""
         entry = self.tracker.get(run.task.job_id)
         queue = self.queue_of(entry) if entry else None
-        return queue is not None and queue.advice is not None
+        needs_ticket = queue is not None and queue.advice is not None
+        return self._ids_recur and not needs_ticket
 
     def _release_or_hold(
         self,
@@ -138,8 +118,8 @@
         If that start gets no answer either, it waits, and avoids the instance,
         which may answer no starts at all.
         """
-        until = self._late_start_until(instance, run, now)
-        if until is None:
+        until = self._late_starts.until(instance.name, run.task)
+        if until <= now or not self._is_accepted_by_next(run):
             return
         self._emit_late_start("held", instance.name, run.key, until, now)
         self._holding_instances.add(instance.name)
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -8,6 +8,7 @@
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.accounts import limits
 from vanillaswitch.coordination.fleet.accounts import shares
+from vanillaswitch.coordination.fleet.instances import late_starts
 from vanillaswitch.coordination.fleet.queue import arrival_rate
 from vanillaswitch.coordination.fleet.queue import duration_estimates
 from vanillaswitch.coordination.fleet.queue import instance_state
@@ -145,6 +146,10 @@
         self.backlog_load: Mapping[str, fleet.Load] = {}
         self._registrations_stale = False
         self._ids_recur = False
+        self._late_starts = late_starts.LateStarts()
+        self._inherited_starts_until = float("-inf")
+        self._holding_instances: set[str] = set()
+        self._ruled_out_runs: dict[instance_state.RunKey, str] = {}
         self._cancels_before_job: set[str] = set()
         self._pending_starts: list[StartOrder] = []
         self._pending_stops: list[StopOrder] = []
--- a/src/vanillaswitch/coordination/fleet/queue/instance_state.py
+++ b/src/vanillaswitch/coordination/fleet/queue/instance_state.py
@@ -46,9 +46,9 @@
         confirmed: the instance has accepted the start or reports the run.
         has_unanswered_start: a copy of its start was sent and got no answer.
         held_until: monotonic seconds until which a copy of a start of its task
-            may still be executed on its instance, which has restarted or is
-            gone; None if neither has happened. The task starts nowhere else
-            before.
+            may still be executed on its instance, by this or a later
+            incarnation. The task starts nowhere else before. None unless the
+            run was lost or its unanswered start was stopped.
         is_restart: it replaces a held run.
         is_ruled_out: it is held, and the current incarnation of its instance
             neither runs it nor will start it.
