--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,11 @@
 )
 """Kept apart for the same reason."""
 
+LATE_START_FAULTS: registry.Registry[Fault] = registry.Registry(
+    "fault of a soak with starts that are executed late"
+)
+"""Kept apart for the same reason."""
+
 CANCEL_PAUSE_S = 0.5
 """Pause before a cancel that was not confirmed is sent again."""
 
@@ -75,7 +80,12 @@
 
 def find(name: str) -> Fault:
     """Returns a fault of any registry by its name."""
-    for special in (ADVICE_FAULTS, ENDING_FAULTS, BACKLOG_FAULTS):
+    for special in (
+        ADVICE_FAULTS,
+        ENDING_FAULTS,
+        BACKLOG_FAULTS,
+        LATE_START_FAULTS,
+    ):
         if name in special.names:
             return special.get(name)
     return FAULTS.get(name)
@@ -237,6 +247,22 @@
         gevent.sleep(seconds / SERIES)
 
 
+@LATE_START_FAULTS.register("starts-outlive-instances")
+def starts_outlive_instances(world: worlds.World, seconds: float) -> None:
+    """A start that got no answer reaches a later incarnation."""
+    instance = world.random.choice(world.platform.instances)
+    link = world.instance_links[instance.model.registration.instance]
+    instance.delay_next_start(world.random.uniform(1.0, 6.0))
+    gevent.sleep(world.random.choice([0.3, 1.5]))
+    for _ in range(world.random.choice([1, 2])):
+        link.harm(relays.Harm.RESET)
+        instance.model.crash()
+        gevent.sleep(world.random.choice([0.3, 2.0]))
+        instance.restart()
+        link.harm(relays.Harm.NONE)
+        gevent.sleep(seconds / SERIES)
+
+
 @ENDING_FAULTS.register("long-running-tasks-end")
 def long_running_tasks_end(world: worlds.World, seconds: float) -> None:
     """The long-running tasks of an instance end done, again and again."""
--- a/standins/edge_http.py
+++ b/standins/edge_http.py
@@ -41,6 +41,9 @@
 DOWN_S = 1.0
 """How long an instance that crashed is down."""
 
+UNANSWERED_S = 3.0
+"""How long a start that gets no answer is kept: longer than an owner waits."""
+
 SILENCE_S = 60.0
 """How long a silent platform keeps a call: longer than any caller waits."""
 
@@ -145,6 +148,7 @@
         )
         self.model = leased_instance.LeasedInstance(registration)
         self._link: relays.Relay | None = None
+        self._next_start_delay_s = 0.0
         self.room = registration.capacity
 
     @property
@@ -152,6 +156,13 @@
         """Where it serves; its entry names the link in front of it, if any."""
         return self._server.bound
 
+    def delay_next_start(self, delay_s: float) -> None:
+        """Leaves the next start unanswered and executes it later.
+
+        Whichever incarnation is up then executes it.
+        """
+        self._next_start_delay_s = delay_s
+
     def put_behind(self, link: relays.Relay) -> None:
         """Has it reached through a link from now on."""
         self._link = link
@@ -245,6 +256,32 @@
         )
         if not self._has_valid_ticket(task, body):
             return self.model.refuse_ticket()
+        if self._next_start_delay_s:
+            return self._leave_unanswered(order, passage)
+        return self._start(order, passage)
+
+    def _leave_unanswered(
+        self, order: fleet.StartRequest, passage: relays.Passage | None
+    ) -> fleet.Refused:
+        delay_s, self._next_start_delay_s = self._next_start_delay_s, 0.0
+        if passage is not None:
+            passage = relays.Passage(
+                passage.arrived_at, passage.passed_at + delay_s
+            )
+        gevent.spawn_later(delay_s, self._start_late, order, passage)
+        gevent.sleep(UNANSWERED_S)
+        return fleet.Refused(fleet.RefusalReason.UNHEALTHY)
+
+    def _start_late(
+        self, order: fleet.StartRequest, passage: relays.Passage | None
+    ) -> None:
+        if self.model.up:
+            self._start(order, passage)
+
+    def _start(
+        self, order: fleet.StartRequest, passage: relays.Passage | None
+    ) -> fleet.OrderOutcome:
+        task, run = order.task, order.run
         before = len(self.model.started)
         outcome = self.model.start(order, self._observer.need(order))
         if len(self.model.started) > before:
@@ -253,7 +290,7 @@
                 change, after_s = self._serves, WARM_UP_S
             else:
                 change, after_s = self._finish, self.task_s
-            gevent.spawn_later(after_s, change, task, body["run"])
+            gevent.spawn_later(after_s, change, task, run)
             if self._observer.crashes(order):
                 gevent.spawn_later(CRASH_AFTER_S, self._crash)
         return outcome
