One loop for all random histories of owners

Cause: the loop of weighted events and the checks after each stood in test_fleet_owners.py and in late_call_histories.py, and two tests of late starts spelled out the same crash and return.

Change: owner_histories.play and a method of the tests' fleet.

--- a/tests/common/late_call_histories.py
+++ b/tests/common/late_call_histories.py
@@ -136,16 +136,11 @@
     """Plays 300 weighted random events; raises if a property is broken."""
     chooser = random.Random(seed)
     machine = LateCalls(checks_done=checks_done)
-    happening = owner_histories.busy_events(machine, chooser)
-    happening[lambda: machine.come_back(chooser.randrange(1000))] = 1.5
-    happening[machine.register] = 2.0
-    happening[lambda: machine.crash_during_start(chooser)] = 3.0
-    for _ in range(300):
-        chooser.choices(list(happening), list(happening.values()))[0]()
-        machine.record_done_tasks()
-        machine.capacity_is_kept()
-        machine.completed_jobs_are_done()
-        machine.counts_agree_with_tasks()
+    events = owner_histories.busy_events(machine, chooser)
+    events[lambda: machine.come_back(chooser.randrange(1000))] = 1.5
+    events[machine.register] = 2.0
+    events[lambda: machine.crash_during_start(chooser)] = 3.0
+    owner_histories.play(machine, events, chooser)
 
 
 def main() -> None:
--- a/tests/common/owner_histories.py
+++ b/tests/common/owner_histories.py
@@ -732,3 +732,15 @@
         machine.read_machines: 1,
         machine.take_over: 0.6,
     }
+
+
+def play(
+    machine: OwnershipMachine, events: Events, chooser: random.Random
+) -> None:
+    """Plays 300 weighted random events; raises if a property is broken."""
+    for _ in range(300):
+        chooser.choices(list(events), list(events.values()))[0]()
+        machine.record_done_tasks()
+        machine.capacity_is_kept()
+        machine.completed_jobs_are_done()
+        machine.counts_agree_with_tasks()
--- a/tests/cover/test_fleet_owners.py
+++ b/tests/cover/test_fleet_owners.py
@@ -17,22 +17,12 @@
 )
 
 
-def _play(machine, events, chooser):
-    """Plays 300 weighted random events and checks the properties after each."""
-    for _ in range(300):
-        chooser.choices(list(events), list(events.values()))[0]()
-        machine.record_done_tasks()
-        machine.capacity_is_kept()
-        machine.completed_jobs_are_done()
-        machine.counts_agree_with_tasks()
-
-
 @pytest.mark.parametrize("seed", range(60))
 def test_a_busy_random_history_keeps_the_safety_properties(seed):
     chooser = random.Random(seed)
     machine = owner_histories.OwnershipMachine()
     events = owner_histories.busy_events(machine, chooser)
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -51,7 +41,7 @@
         1.0
     )
     events[machine.read_unread_jobs] = 1.0
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -68,7 +58,7 @@
     number = chooser.randrange
     events[lambda: machine.registration_overwritten(number(1_000_000))] = 1.0
     events[lambda: machine.registration_rewritten(number(1_000_000))] = 2.0
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -87,7 +77,7 @@
         return True
 
     machine.pause = pause
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 _FAILED_WITH_RESTARTS = (1050, 1090, 1171, 1605, 1624, 1783, 2038, 2369, 2791)
@@ -119,7 +109,7 @@
             lambda: machine.take_over_with_unread_jobs(chooser.randrange(3))
         ] = 1.0
         events[machine.read_unread_jobs] = 1.0
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 _FAILED_WITH_SMALL_CAPACITIES = (255,)
@@ -154,7 +144,7 @@
             lambda: machine.take_over_with_unread_jobs(chooser.randrange(3))
         ] = 1.0
         events[machine.read_unread_jobs] = 1.0
-    _play(machine, events, chooser)
+    owner_histories.play(machine, events, chooser)
 
 
 def test_busy_random_histories_complete_jobs():
--- a/tests/failures/test_late_starts.py
+++ b/tests/failures/test_late_starts.py
@@ -166,6 +166,14 @@
         self._register(name)
         self.report(name)
 
+    def go_down_and_up(self, name, down_s, up_s):
+        """An instance crashes and is found again after its restart."""
+        self.lose(name)
+        self.run(down_s)
+        self.restart(name)
+        self.find(name)
+        self.run(up_s)
+
     def succeed(self):
         """Replaces the owner by one that reads the rows of the former."""
         former = self.scheduler
@@ -226,11 +234,7 @@
     """Guards against protecting only the next incarnation from a late start."""
     world = _Fleet()
     order, late = world.leave_start_unanswered()
-    world.lose(order.instance)
-    world.run(first_away_s)
-    world.restart(order.instance)
-    world.find(order.instance)
-    world.run(1.0)
+    world.go_down_and_up(order.instance, first_away_s, 1.0)
     world.lose(order.instance)
     world.run(second_away_s)
     world.restart(order.instance)
@@ -325,11 +329,7 @@
     world = _Fleet()
     order, _ = world.leave_start_unanswered()
     for _ in range(6):
-        world.lose(order.instance)
-        world.run(1.0)
-        world.restart(order.instance)
-        world.find(order.instance)
-        world.run(0.5)
+        world.go_down_and_up(order.instance, 1.0, 0.5)
     world.run(2 * _DELAY_S)
     (entry,) = world.scheduler.tracker
     assert entry.ended is None
