Allow for late calls that extend the lease of a new incarnation

Callers saw a task run twice: an instance that had restarted became unreachable, and its tasks were started elsewhere while they still ran.

Cause: until the owner's first call, a new incarnation executes calls from before the restart. Their deadline is on the former clock, so it grants its longest lease, 10 s instead of the owner's 6 s. The owner allowed for this from the moment it detected the restart, and only if the record of the instance was still there.

Change: as long as an instance has not answered a call with its own token, each answer extends the lease by the longest one.

--- a/src/vanillaswitch/coordination/fleet/instances/restarts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/restarts.py
@@ -134,12 +134,34 @@
         behind_ms = instance.estimated_clock_ms(now) - clock_ms
         if not instance.has_reported or behind_ms <= CLOCK_RESET_MS:
             return
+        self._assume_longest_lease(instance, now)
+        instance.has_unanswered_call = True
+
+    def _allow_for_late_renewals(
+        self, instance: instance_state.Instance, now: float
+    ) -> None:
+        """Allows for calls to former incarnations that extend a lease.
+
+        Until an incarnation refuses such a call, it executes it, whatever the
+        owner knew of it then. The deadline in the call is on the clock of a
+        former incarnation, so the instance shortens it to the longest lease.
+
+        Args:
+            instance: it has just answered a call, and did not refuse calls to
+                former incarnations before.
+            now: monotonic seconds.
+        """
+        if self._ids_recur:
+            self._assume_longest_lease(instance, now)
+
+    def _assume_longest_lease(
+        self, instance: instance_state.Instance, now: float
+    ) -> None:
         max_lease_s = self._bounds.max_lease_s
-        lease_expires_at = lease_times.lease_expiry(now, max_lease_s)
         instance.lease_expires_at = max(
-            instance.lease_expires_at, lease_expires_at
+            instance.lease_expires_at,
+            lease_times.lease_expiry(now, max_lease_s),
         )
-        instance.has_unanswered_call = True
 
     def _stop_undelivered_starts(
         self, instance: instance_state.Instance, now: float
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -42,6 +42,8 @@
             incarnation = instance.incarnation
         if not self._is_current_report(instance, report, began_at, now):
             return
+        if not instance.is_fenced:
+            self._allow_for_late_renewals(instance, now)
         instance.is_fenced |= incarnation == instance.incarnation
         instance.last_contact_at = now
         instance.clock_ms, instance.clock_at = report.clock_ms, now
