Defer tasks whose run ended while its start may be executed late

Callers saw a task run twice: the first copy of its start got no answer, a second one did; the run failed, or a wave stopped it, and the task started elsewhere. The first instance restarted and executed the first copy.

Cause: only lost runs were held because of a start that may be late. A run that ended or was refused released its task at once, since its incarnation refuses the copy. The next incarnation does not, before the owner's first call.

Ruled out: fencing (that incarnation had seen no token) and the record of late starts (it still had the start).

Change: all ways back into the queue go through one method. Platforms whose instances come back under new ids and steps with tickets are not concerned.

--- a/src/vanillaswitch/coordination/fleet/events.py
+++ b/src/vanillaswitch/coordination/fleet/events.py
@@ -288,7 +288,7 @@
 
             * "kept": a copy got no answer.
             * "dropped": no copy of it can be executed any more.
-            * "held": its run was lost. Its task starts nowhere else for now.
+            * "held": its run is over. Its task starts nowhere else for now.
             * "found": the next incarnation of the instance lists that run.
             * "again": the task starts on the next incarnation as a new run.
             * "released": the task may start elsewhere.
--- a/src/vanillaswitch/coordination/fleet/instances/assignment.py
+++ b/src/vanillaswitch/coordination/fleet/instances/assignment.py
@@ -119,7 +119,7 @@
             or entry.ended is not None
             or not task.is_current(run.run, instance.name)
         ):
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
             return True
         step = entry.open_steps_by_key[run.task.occurrence, run.task.step]
         if (
--- a/src/vanillaswitch/coordination/fleet/instances/completions.py
+++ b/src/vanillaswitch/coordination/fleet/instances/completions.py
@@ -106,7 +106,7 @@
             if entry.ended is not None:
                 return
         checkpoint = end.checkpoint or (run.checkpoint if run else "")
-        self._requeue_after(entry, task, end.run, instance, checkpoint)
+        self._requeue_after(entry, task, end.run, instance, checkpoint, now)
 
     def _emit_run_end(
         self,
@@ -182,7 +182,7 @@
             step.has_proven_task = True
             # It has to run until its job is cancelled, whatever the outcome of
             # a run.
-            self._requeue_after(entry, task, run, instance, "")
+            self._requeue_after(entry, task, run, instance, "", now)
         else:
             self._complete_task(entry, task, run, now)
 
@@ -276,6 +276,7 @@
         run: int,
         instance: instance_state.Instance,
         checkpoint: str,
+        now: float,
     ) -> None:
         """Returns a task to the queue because one of its runs is over.
 
@@ -288,17 +289,31 @@
             run: number of the run that is over.
             instance: where that run was.
             checkpoint: newest checkpoint of the run; empty for none.
+            now: monotonic seconds.
         """
         if not task.is_current(run, instance.name):
             return
-        task.state = open_steps.TaskState.WAITING
-        task.instance = ""
+        self._requeue(entry, task, now)
         name = task.name
         if checkpoint and entry.job.steps[name.step].checkpointable:
             self._save_checkpoint(entry, task, checkpoint)
         self.tracker.mark_dirty(entry)
         self._needs_plan = True
 
+    def _requeue(
+        self, entry: job_tracker.JobEntry, task: open_steps.Task, now: float
+    ) -> None:
+        """Returns a task whose current run is over to the queue.
+
+        Args:
+            entry: the job.
+            task: the task.
+            now: monotonic seconds.
+        """
+        del entry, now
+        task.state = open_steps.TaskState.WAITING
+        task.instance = ""
+
     def _save_checkpoint(
         self,
         entry: job_tracker.JobEntry,
@@ -315,11 +330,18 @@
         self,
         instance: instance_state.Instance,
         run: instance_state.Run,
+        now: float,
         outcome: str = "lost",
     ) -> None:
         """Removes a run that is certainly over but has no reported end.
 
         Requeues its task if this was the newest run of the task.
+
+        Args:
+            instance: where the run was.
+            run: the run.
+            now: monotonic seconds.
+            outcome: how it ended, for the log.
         """
         instance.remove_run(run.key)
         self._needs_plan = True
@@ -329,7 +351,7 @@
             return
         if task.is_current(run.run, instance.name):
             self._emit_run_end(task, run.run, instance, outcome)
-        self._requeue_after(entry, task, run.run, instance, run.checkpoint)
+        self._requeue_after(entry, task, run.run, instance, run.checkpoint, now)
 
 
 def _record_duration(
--- a/src/vanillaswitch/coordination/fleet/instances/held_runs.py
+++ b/src/vanillaswitch/coordination/fleet/instances/held_runs.py
@@ -8,14 +8,22 @@
 returns earlier, the task restarts there, as a new run: whatever happens to the
 instance until then ends both that run and any late one.
 
+A run that was refused, or that its instance reports as ended, holds nothing.
+Its task is deferred instead: for as long as a copy of its start may arrive, it
+starts nowhere else either.
+
 The start of a task that needs a ticket is not held. A ticket is valid for one
 incarnation only, so the next one refuses the start.
 """
 
 from vanillaswitch.coordination.fleet import events
 from vanillaswitch.coordination.fleet.instances import completions
+from vanillaswitch.coordination.fleet.instances import late_starts
 from vanillaswitch.coordination.fleet.queue import instance_state
+from vanillaswitch.coordination.fleet.queue import job_tracker
+from vanillaswitch.coordination.fleet.queue import open_steps
 from vanillaswitch.protocol import fleet
+from vanillaswitch.protocol import jobs
 
 
 class HeldRuns(completions.RunCompletion):
@@ -50,7 +58,7 @@
         Returns:
             Monotonic seconds; None if no incarnation may execute it.
         """
-        if not self._is_accepted_by_next(run):
+        if not self._is_accepted_by_next(run.task):
             return None
         until = self._late_starts.until(instance.name, run.task)
         if run.held_until is not None:
@@ -64,9 +72,9 @@
             until = max(until, now + instance_state.MAX_ORDER_DELAY_S)
         return until if until > now else None
 
-    def _is_accepted_by_next(self, run: instance_state.Run) -> bool:
-        """Whether the next incarnation would accept a start of a run."""
-        entry = self.tracker.get(run.task.job_id)
+    def _is_accepted_by_next(self, task: jobs.TaskName) -> bool:
+        """Whether the next incarnation would accept a start of a task."""
+        entry = self.tracker.get(task.job_id)
         queue = self.queue_of(entry) if entry else None
         needs_ticket = queue is not None and queue.advice is not None
         return self._ids_recur and not needs_ticket
@@ -94,7 +102,7 @@
         if until is None and may_be_running and run.is_start_sent:
             until = None if run.was_reported else now
         if until is None:
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
             return
         if run.held_until is None:
             self._emit_late_start("held", instance.name, run.key, until, now)
@@ -119,7 +127,7 @@
         which may answer no starts at all.
         """
         until = self._late_starts.until(instance.name, run.task)
-        if until <= now or not self._is_accepted_by_next(run):
+        if until <= now or not self._is_accepted_by_next(run.task):
             return
         self._emit_late_start("held", instance.name, run.key, until, now)
         self._holding_instances.add(instance.name)
@@ -175,12 +183,65 @@
             self._ruled_out_runs[run.key] = instance.name
             self._needs_plan = True
 
+    def _requeue(
+        self, entry: job_tracker.JobEntry, task: open_steps.Task, now: float
+    ) -> None:
+        """Returns a task to the queue, or defers it.
+
+        The incarnation that had its run refuses a copy of the start. If it
+        restarts soon, the next one would execute the copy.
+        """
+        until = self._late_starts.until(task.instance, task.name)
+        if until <= now or not self._is_accepted_by_next(task.name):
+            super()._requeue(entry, task, now)
+            return
+        deferred = late_starts.DeferredTask(task.instance, task.run, until)
+        self._deferred_tasks[task.name] = deferred
+        self._emit_late_start(
+            "held", task.instance, (task.name, task.run), until, now
+        )
+
+    def _deferred_task(
+        self, name: jobs.TaskName
+    ) -> tuple[job_tracker.JobEntry, open_steps.Task] | None:
+        """Returns a deferred task and its job.
+
+        Returns:
+            None if the task needs no other run any more.
+        """
+        deferred = self._deferred_tasks[name]
+        entry = self.tracker.get(name.job_id)
+        task = entry.task(name) if entry else None
+        if entry is None or task is None or entry.ended is not None:
+            return None
+        is_current = task.is_current(deferred.run, deferred.instance)
+        return (entry, task) if is_current else None
+
+    def _release_deferred_tasks(self, now: float) -> None:
+        """Requeues tasks whose start can't be executed any more."""
+        for name, deferred in list(self._deferred_tasks.items()):
+            if now < deferred.until:
+                continue
+            found = self._deferred_task(name)
+            del self._deferred_tasks[name]
+            if found is None:
+                continue
+            entry, task = found
+            key = (name, deferred.run)
+            self._emit_late_start(
+                "released", deferred.instance, key, deferred.until, now
+            )
+            super()._requeue(entry, task, now)
+            self.tracker.mark_dirty(entry)
+            self._needs_plan = True
+
     def _release_held_runs(self, now: float) -> None:
         """Releases held runs whose start can't be executed any more."""
         for late in self._late_starts.drop_expired(now):
             self._emit_late_start(
                 "dropped", late.instance, late.key, late.until, now
             )
+        self._release_deferred_tasks(now)
         for name in list(self._holding_instances):
             instance = self.instances.get(name)
             runs = list(instance.runs.values()) if instance else []
@@ -210,7 +271,7 @@
             self._emit_late_start(
                 "released", instance.name, run.key, until, now
             )
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
 
     def _emit_late_start(
         self,
--- a/src/vanillaswitch/coordination/fleet/instances/late_starts.py
+++ b/src/vanillaswitch/coordination/fleet/instances/late_starts.py
@@ -34,6 +34,21 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class DeferredTask:
+    """A task whose run is over and whose start may still be executed.
+
+    Attributes:
+        instance: id of the instance that may execute it, if it restarts.
+        run: number of the run that is over.
+        until: monotonic seconds after which it can't be executed any more.
+    """
+
+    instance: str
+    run: int
+    until: float
+
+
 class LateStarts:
     """The starts that may still be executed, by id of their instance."""
 
--- a/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
+++ b/src/vanillaswitch/coordination/fleet/instances/order_outcomes.py
@@ -94,7 +94,7 @@
             # The next status report shows whether an incarnation runs it.
             return False
         elif no_copy_pending:
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
         elif not run.confirmed:
             why = "start refused while an earlier copy is unanswered"
             return not self._stop_unconfirmed(instance, run, now, why)
@@ -177,7 +177,7 @@
         if now - waiting_since < START_ANSWER_TIMEOUT_S:
             return True
         if not sent:
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
             return False
         why = "start unanswered"
         return not self._stop_unconfirmed(instance, run, now, why)
--- a/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
+++ b/src/vanillaswitch/coordination/fleet/instances/run_recovery.py
@@ -116,7 +116,7 @@
         elif instance.has_listed_former_ends and not any(
             (end.task, end.run) == run.key for end in instance.unprocessed_ends
         ):
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
 
     def _apply_unprocessed_ends(
         self, instance: instance_state.Instance, job_id: str, now: float
--- a/src/vanillaswitch/coordination/fleet/instances/start_checks.py
+++ b/src/vanillaswitch/coordination/fleet/instances/start_checks.py
@@ -66,7 +66,8 @@
                 instance.free_cpu,
             )
         )
-        self._release_run(instance, run, outcome="withheld")
+        now = run.decided_at
+        self._release_run(instance, run, now, outcome="withheld")
         if not run.step.gang:
             return
         for other in self.instances.values():
@@ -77,9 +78,9 @@
                     continue
                 if member.is_start_sent:
                     why = "start of another gang member no longer fits"
-                    self.stop_run(other, member, run.decided_at, why)
+                    self.stop_run(other, member, now, why)
                 else:
-                    self._release_run(other, member, outcome="withheld")
+                    self._release_run(other, member, now, outcome="withheld")
 
     def update_listed_capacity(
         self, name: str, capacity: fleet.Resources
--- a/src/vanillaswitch/coordination/fleet/instances/status_reports.py
+++ b/src/vanillaswitch/coordination/fleet/instances/status_reports.py
@@ -318,7 +318,7 @@
         if _targets_former_incarnation(instance, run):
             why = "its instance restarted"
             self._count_loss(instance, [run], why, now, crash_confirmed=False)
-        self._release_run(instance, run)
+        self._release_run(instance, run, now)
 
     def _process_missing_run(
         self,
@@ -358,7 +358,7 @@
         ):
             self._rule_out(instance, run, may_restart=may_restart)
         else:
-            self._release_run(instance, run)
+            self._release_run(instance, run, now)
 
     def handle_unanswered_call(self, name: str, began_at: float) -> None:
         """Marks an instance to which a call got no response.
--- a/src/vanillaswitch/coordination/fleet/instances/term_state.py
+++ b/src/vanillaswitch/coordination/fleet/instances/term_state.py
@@ -150,6 +150,7 @@
         self._inherited_starts_until = float("-inf")
         self._holding_instances: set[str] = set()
         self._ruled_out_runs: dict[instance_state.RunKey, str] = {}
+        self._deferred_tasks: dict[jobs.TaskName, late_starts.DeferredTask] = {}
         self._cancels_before_job: set[str] = set()
         self._pending_starts: list[StartOrder] = []
         self._pending_stops: list[StopOrder] = []
--- a/tests/failures/test_late_starts.py
+++ b/tests/failures/test_late_starts.py
@@ -166,6 +166,10 @@
         self._register(name)
         self.report(name)
 
+    def cordon(self, name):
+        """A wave needs a machine, so nothing starts on its instance."""
+        self.scheduler.instances[name].is_cordoned = True
+
     def go_down_and_up(self, name, down_s, up_s):
         """An instance crashes and is found again after its restart."""
         self.lose(name)
@@ -355,6 +359,58 @@
     late_call_histories.play(seed)
 
 
+@pytest.mark.parametrize("how", ["failed", "stopped", "lapsed"])
+@pytest.mark.parametrize("step", [_FINITE, _LONG_RUNNING])
+def test_a_run_that_ends_while_its_start_may_be_late_is_not_replaced(how, step):
+    """Guards against a second run beside a late start of one that had ended.
+
+    Another copy of the start was answered. Its task needs another run.
+    """
+    world = _Fleet(step)
+    order, late = world.leave_start_unanswered()
+    sent_at = world.now
+    world.answer(order)
+    world.run(0.5)
+    world.models[order.instance].end(order.task, fleet.RunOutcome(how))
+    world.cordon(order.instance)
+    world.run(1.0)
+    world.lose(order.instance)
+    world.run(2.0)
+    world.restart(order.instance)
+    world.execute(order.instance, late)
+    world.find(order.instance)
+    world.run(_DELAY_S + 1.0 - (world.now - sent_at))
+    running = [
+        model for model in world.models.values() if order.task in model.running
+    ]
+    assert len(running) == 1
+
+
+def test_a_refused_restart_does_not_release_a_held_task():
+    """Guards against a run elsewhere beside a late start of an earlier run."""
+    world = _Fleet()
+    order, late = world.leave_start_unanswered()
+    world.lose(order.instance)
+    world.restart(order.instance)
+    world.find(order.instance)
+    world.now += 0.25
+    world.report_all()
+    (again,) = world.plan()
+    assert again.instance == order.instance
+    world.scheduler.handle_start_refused(
+        again.instance,
+        (again.task, again.run),
+        fleet.RefusalReason.UNHEALTHY,
+        True,
+        world.now,
+    )
+    world.cordon(order.instance)
+    assert not world.run(1.0)
+    world.lose(order.instance)
+    world.restart(order.instance)
+    world.execute(order.instance, late)
+
+
 def test_a_stopped_start_restarts_once_on_the_same_instance():
     """Guards against a run elsewhere, and against a task that is stuck.
 
