Test of late lease extensions starts its run with an ordinary deadline

The start asked for the far deadline too, so that it extended the lease itself, and the test did not depend on the late call alone. Comments on deferred tasks.

--- a/src/vanillaswitch/coordination/fleet/instances/held_runs.py
+++ b/src/vanillaswitch/coordination/fleet/instances/held_runs.py
@@ -27,7 +27,7 @@
 
 
 class HeldRuns(completions.RunCompletion):
-    """Knows the starts without an answer, and the runs held because of them."""
+    """Knows the starts without an answer, and what waits because of them."""
 
     def _record_unanswered_start(
         self, name: str, key: instance_state.RunKey, now: float
@@ -188,8 +188,8 @@
     ) -> None:
         """Returns a task to the queue, or defers it.
 
-        The incarnation that had its run refuses a copy of the start. If it
-        restarts soon, the next one would execute the copy.
+        The incarnation that had the run refuses further copies of its start.
+        The next one would execute them.
         """
         until = self._late_starts.until(task.instance, task.name)
         if until <= now or not self._is_accepted_by_next(task.name):
@@ -236,7 +236,7 @@
             self._needs_plan = True
 
     def _release_held_runs(self, now: float) -> None:
-        """Releases held runs whose start can't be executed any more."""
+        """Releases runs and tasks whose start can't be executed any more."""
         for late in self._late_starts.drop_expired(now):
             self._emit_late_start(
                 "dropped", late.instance, late.key, late.until, now
--- a/src/vanillaswitch/coordination/fleet/instances/start_checks.py
+++ b/src/vanillaswitch/coordination/fleet/instances/start_checks.py
@@ -66,6 +66,7 @@
                 instance.free_cpu,
             )
         )
+        # It was decided moments ago.
         now = run.decided_at
         self._release_run(instance, run, now, outcome="withheld")
         if not run.step.gang:
--- a/tests/failures/test_late_lease_extensions.py
+++ b/tests/failures/test_late_lease_extensions.py
@@ -6,11 +6,13 @@
 
 from standins import leased_instance
 from tests.common import fleet_builders
+from vanillaswitch.coordination.fleet.instances import lease_times
 from vanillaswitch.protocol import fleet
 from vanillaswitch.protocol import jobs
 
 _NAME = "i-1"
 _TASK = jobs.TaskName("1", 0, 0, 0)
+_LEASE_MS = round(lease_times.RUN_LEASE_S * 1000)
 _FAR_MS = 10**9
 """A deadline on the clock of a former incarnation, which was up for long."""
 
@@ -43,7 +45,7 @@
     scheduler.handle_registration(model.registration, now - registered_s_before)
     model.renew_lease(1, 0, _FAR_MS)
     report(2, now)
-    start = fleet.StartRequest(_TASK, 1, "", "", 2, _FAR_MS)
+    start = fleet.StartRequest(_TASK, 1, "", "", 2, _LEASE_MS)
     model.start(start, fleet.Resources(1, 0))
     instance = scheduler.instances[_NAME]
     while not instance.is_lease_expired(now):
