--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,7 +46,7 @@
 LATE_START_FAULTS: registry.Registry[Fault] = registry.Registry(
     "fault of a soak with starts that are executed late"
 )
-"""Kept apart for the same reason."""
+"""Kept apart for the same reason as ``ADVICE_FAULTS``."""
 
 CANCEL_PAUSE_S = 0.5
 """Pause before a cancel that was not confirmed is sent again."""
--- a/src/vanillaswitch/coordination/fleet/instances/instance_client.py
+++ b/src/vanillaswitch/coordination/fleet/instances/instance_client.py
@@ -473,6 +473,7 @@
             return
         token = self._context.fences.token(instance)
         if token is None:
+            # Sent again by ``resend_stops``, or when the run is listed again.
             return
         outcome = self._context.upstreams.stop(
             instance.registration,
--- a/tests/failures/test_late_starts.py
+++ b/tests/failures/test_late_starts.py
@@ -166,6 +166,12 @@
         self._register(name)
         self.report(name)
 
+    def restart_and_execute(self, name, late):
+        """A late start is executed before the owner finds the restart."""
+        self.restart(name)
+        self.execute(name, late)
+        self.find(name)
+
     def cordon(self, name):
         """A wave needs a machine, so nothing starts on its instance."""
         self.scheduler.instances[name].is_cordoned = True
@@ -216,9 +222,7 @@
         world.run(0.5)
     world.lose(order.instance)
     world.run(away_s)
-    world.restart(order.instance)
-    world.execute(order.instance, late)
-    world.find(order.instance)
+    world.restart_and_execute(order.instance, late)
     world.run(2 * _DELAY_S)
     (entry,) = world.scheduler.tracker
     assert (
@@ -241,9 +245,7 @@
     world.go_down_and_up(order.instance, first_away_s, 1.0)
     world.lose(order.instance)
     world.run(second_away_s)
-    world.restart(order.instance)
-    world.execute(order.instance, late)
-    world.find(order.instance)
+    world.restart_and_execute(order.instance, late)
     world.run(2 * _DELAY_S)
 
 
@@ -322,9 +324,7 @@
     world.models[order.instance].crash()
     world.succeed()
     assert not world.run(2.0)
-    world.restart(order.instance)
-    world.execute(order.instance, late)
-    world.find(order.instance)
+    world.restart_and_execute(order.instance, late)
     world.run(2 * _DELAY_S)
 
 
@@ -376,9 +376,7 @@
     world.run(1.0)
     world.lose(order.instance)
     world.run(2.0)
-    world.restart(order.instance)
-    world.execute(order.instance, late)
-    world.find(order.instance)
+    world.restart_and_execute(order.instance, late)
     world.run(_DELAY_S + 1.0 - (world.now - sent_at))
     running = [
         model for model in world.models.values() if order.task in model.running
